--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,995 @@
+// Package choice holds every decision of a swiftreel controller.
+//
+// How it is invoked: one Controller for each instance; Decide is told each event in the order in which they
+// came, with the clock, and returns the actions to carry out in order (valid until its next call). The first
+// event is Started, with the settings. The interface - ids, events, actions - is defined in types.go.
+//
+// The file follows a job: start, list of engines, arrival, bucket and queue, engine bound and choice of
+// engine, the gate for dispatches and replies, notes, answer, sweep, health. docs/design.md says why.
+package choice
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+)
+
+const ms, second = Nanos(1e6), Nanos(1e9)
+
+// Tuned values; one set for every deployment.
+const (
+	sweepEvery   = 20 * ms // drops what has given up, watches engines, moves the price
+	tenantMemory = 10 * second
+	bucketDepth  = 96  // parked jobs a bucket
+	typeCeiling  = 400 // parked jobs a reservation type, over all its buckets
+
+	nearBest   = 1.5  // latency over best below which an engine's bound widens by a thread
+	wellAbove  = 2.0  // from here an engine is under pressure and its bound binds
+	grown      = 3.0  // from here its bound halves
+	crowded    = 1.75 // threads a core in a load report that also count as pressure
+	widenEvery = 250 * ms
+	halveEvery = 2 * second
+
+	waitShare = 0.15 // of the SLA time, waited by a head: from here the price of a thread rises
+	priceUp   = 0.5  // a second, in units of the mean billed value for a second of work
+	priceDown = 0.25
+	priceMost = 2.0
+
+	overdueTimes = 5.0  // times its expected time: a dispatch that ran so long is called back
+	badPlanTimes = 4.0  // the same, when its own notes project it
+	spareShare   = 0.1  // further dispatches of what may have run, for each job taken
+	spareMost    = 10.0 // and at once
+	strikesOut   = 3    // failures in a row that set an engine aside
+	quietTime    = 600 * ms
+	restFirst    = second
+	restMost     = 8 * second
+	probesBack   = 2
+	probeEvery   = 400 * ms
+	coldSafety   = 0.6 // of the budget that a cold engine stands
+)
+
+// jobType is what is known of a reservation type: its settings, and what answers taught.
+type jobType struct {
+	threads               float64
+	aim, window           Nanos
+	stretch, worth, late  float64
+	repeatable, keyed     bool
+	scope                 string
+	ordered, holds, waits bool
+	zones, kinds          []any
+	parked                int
+	usual                 float64 // mean work of a job, ns
+	costBias, costN       float64 // log of true work over estimate
+	memBias, memDev, memN float64 // log of true memory over estimate, its mean deviation
+	best, slow            float64 // latency over (work / threads): the best seen, and lately
+}
+
+type job struct {
+	id                 JobID
+	typ                *jobType
+	bucket             *bucket
+	tenant             TenantID
+	key                Key
+	tables             TableSet
+	arrived, due, lost Nanos // due: the SLA time ends; lost: the job timeout
+	work               float64
+	memory             float64
+	worth              float64
+	priority           uint8
+	dispatches         int
+	flight             *flight // the dispatch that is out: at most one
+	mayHaveRun         bool    // some dispatch is not proved never to have run
+	firstAt            Nanos   // when the first such dispatch was sent, and the group that it binds
+	firstZone          ZoneID
+	firstCell          CellID
+	last               *engine
+	parked, over       bool
+	streaming          bool
+}
+
+// flight is a dispatch whose outcome has not come.
+type flight struct {
+	job            *job
+	engine         *engine
+	seq            Seq
+	sent           Nanos
+	expect, memory float64
+	share          float64 // of the work done, by the last note
+	called         bool    // retracted
+}
+
+// bucket is one reservation type of one tenant. Emptied by completions; dropped by the sweep once idle.
+type bucket struct {
+	typ    *jobType
+	tenant TenantID
+	used   float64 // threads out
+	fifo   []*job
+	seen   Nanos
+}
+
+// keyLine is the order of one key. Dropped by the sweep when empty and rested.
+type keyLine struct {
+	jobs []*job
+	rest Nanos
+}
+
+type mode uint8
+
+const (
+	open mode = iota
+	aside
+	trial
+)
+
+type engine struct {
+	Line
+	cores, memory   float64
+	threads, grants float64 // of our own dispatches
+	flights         []*flight
+	bound           float64
+	slow            float64 // latency over best, lately
+	pressed         bool
+	fullUntil       Nanos
+	stepped, halved Nanos
+	mode            mode
+	since, rest     Nanos
+	strikes, passed int
+	heard, probed   Nanos
+	probing         bool
+	others          float64 // threads of other controllers, by its last report
+	sent            []sentWork
+}
+
+// sentWork is usual work sent to a cold engine; forgotten after the window of the rule.
+type sentWork struct {
+	at   Nanos
+	work float64
+}
+
+// tenantSeen is a tenant's share of late; dropped by the sweep after tenantMemory.
+type tenantSeen struct {
+	at     Nanos
+	credit float64 // jobs it may still send inside its share
+}
+
+// Controller decides for one instance.
+type Controller struct {
+	now, booted Nanos
+	acts        []Action
+	facts       Facts
+	chance      pcg
+	types       []*jobType
+	share       float64 // this controller's even share
+	mostTries   int
+	engines     []*engine      // by id; a gone engine leaves once its dispatches are over
+	jobs        map[JobID]*job // until over and nothing is out
+	live        []*job         // the same, in order of arrival
+	buckets     []*bucket
+	lines       map[Key]*keyLine
+	tenants     map[TenantID]*tenantSeen
+	price       float64 // in mean billed value for a second of work
+	priced      bool
+	worthMean   float64
+	workMean    float64
+	spare       float64
+	taken       []Nanos // arrivals and further dispatches inside the rationing window
+	further     []Nanos
+	tracked     bool
+	asked       Nanos
+}
+
+// pcg is a permuted congruential generator (XSH RR 64/32).
+type pcg uint64
+
+func (p *pcg) next() uint32 {
+	s := uint64(*p)
+	*p = pcg(s*6364136223846793005 + 1442695040888963407)
+	x, rot := uint32(((s>>18)^s)>>27), uint32(s>>59)
+	return x>>rot | x<<(-rot&31)
+}
+
+func (p *pcg) unit() float64 { return float64(p.next()) / (1 << 32) }
+
+// Decide is told what happened and returns what to do.
+func (c *Controller) Decide(now Nanos, ev Event) []Action {
+	c.now, c.acts = now, c.acts[:0]
+	var own *bucket
+	switch ev.Kind {
+	case Started:
+		c.start(ev)
+	case Listed:
+		c.list(ev)
+	case Arrived:
+		c.arrive(ev)
+	case Noted:
+		c.note(ev)
+	case StreamBegan:
+		if j := c.jobs[ev.Job]; j != nil {
+			j.streaming = true
+		}
+	case Answered:
+		own = c.answer(ev)
+	case ClientLeft:
+		if j := c.jobs[ev.Job]; j != nil && !j.over {
+			c.end(j)
+		}
+	case Probed:
+		c.probeAnswer(ev)
+	case TimerDue:
+		c.sweep()
+	}
+	c.drain(own)
+	return c.acts
+}
+
+func (c *Controller) do(a Action) { c.acts = append(c.acts, a) }
+
+func (c *Controller) log(format string, v ...any) {
+	c.do(Action{Kind: Log, Text: fmt.Sprintf(format, v...)})
+}
+
+func (c *Controller) start(ev Event) {
+	f := ev.Facts
+	c.facts, c.booted, c.chance = f, c.now, pcg(ev.Seed)
+	c.share = 1 / math.Max(1, f.num("balancers", 1))
+	c.mostTries = max(1, int(f.num("limits.most_tries", 1)))
+	c.jobs, c.lines, c.tenants = map[JobID]*job{}, map[Key]*keyLine{}, map[TenantID]*tenantSeen{}
+	for i := range f.list("classes") {
+		at := func(name string) string { return fmt.Sprintf("classes.%d.%s", i, name) }
+		of := func(name string) string { return fmt.Sprintf("domain.%s.%d", name, i) }
+		t := &jobType{
+			threads: math.Max(1, f.num(of("class_threads"), 1)), aim: f.span(at("aim_ns")),
+			stretch: f.num(at("aim_stretch"), 0), worth: f.num(at("gain"), 1), late: f.num(at("late_worth"), 0),
+			repeatable: f.text(at("idempotency")) == "repeatable", keyed: f.text(at("idempotency")) == "by_key",
+			scope: f.text(at("key_scope")), window: f.span(at("repeat_window_ns")),
+			ordered: f.flag(at("fifo_by_key")), holds: f.flag(of("writes_tables")), waits: f.flag(of("waits_for_loads")),
+			zones: f.list(at("allowed_in")), kinds: f.list(at("kinds_only")), best: 1, slow: 1,
+		}
+		t.usual = math.Max(float64(t.aim)*t.threads/2, float64(ms)) // until jobs tell better
+		c.types = append(c.types, t)
+	}
+	c.do(Action{Kind: Timer, Span: sweepEvery})
+}
+
+// list takes discovery's view. A start time that changes is a restart: what was learned of the engine is void.
+func (c *Controller) list(ev Event) {
+	c.tracked = ev.List != ListFailed && (c.tracked || ev.List != CachedList)
+	if ev.List == ListFailed {
+		return
+	}
+	if ev.List != ListChanges {
+		for _, e := range c.engines {
+			e.State = Gone
+		}
+	}
+	for _, l := range ev.Lines {
+		i, known := slices.BinarySearchFunc(c.engines, l.Engine, func(e *engine, id EngineID) int {
+			return cmp.Compare(e.Engine, id)
+		})
+		if !known {
+			c.engines = slices.Insert(c.engines, i, &engine{slow: 1, heard: c.now, Line: l})
+		}
+		e := c.engines[i]
+		if !known || e.StartedAt != l.StartedAt {
+			e.slow, e.pressed, e.mode, e.strikes, e.others, e.heard = 1, false, open, 0, 0, c.now
+			e.cores = math.Max(1, c.facts.num(fmt.Sprintf("domain.cpu_of_kind.%d", l.Kind), 1))
+			e.memory = c.facts.num(fmt.Sprintf("domain.size_mb.%d", l.Kind), 0)
+			e.bound = e.cores * c.share
+		}
+		e.Line = l
+	}
+}
+
+// arrive takes a job: it is priced, sent, parked in its bucket or throttled at once.
+func (c *Controller) arrive(ev Event) {
+	if int(ev.Type) >= len(c.types) || c.jobs[ev.Job] != nil {
+		return
+	}
+	t := c.types[ev.Type]
+	j := &job{id: ev.Job, typ: t, tenant: ev.Tenant, key: ev.Key, tables: ev.Tables, arrived: c.now,
+		lost: c.now + max(0, ev.Left), work: t.usual, worth: t.worth, priority: 1}
+	if ev.CostKnown && ev.Cost > 0 {
+		j.work = min(float64(ev.Cost)*math.Exp(t.costBias), float64(3600*second))
+		t.usual += 0.02 * (j.work - t.usual)
+	}
+	if ev.MemoryMB > 0 && ev.MemoryMB < 1e9 {
+		j.memory = ev.MemoryMB
+	}
+	j.due = min(c.now+t.aim+Nanos(t.stretch*j.work/t.threads), j.lost)
+	c.jobs[j.id], c.live = j, append(c.live, j)
+	if t.ordered && j.key != 0 {
+		l := c.lines[j.key]
+		if l == nil {
+			l = &keyLine{}
+			c.lines[j.key] = l
+		}
+		l.jobs = append(l.jobs, j)
+	}
+	if c.facts.num("invariants.further_ratio", -1) >= 0 {
+		c.taken = append(c.taken, c.now)
+	}
+	c.spare = min(spareMost, c.spare+spareShare)
+	c.worthMean += 0.01 * (j.worth - c.worthMean)
+	c.workMean += 0.01 * (j.work - c.workMean)
+	if !c.withinShare(j.tenant) {
+		j.worth *= c.facts.num("over_share_worth", 1)
+	}
+	j.bucket = c.bucketOf(t, j.tenant)
+	if c.notWorth(j) {
+		c.giveUp(j)
+	} else if len(j.bucket.fifo) > 0 || !c.send(j) {
+		if len(j.bucket.fifo) >= bucketDepth || t.parked >= typeCeiling {
+			c.giveUp(j)
+			return
+		}
+		j.parked = true
+		t.parked++
+		j.bucket.fifo = append(j.bucket.fifo, j)
+	}
+}
+
+// withinShare counts a tenant's jobs against this controller's even part of its quota.
+func (c *Controller) withinShare(id TenantID) bool {
+	s, quota := c.tenants[id], c.facts.num(fmt.Sprintf("tenants.%d.quota_per_s", id), math.Inf(1))*c.share
+	if s == nil {
+		s = &tenantSeen{at: c.now, credit: 2 * quota}
+		c.tenants[id] = s
+	}
+	s.credit = min(s.credit+quota*float64(c.now-s.at)/float64(second), 2*quota)
+	s.at = c.now
+	if s.credit < 1 {
+		return false
+	}
+	s.credit--
+	return true
+}
+
+// notWorth tells whether a job has become not worth its threads: it cannot end before its job timeout, or
+// in an overload its billed value for the work (the late one, once its SLA time cannot be met) is under the
+// price. One rule for bursts, floods of a tenant, costly jobs and a slow fleet alike.
+func (c *Controller) notWorth(j *job) bool {
+	t, left, worth := j.typ, j.work/j.typ.threads, j.worth
+	if c.now+Nanos(0.8*left) > j.lost {
+		return true
+	}
+	if c.now+Nanos(left*t.slow) > j.due {
+		if worth *= t.late; worth == 0 || c.price > 0 {
+			return true
+		}
+	}
+	return worth/j.work < c.price*c.worthMean/c.workMean
+}
+
+func (c *Controller) bucketOf(t *jobType, tenant TenantID) *bucket {
+	for _, b := range c.buckets {
+		if b.typ == t && b.tenant == tenant {
+			b.seen = c.now
+			return b
+		}
+	}
+	b := &bucket{typ: t, tenant: tenant, seen: c.now}
+	c.buckets = append(c.buckets, b)
+	return b
+}
+
+// limit is every bucket's limit in threads, read anew at each use.
+func (c *Controller) limit() float64 {
+	sum := 0.0
+	for _, e := range c.engines {
+		if e.State == Ready {
+			sum += e.cores * 2 * c.share
+		}
+	}
+	return sum / float64(max(1, len(c.tenants)))
+}
+
+// drain sends what is parked: the freed bucket first, then the earliest-due head that fits anywhere.
+func (c *Controller) drain(own *bucket) {
+	for own != nil {
+		if j := c.head(own); j == nil || !c.send(j) {
+			break
+		}
+	}
+	for {
+		var heads []*job
+		for _, b := range c.buckets {
+			if j := c.head(b); j != nil {
+				heads = append(heads, j)
+			}
+		}
+		slices.SortStableFunc(heads, func(a, b *job) int { return cmp.Compare(a.due, b.due) })
+		if !slices.ContainsFunc(heads, c.send) {
+			return
+		}
+	}
+}
+
+// head is the first parked job whose key lets it go.
+func (c *Controller) head(b *bucket) *job {
+	for _, j := range b.fifo {
+		if c.turn(j) {
+			return j
+		}
+	}
+	return nil
+}
+
+// turn tells whether a job's key lets it go: all earlier ones are over with every outcome in, and it rested.
+func (c *Controller) turn(j *job) bool {
+	l := c.lines[j.key]
+	return !j.typ.ordered || j.key == 0 || l == nil || (l.jobs[0] == j && c.now >= l.rest)
+}
+
+// send dispatches a job if its bucket and an engine let it.
+func (c *Controller) send(j *job) bool {
+	if !c.turn(j) {
+		return false
+	}
+	b := j.bucket
+	e := c.pick(j, b.used > 0 && b.used+j.typ.threads > c.limit())
+	return e != nil && c.dispatch(j, e)
+}
+
+// quick tells the types whose jobs are short beside the longest: they go at the highest priority, and over
+// an engine's bound by half its start, so that long jobs cannot keep them from every thread.
+func (c *Controller) quick(t *jobType) bool {
+	longest := 0.0
+	for _, o := range c.types {
+		longest = max(longest, o.usual)
+	}
+	return t.usual*4 <= longest
+}
+
+// room tells whether an engine takes a job. Its bound binds under pressure, and always a borrower; else
+// twice its start does. Memory counts like threads, so that nothing waits, spills or pages there.
+func (c *Controller) room(j *job, e *engine, borrows bool) bool {
+	if e.mode == aside || (e.mode == trial && len(e.flights) > 0) || c.now < e.fullUntil {
+		return false
+	}
+	start, slack := e.cores*c.share, 1.3
+	most := 2 * start
+	if e.pressed || borrows {
+		most, slack = e.bound, 1
+	}
+	if c.quick(j.typ) {
+		most += start / 2
+	}
+	if w := c.warmth(e); w < 1 {
+		most *= w
+	}
+	if len(e.flights) == 0 {
+		return true
+	}
+	return e.threads+j.typ.threads <= most && (e.memory == 0 || e.grants+c.need(j) <= e.memory*c.share*slack)
+}
+
+// need is the memory that a job is thought to use.
+func (c *Controller) need(j *job) float64 { return j.memory * math.Exp(j.typ.memBias) }
+
+// warmth is the part of its capacity that a started engine is sure to have.
+func (c *Controller) warmth(e *engine) float64 {
+	within, from := c.facts.span("invariants.warm_within_ns"), c.facts.num("invariants.start_capacity", 1)
+	if e.StartedAt == 0 || c.now-e.StartedAt >= within {
+		return 1
+	}
+	return from + (1-from)*float64(max(0, c.now-e.StartedAt))/float64(within)
+}
+
+// pick is the engine with most room: fewest threads for its cores, all controllers' as far as reports tell,
+// weighed by how slow it answers beside the others.
+func (c *Controller) pick(j *job, borrows bool) *engine {
+	var best *engine
+	least, slow, n := math.Inf(1), 0.0, 0.0
+	for _, e := range c.engines {
+		if e.State == Ready && e.mode == open {
+			slow, n = slow+e.slow, n+1
+		}
+	}
+	for _, e := range c.engines {
+		if !c.allowed(j, e) || !c.room(j, e, borrows) {
+			continue
+		}
+		load := (e.threads + e.others + j.typ.threads) / (e.cores * c.warmth(e)) * min(3, max(0.5, e.slow*n/max(slow, 0.1)))
+		if e.Zone != ZoneID(c.facts.num("locality", 0)) {
+			load += 2 * c.facts.num("tariffs.cross_zone", 0)
+		}
+		if e == j.last {
+			load += 0.5
+		}
+		if home := c.home(e, j.tables); home < 2 {
+			load -= 0.25
+		}
+		if (j.typ.holds || j.typ.waits) && c.heldBy(e, j.tables) {
+			load += 2 // it would stand still behind the load
+		}
+		if load += 0.02 * c.chance.unit(); load < least {
+			best, least = e, load
+		}
+	}
+	return best
+}
+
+// home ranks an engine for a group of tables by a hash that every controller computes alike, so that each
+// group stays warm on few engines although controllers share nothing.
+func (c *Controller) home(e *engine, tables TableSet) int {
+	rank, mine := 0, mix(e.Engine, tables)
+	for _, o := range c.engines {
+		if o.State == Ready && o != e && mix(o.Engine, tables) > mine {
+			rank++
+		}
+	}
+	return rank
+}
+
+func mix(id EngineID, tables TableSet) uint32 {
+	p := pcg(uint64(id)<<32 ^ uint64(tables)*0x9e3779b97f4a7c15)
+	p.next()
+	return p.next()
+}
+
+func (c *Controller) heldBy(e *engine, tables TableSet) bool {
+	return slices.ContainsFunc(e.flights, func(f *flight) bool { return f.job.typ.holds && f.job.tables == tables })
+}
+
+// allowed is the gate of the rules for a dispatch; nothing is sent past it.
+func (c *Controller) allowed(j *job, e *engine) bool {
+	t := j.typ
+	switch {
+	case j.over || j.flight != nil || j.dispatches >= c.mostTries || c.now >= j.lost: // rule 1
+		return false
+	case j.mayHaveRun && !c.mayRepeat(j, e): // rule 2
+		return false
+	case e.State != Ready: // rule 3, with no use of the grace
+		return false
+	case !c.coldRoom(t, e): // rule 4
+		return false
+	case !c.turn(j): // rule 5
+		return false
+	case t.zones != nil && !slices.Contains(t.zones, any(float64(e.Zone))): // rule 6
+		return false
+	case t.kinds != nil && !slices.Contains(t.kinds, any(float64(e.Kind))):
+		return false
+	}
+	return j.dispatches == 0 || c.rationed() // rule 7
+}
+
+// mayRepeat is rule 2 for a job that may have run.
+func (c *Controller) mayRepeat(j *job, e *engine) bool {
+	t := j.typ
+	if t.repeatable {
+		return true
+	}
+	if !t.keyed || c.now >= j.firstAt+t.window-2*c.facts.span("step_ns") {
+		return false
+	}
+	return t.scope == "all" || (t.scope == "zone" && e.Zone == j.firstZone) ||
+		(t.scope == "cell" && e.Cell == j.firstCell)
+}
+
+// coldRoom is rule 4: this controller's even share of what a just-started engine stands in any window. A
+// controller that has itself just started waits a window, as it does not know what it sent before.
+func (c *Controller) coldRoom(t *jobType, e *engine) bool {
+	if c.warmth(e) >= 1 {
+		e.sent = nil
+		return true
+	}
+	window := c.facts.span("invariants.fall_ns")
+	e.sent = slices.DeleteFunc(e.sent, func(s sentWork) bool { return s.at+window < c.now })
+	sum := t.usual
+	for _, s := range e.sent {
+		sum += s.work
+	}
+	stands := c.facts.num("invariants.fall_multiple", 1) * c.facts.num("invariants.start_capacity", 0)
+	return c.now-c.booted >= window && sum <= coldSafety*c.share*stands*0.85*e.cores*float64(window)
+}
+
+// rationed is rule 7: whether one more dispatch beyond a job's first keeps within the stated budget.
+func (c *Controller) rationed() bool {
+	ratio := c.facts.num("invariants.further_ratio", -1)
+	if ratio < 0 {
+		return true
+	}
+	past := func(at Nanos) bool { return at <= c.now-c.facts.span("invariants.extra_window_ns") }
+	c.taken, c.further = slices.DeleteFunc(c.taken, past), slices.DeleteFunc(c.further, past)
+	return float64(len(c.further)+1) <= c.facts.num("invariants.budget_free", 0)+ratio*float64(len(c.taken))
+}
+
+// dispatch sends a job, with its memory grant and priority where they are heeded.
+func (c *Controller) dispatch(j *job, e *engine) bool {
+	if !c.allowed(j, e) {
+		return false
+	}
+	t := j.typ
+	c.unpark(j)
+	j.priority = 1
+	if c.quick(t) {
+		j.priority = 3
+	}
+	grant := 0.0
+	if c.facts.flag("domain.grants_count") && j.memory > 0 {
+		grant = min(c.need(j)*math.Exp(0.8*t.memDev), e.memory*c.facts.num("domain.max_grant_share", 1))
+	}
+	if c.facts.flag("domain.grants_count") || c.facts.flag("domain.takes_priority") {
+		c.do(Action{Kind: Terms, Job: j.id, Priority: j.priority, MemoryMB: grant})
+	}
+	c.do(Action{Kind: Dispatch, Job: j.id, Engine: e.Engine})
+	f := &flight{job: j, engine: e, seq: Seq(j.dispatches), sent: c.now, memory: c.need(j),
+		expect: j.work / t.threads * t.slow}
+	if j.dispatches > 0 && c.facts.num("invariants.further_ratio", -1) >= 0 {
+		c.further = append(c.further, c.now)
+	}
+	if c.warmth(e) < 1 {
+		e.sent = append(e.sent, sentWork{c.now, t.usual})
+	}
+	if !j.mayHaveRun {
+		j.firstAt, j.firstZone, j.firstCell = c.now, e.Zone, e.Cell
+	}
+	j.flight, j.last = f, e
+	j.dispatches++
+	j.bucket.used += t.threads
+	e.threads, e.grants, e.flights = e.threads+t.threads, e.grants+f.memory, append(e.flights, f)
+	return true
+}
+
+func (c *Controller) unpark(j *job) {
+	if j.parked {
+		j.parked = false
+		j.typ.parked--
+		j.bucket.fifo = slices.DeleteFunc(j.bucket.fifo, func(o *job) bool { return o == j })
+	}
+}
+
+// giveUp is the gate for replies: the final answer goes at once, throttled where a repeat is harmless.
+func (c *Controller) giveUp(j *job) {
+	if j.over || j.streaming {
+		return
+	}
+	unsure := j.mayHaveRun || j.flight != nil
+	t := j.typ
+	if !unsure || t.repeatable || (t.keyed && t.scope == "all" && c.now < j.firstAt+t.window) {
+		wait := Nanos(0)
+		if c.facts.flag("limits.retry_after") {
+			wait = c.facts.span("limits.max_retry_after_ns")
+		}
+		c.do(Action{Kind: Throttle, Job: j.id, Span: wait})
+	} else {
+		c.do(Action{Kind: CancelForGood, Job: j.id})
+	}
+	c.end(j)
+}
+
+// end closes a job that was answered; its entry stays until nothing of it is out.
+func (c *Controller) end(j *job) {
+	c.unpark(j)
+	j.over = true
+	if j.flight != nil {
+		c.retract(j.flight)
+	}
+	c.forget(j)
+}
+
+func (c *Controller) retract(f *flight) {
+	if !f.called && c.facts.flag("limits.cancel") {
+		f.called = true
+		c.do(Action{Kind: Retract, Job: f.job.id, Seq: f.seq})
+	}
+}
+
+// forget drops a job that is over with every outcome in, and lets the next of its key go.
+func (c *Controller) forget(j *job) {
+	if !j.over || j.flight != nil {
+		return
+	}
+	delete(c.jobs, j.id)
+	if l := c.lines[j.key]; l != nil && j.typ.ordered {
+		l.jobs = slices.DeleteFunc(l.jobs, func(o *job) bool { return o == j })
+		if len(l.jobs) == 0 && c.now >= l.rest {
+			delete(c.lines, j.key)
+		}
+	}
+}
+
+// note reads how far a dispatch is. A bad plan shows in the time that its pace projects: it is called back
+// and sent again, as is any dispatch far over its expected time (overdue), whatever the cause.
+func (c *Controller) note(ev Event) {
+	j := c.jobs[ev.Job]
+	if j == nil || j.flight == nil || j.flight.seq != ev.Seq || ev.Note != Progress {
+		return
+	}
+	f := j.flight
+	if ev.Amount > f.share {
+		f.share, f.engine.heard = ev.Amount, c.now
+	}
+	took := float64(c.now - f.sent)
+	if whole := took / max(f.share, 0.01); whole > badPlanTimes*f.expect && whole-took > 1.5*f.expect {
+		c.callBack(f)
+	}
+}
+
+// callBack retracts a dispatch to send its job again, within the spare dispatches.
+func (c *Controller) callBack(f *flight) {
+	j := f.job
+	if f.called || j.over || j.streaming || !j.typ.repeatable || c.spare < 1 || j.dispatches >= c.mostTries {
+		return
+	}
+	if c.now+Nanos(f.expect) > j.lost || !c.facts.flag("limits.cancel") || !c.rationed() {
+		return
+	}
+	c.spare--
+	c.retract(f)
+}
+
+// answer takes the outcome of a dispatch and returns the bucket that it freed.
+func (c *Controller) answer(ev Event) *bucket {
+	j := c.jobs[ev.Job]
+	if j == nil || j.flight == nil || j.flight.seq != ev.Seq {
+		return nil
+	}
+	f, e, t := j.flight, j.flight.engine, j.typ
+	j.flight = nil
+	e.flights = slices.DeleteFunc(e.flights, func(o *flight) bool { return o == f })
+	e.threads, e.grants = e.threads-t.threads, e.grants-f.memory
+	j.bucket.used -= t.threads
+	j.mayHaveRun = j.mayHaveRun || !ev.Result.NeverRan()
+	if l := c.lines[j.key]; l != nil && t.ordered &&
+		(ev.Result == TimedOut || ev.Result == Reset || ev.Result == Retracted) {
+		l.rest = max(l.rest, c.now+c.facts.span("invariants.order_pause_ns"))
+	}
+	c.report(e, ev.Load)
+	c.judge(e, ev.Result, f)
+	if ev.Result == Done {
+		c.learn(j, f, ev)
+	}
+	if ev.Final {
+		c.unpark(j)
+		j.over = true
+	}
+	if j.over {
+		c.forget(j)
+		return j.bucket
+	}
+	again := !j.mayHaveRun || t.repeatable || t.keyed
+	if f.called || ev.Result.NeverRan() {
+	} else if c.spare < 1 {
+		again = false
+	} else {
+		c.spare--
+	}
+	if !again || j.dispatches >= c.mostTries || c.late(j) || c.notWorth(j) {
+		c.giveUp(j)
+		return j.bucket
+	}
+	j.parked = true
+	t.parked++
+	j.bucket.fifo = slices.Insert(j.bucket.fifo, 0, j)
+	return j.bucket
+}
+
+// learn takes what an answer tells: the true work and memory, the latency beside the best, the bound.
+func (c *Controller) learn(j *job, f *flight, ev Event) {
+	t, e, work := j.typ, f.engine, j.work
+	if c.facts.flag("domain.says_cost") && ev.Bill > 0 {
+		work = math.Max(float64(ev.Bill>>12)*float64(ms), float64(ms))
+		t.costN = min(t.costN+1, 100)
+		t.costBias += (math.Log(work / j.work)) / max(t.costN, 10)
+		if used := float64(ev.Bill&4095) * 4; used > 0 && j.memory > 0 {
+			t.memN = min(t.memN+1, 100)
+			off := math.Log(used/j.memory) - t.memBias
+			t.memBias += off / t.memN
+			t.memDev += (math.Abs(off) - t.memDev) / max(t.memN, 5)
+		}
+		if j.work == t.usual {
+			t.usual += 0.02 * (work - t.usual)
+		}
+	}
+	took := float64(ev.Latency) / (work / t.threads)
+	if took < t.best {
+		t.best += 0.1 * (took - t.best)
+	} else {
+		t.best += 0.0005 * (min(took, 2*t.best) - t.best)
+	}
+	t.slow += 0.05 * (min(took, 10) - t.slow)
+	ratio := min(took/t.best, 10)
+	e.slow += min(0.25, max(0.02, work/float64(4*second))) * (ratio - e.slow)
+	start := e.cores * c.share
+	if ratio < nearBest && c.now-e.stepped >= widenEvery {
+		e.stepped, e.bound = c.now, min(2*start, e.bound+1)
+	}
+	c.pressure(e)
+}
+
+// pressure sets whether an engine's bound binds, and halves it when latency has grown.
+func (c *Controller) pressure(e *engine) {
+	busy := e.threads + e.others
+	was := e.pressed
+	if e.slow > wellAbove || c.now < e.fullUntil || busy > crowded*e.cores {
+		e.pressed = true
+	} else if e.slow < nearBest {
+		e.pressed = false
+	}
+	if (e.slow > grown || c.now < e.fullUntil) && c.now-e.halved >= halveEvery {
+		e.halved, e.stepped = c.now, c.now
+		e.bound = max(e.cores*c.share/2, e.bound/2)
+	}
+	if was != e.pressed {
+		c.log("engine %d pressed=%v latency/best=%.2f threads=%.0f others=%.0f bound=%.1f",
+			e.Engine, e.pressed, e.slow, e.threads, e.others, e.bound)
+	}
+}
+
+// report reads an engine's load report: jobs in hand beyond ours, in threads by our own mean.
+func (c *Controller) report(e *engine, load []float64) {
+	for i, v := range load {
+		if c.facts.text(fmt.Sprintf("telemetry.fields.%d", i)) != "concurrent" || !(v >= 0) {
+			continue
+		}
+		threads, n := 1.0, 1.0
+		for _, o := range c.engines {
+			threads, n = threads+o.threads, n+float64(len(o.flights))
+		}
+		e.others = max(0, v-float64(len(e.flights))) * threads / n
+	}
+}
+
+// sweep drops what has given up, calls back what is overdue, moves the price and watches the engines.
+func (c *Controller) sweep() {
+	c.do(Action{Kind: Timer, Span: sweepEvery})
+	c.live = slices.DeleteFunc(c.live, func(j *job) bool { return j.over && j.flight == nil })
+	for _, j := range c.live {
+		switch f := j.flight; {
+		case j.over || j.streaming:
+		case c.late(j) || (f == nil && c.notWorth(j)):
+			c.giveUp(j)
+		case f != nil && float64(c.now-f.sent) > max(overdueTimes*f.expect, float64(second)):
+			c.callBack(f)
+		}
+	}
+	waited := 0.0
+	for _, b := range c.buckets {
+		if j := c.head(b); j != nil {
+			waited = max(waited, float64(c.now-j.arrived)/float64(max(b.typ.aim, ms)))
+		}
+	}
+	c.reprice(waited)
+	for _, e := range c.engines {
+		e.slow += 0.002 * (1 - e.slow)
+		c.pressure(e)
+		c.watch(e)
+	}
+	c.tidy()
+}
+
+// late tells that a job's final answer is due: the next sweep would come after its job timeout.
+func (c *Controller) late(j *job) bool { return c.now+sweepEvery+2*c.facts.span("step_ns") >= j.lost }
+
+// reprice moves the price of a second of work by how long heads wait.
+func (c *Controller) reprice(waited float64) {
+	step := float64(sweepEvery) / float64(second)
+	if waited > waitShare {
+		c.price = min(priceMost, c.price+priceUp*step)
+	} else {
+		c.price = max(0, c.price-priceDown*step)
+	}
+	if on := c.price > 0; on != c.priced && (on || c.price == 0) {
+		c.priced = on
+		c.log("overload=%v price=%.2f head waited=%.2f of SLA time", on, c.price, waited)
+	}
+}
+
+// tidy empties the tables of what is past.
+func (c *Controller) tidy() {
+	c.engines = slices.DeleteFunc(c.engines, func(e *engine) bool { return e.State == Gone && len(e.flights) == 0 })
+	c.buckets = slices.DeleteFunc(c.buckets, func(b *bucket) bool {
+		return len(b.fifo) == 0 && b.used == 0 && c.now-b.seen > tenantMemory
+	})
+	for id, s := range c.tenants {
+		if c.now-s.at > tenantMemory {
+			delete(c.tenants, id)
+		}
+	}
+	for k, l := range c.lines {
+		if len(l.jobs) == 0 && c.now >= l.rest {
+			delete(c.lines, k)
+		}
+	}
+	if c.facts.text("discovery") == "subscribe" && !c.tracked && c.now-c.asked >= second {
+		c.asked = c.now
+		c.do(Action{Kind: Track})
+	}
+}
+
+// judge counts an outcome for or against an engine.
+func (c *Controller) judge(e *engine, r Result, f *flight) {
+	switch r {
+	case Done:
+		e.heard, e.strikes = c.now, 0
+		if e.mode == trial {
+			c.setMode(e, open, "a job was done")
+		}
+	case Full:
+		e.fullUntil = c.now + second/5
+		c.pressure(e)
+	case Failed, Reset, Unreachable, TimedOut:
+		if e.strikes++; e.mode == trial || (e.mode == open && e.strikes >= strikesOut) {
+			c.setAside(e, fmt.Sprintf("%d failures in a row", e.strikes))
+		}
+	}
+}
+
+// setAside takes an engine out until it answered probes; never more than a third of the fleet, since what
+// strikes most engines at once is no fault of theirs.
+func (c *Controller) setAside(e *engine, why string) {
+	out, ready := 1, 0
+	for _, o := range c.engines {
+		if o.State == Ready {
+			ready++
+			if o != e && o.mode != open {
+				out++
+			}
+		}
+	}
+	if e.mode == open && out > max(1, ready/3) {
+		return
+	}
+	if e.rest = min(restMost, 2*e.rest); e.mode == open {
+		e.rest = restFirst
+	}
+	c.setMode(e, aside, why)
+	for _, f := range slices.Clone(e.flights) {
+		if j := f.job; !j.over && j.typ.repeatable && j.dispatches < c.mostTries {
+			c.retract(f)
+		}
+	}
+}
+
+func (c *Controller) setMode(e *engine, m mode, why string) {
+	e.mode, e.since, e.passed = m, c.now, 0
+	c.log("engine %d %s: %s, latency/best=%.2f out=%d", e.Engine, [...]string{"open", "aside", "on trial"}[m], why,
+		e.slow, len(e.flights))
+}
+
+// watch sets a silent engine aside - it took jobs and answers none - and leads it back: probes answered (or,
+// where probing is barred, its rest over), then one job at a time until one is done.
+func (c *Controller) watch(e *engine) {
+	if e.State != Ready {
+		return
+	}
+	probes := c.facts.flag("limits.probes")
+	if e.mode == aside && c.now-e.since >= e.rest && (e.passed >= probesBack || !probes) {
+		e.strikes = 0
+		c.setMode(e, trial, fmt.Sprintf("%d probes answered", e.passed))
+	}
+	if e.mode != aside {
+		overdue, shortest := 0, math.Inf(1)
+		for _, f := range e.flights {
+			if shortest = min(shortest, f.expect); f.sent >= e.heard && !f.called &&
+				float64(c.now-f.sent) > max(3*f.expect, float64(quietTime)) {
+				overdue++
+			}
+		}
+		if (overdue >= 2 || (overdue > 0 && e.mode == trial)) && c.now-e.heard > quietTime {
+			c.setAside(e, fmt.Sprintf("silent for %d ms, %d overdue", (c.now-e.heard)/ms, overdue))
+		}
+	}
+	wanted := e.mode == aside || c.facts.text("telemetry.via") == "on_probe"
+	if probes && wanted && !e.probing && c.now-e.probed >= probeEvery {
+		e.probing, e.probed = true, c.now
+		c.do(Action{Kind: Probe, Engine: e.Engine})
+	}
+}
+
+func (c *Controller) probeAnswer(ev Event) {
+	for _, e := range c.engines {
+		if e.Engine != ev.Engine {
+			continue
+		}
+		e.probing = false
+		if ev.Result == Done {
+			e.passed++
+			c.report(e, ev.Load)
+		} else {
+			e.passed = 0
+		}
+	}
+}
--- /dev/null
+++ b/choice/types.go
@@ -0,0 +1,205 @@
+package choice
+
+import (
+	"strconv"
+	"strings"
+)
+
+// Nanos is a point in time or a span, in whole nanoseconds.
+type Nanos int64
+
+// Each kind of id is a type of its own.
+type (
+	JobID    uint32
+	EngineID uint32
+	Key      uint64
+	TypeID   uint8
+	TenantID uint32
+	ZoneID   uint8
+	KindID   uint16
+	CellID   uint16
+	Seq      uint16
+	Mark     uint64
+	TableSet int64
+)
+
+// EventKind says what happened.
+type EventKind uint8
+
+// The events that a controller is told of.
+const (
+	Started EventKind = iota + 1
+	Arrived
+	StreamBegan
+	Noted
+	Answered
+	ClientLeft
+	TimerDue
+	Listed
+	Probed
+	Heard
+)
+
+// Result is how a dispatch or a probe ended.
+type Result uint16
+
+// The results, by the field's names for them.
+const (
+	Done Result = iota + 1
+	Failed
+	Full
+	TimedOut
+	Unreachable
+	Reset
+	Retracted
+	Moot
+)
+
+// NeverRan tells whether the result proves that the dispatch had no effect.
+func (r Result) NeverRan() bool { return r == Full || r == Unreachable || r == Moot }
+
+// NoteKind is what a note on a running dispatch speaks of.
+type NoteKind uint8
+
+// The kinds of note.
+const (
+	Progress NoteKind = iota + 1
+	Spilling
+	Waiting
+)
+
+// ListKind says how a list of engines is to be read.
+type ListKind uint8
+
+// The kinds of list.
+const (
+	WholeList ListKind = iota + 1
+	CachedList
+	ListChanges
+	ListFailed
+)
+
+// EngineState is what discovery says of an engine.
+type EngineState uint8
+
+// The states of an engine.
+const (
+	Gone EngineState = iota
+	Ready
+	Draining
+)
+
+// Line is one engine in a list.
+type Line struct {
+	Engine    EngineID
+	Zone      ZoneID
+	Kind      KindID
+	Cell      CellID
+	State     EngineState
+	Size      float64
+	StartedAt Nanos
+}
+
+// Event is something that happened; Kind says which of the fields count.
+type Event struct {
+	Kind EventKind
+
+	Seed  uint64 // Started
+	Facts Facts
+
+	Job       JobID // Arrived, and all that speak of a job
+	Type      TypeID
+	Tenant    TenantID
+	Key       Key
+	Left      Nanos
+	Cost      Nanos
+	CostKnown bool
+	Repeat    bool
+	Write     bool
+	MemoryMB  float64
+	Tables    TableSet
+
+	Seq     Seq // Answered, Noted, StreamBegan, Probed
+	Engine  EngineID
+	Result  Result
+	Latency Nanos
+	Final   bool
+	Bill    uint32
+	Load    []float64
+	Note    NoteKind
+	Amount  float64
+
+	Mark Mark // TimerDue
+
+	List  ListKind // Listed
+	Lines []Line
+}
+
+// ActionKind says what is to be done.
+type ActionKind uint8
+
+// The actions that a controller may ask for.
+const (
+	Dispatch ActionKind = iota + 1
+	Throttle
+	CancelForGood
+	Retract
+	Terms
+	Timer
+	Probe
+	Track
+	Log
+)
+
+// Action is something to be done; Kind says which of the fields count.
+type Action struct {
+	Kind     ActionKind
+	Job      JobID
+	Engine   EngineID
+	Seq      Seq
+	Span     Nanos // Dispatch: time-out; Throttle: retry-after; Timer: delay
+	Priority uint8
+	MemoryMB float64
+	Mark     Mark
+	Text     string
+}
+
+// Facts are the settings handed over at the start: a plain map of names to values, read by dotted
+// path ("limits.probes", "classes.2.gain"). What is absent, or of another sort, gives the caller's value.
+type Facts map[string]any
+
+func (f Facts) at(path string) any {
+	var v any = map[string]any(f)
+	for path != "" {
+		var name string
+		name, path, _ = strings.Cut(path, ".")
+		switch x := v.(type) {
+		case map[string]any:
+			v = x[name]
+		case []any:
+			i, err := strconv.Atoi(name)
+			if err != nil || i < 0 || i >= len(x) {
+				return nil
+			}
+			v = x[i]
+		default:
+			return nil
+		}
+	}
+	return v
+}
+
+func (f Facts) num(path string, absent float64) float64 {
+	if v, ok := f.at(path).(float64); ok {
+		return v
+	}
+	return absent
+}
+
+func (f Facts) span(path string) Nanos { return Nanos(f.num(path, 0)) }
+
+func (f Facts) flag(path string) bool { v, _ := f.at(path).(bool); return v }
+
+func (f Facts) text(path string) string { v, _ := f.at(path).(string); return v }
+
+func (f Facts) list(path string) []any { v, _ := f.at(path).([]any); return v }
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,268 @@
+// Package wire is the codec of the simulator's frames: batches of events in, replies of actions out.
+package wire
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+
+	"swiftreel/choice"
+)
+
+// Instance numbers one hosted controller.
+type Instance uint16
+
+// SetID numbers a list of engines that a Register event hands over.
+type SetID uint16
+
+// RecordKind tells the adapter's own records from those meant for an instance.
+type RecordKind uint8
+
+// The kinds of record.
+const (
+	ForInstance RecordKind = iota
+	Boot
+	Stop
+	Register
+)
+
+// Record is one event of a batch.
+type Record struct {
+	Kind     RecordKind
+	Instance Instance
+	Set      SetID         // Register, and a list event
+	Lines    []choice.Line // Register
+	Info     []byte        // Boot: the settings as JSON text
+	Event    choice.Event
+}
+
+// Batch is all that happened at one time.
+type Batch struct {
+	Now     choice.Nanos
+	Records []Record
+}
+
+const (
+	eventSize  = 48
+	actionSize = 24
+	lineSize   = 22
+	headSize   = 12      // the clock and the number of records
+	maxFrame   = 1 << 30 // a length beyond this is a broken frame
+)
+
+var (
+	eventCodes = map[byte]choice.EventKind{
+		20: choice.Arrived, 30: choice.Noted, 40: choice.TimerDue, 60: choice.Answered, 70: choice.ClientLeft,
+		90: choice.StreamBegan, 100: choice.Heard, 110: choice.Listed, 120: choice.Probed,
+	}
+	actionCodes = map[choice.ActionKind]byte{
+		choice.Dispatch: 10, choice.Throttle: 20, choice.CancelForGood: 30, choice.Retract: 40, choice.Timer: 50,
+		choice.Probe: 60, choice.Log: 90, choice.Track: 110, choice.Terms: 130,
+	}
+	resultCodes = map[uint16]choice.Result{
+		100: choice.Done, 301: choice.Failed, 302: choice.Full, 303: choice.TimedOut,
+		304: choice.Unreachable, 305: choice.Reset, 306: choice.Retracted, 307: choice.Moot,
+	}
+	listCodes = map[byte]choice.ListKind{
+		0: choice.WholeList, 1: choice.ListFailed, 3: choice.ListChanges, 4: choice.CachedList,
+	}
+)
+
+// ErrFrame is the error of a frame that does not read as one.
+var ErrFrame = errors.New("malformed frame")
+
+// ReadBatch reads one batch. io.EOF means that the input ended between two frames.
+func ReadBatch(r *bufio.Reader) (Batch, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		if err == io.EOF {
+			return Batch{}, io.EOF
+		}
+		return Batch{}, fmt.Errorf("%w: length: %v", ErrFrame, err)
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n < headSize || n > maxFrame {
+		return Batch{}, fmt.Errorf("%w: length %d", ErrFrame, n)
+	}
+	frame, err := io.ReadAll(io.LimitReader(r, int64(n)))
+	if err != nil || len(frame) != int(n) {
+		return Batch{}, fmt.Errorf("%w: %d of %d bytes", ErrFrame, len(frame), n)
+	}
+	return decode(frame)
+}
+
+func decode(frame []byte) (Batch, error) {
+	b := Batch{Now: choice.Nanos(binary.BigEndian.Uint64(frame))}
+	count := int64(binary.BigEndian.Uint32(frame[8:]))
+	if headSize+count*eventSize > int64(len(frame)) {
+		return Batch{}, fmt.Errorf("%w: %d records in %d bytes", ErrFrame, count, len(frame))
+	}
+	tail := frame[headSize+count*eventSize:]
+	b.Records = make([]Record, 0, count)
+	for i := range int(count) {
+		rec, err := decodeEvent(frame[headSize+i*eventSize:][:eventSize], tail)
+		if err != nil {
+			return Batch{}, fmt.Errorf("%w: record %d: %w", ErrFrame, i, err)
+		}
+		b.Records = append(b.Records, rec)
+	}
+	return b, nil
+}
+
+// cut takes length entries of the given size from the tail.
+func cut(tail, span []byte, size int64) ([]byte, error) {
+	from, n := int64(binary.BigEndian.Uint32(span)), int64(binary.BigEndian.Uint32(span[4:]))*size
+	if from+n > int64(len(tail)) {
+		return nil, fmt.Errorf("tail span %d+%d of %d", from, n, len(tail))
+	}
+	return tail[from : from+n], nil
+}
+
+func f32(b []byte) float64 { return float64(math.Float32frombits(binary.BigEndian.Uint32(b))) }
+
+func loadReport(b []byte) ([]float64, error) {
+	if b[0] > 4 {
+		return nil, fmt.Errorf("load report of %d values", b[0])
+	}
+	var load []float64
+	for i := range int(b[0]) {
+		load = append(load, f32(b[1+4*i:]))
+	}
+	return load, nil
+}
+
+// tableSet reads the group of tables, which the wire states as a float.
+func tableSet(b []byte) choice.TableSet {
+	v := f32(b)
+	if !(math.Abs(v) < 1<<31) {
+		return 0
+	}
+	return choice.TableSet(v)
+}
+
+func decodeEvent(r, tail []byte) (Record, error) {
+	be := binary.BigEndian
+	rec := Record{Instance: Instance(be.Uint16(r[1:]))}
+	ev := &rec.Event
+	known, err := true, error(nil)
+	switch r[0] {
+	case 10:
+		rec.Kind = Boot
+		*ev = choice.Event{Kind: choice.Started, Seed: be.Uint64(r[3:])}
+		rec.Info, err = cut(tail, r[11:], 1)
+		return rec, err
+	case 80:
+		rec.Kind = Stop
+		return rec, nil
+	case 50:
+		rec.Kind, rec.Set = Register, SetID(be.Uint16(r[1:]))
+		lines, err := cut(tail, r[3:], lineSize)
+		for ; len(lines) > 0; lines = lines[lineSize:] {
+			rec.Lines = append(rec.Lines, choice.Line{
+				Engine: choice.EngineID(be.Uint32(lines)), Zone: choice.ZoneID(lines[4]),
+				Kind: choice.KindID(be.Uint16(lines[5:])), Cell: choice.CellID(be.Uint16(lines[7:])),
+				State: choice.EngineState(lines[9]), Size: f32(lines[10:]),
+				StartedAt: choice.Nanos(be.Uint64(lines[14:])),
+			})
+			if lines[9] > byte(choice.Draining) {
+				return rec, fmt.Errorf("engine state %d", lines[9])
+			}
+		}
+		return rec, err
+	}
+	if ev.Kind, known = eventCodes[r[0]]; !known {
+		return rec, fmt.Errorf("event code %d", r[0])
+	}
+	switch ev.Kind {
+	case choice.Arrived, choice.ClientLeft, choice.Answered, choice.Noted, choice.StreamBegan:
+		ev.Job = choice.JobID(be.Uint32(r[3:]))
+	}
+	switch ev.Kind {
+	case choice.Answered, choice.Noted, choice.StreamBegan:
+		ev.Seq, ev.Engine = choice.Seq(be.Uint16(r[7:])), choice.EngineID(be.Uint32(r[9:]))
+	}
+	switch ev.Kind {
+	case choice.Arrived:
+		ev.Type, ev.Tenant = choice.TypeID(r[7]), choice.TenantID(be.Uint32(r[8:]))
+		ev.Key, ev.Left = choice.Key(be.Uint64(r[12:])), choice.Nanos(be.Uint64(r[20:]))
+		ev.Cost, ev.MemoryMB = choice.Nanos(be.Uint64(r[28:])), f32(r[36:])
+		ev.Tables = tableSet(r[40:])
+		ev.CostKnown, ev.Repeat, ev.Write = r[44]&1 != 0, r[44]&2 != 0, r[44]&4 != 0
+	case choice.Noted:
+		ev.Note, ev.Amount = choice.NoteKind(r[13]), f32(r[14:])
+	case choice.StreamBegan:
+		ev.Latency = choice.Nanos(be.Uint64(r[13:]))
+	case choice.TimerDue:
+		ev.Mark = choice.Mark(be.Uint64(r[3:]))
+	case choice.Answered:
+		ev.Result, known = resultCodes[be.Uint16(r[13:])]
+		ev.Latency, ev.Final, ev.Bill = choice.Nanos(be.Uint64(r[15:])), r[23] != 0, be.Uint32(r[24:])
+		ev.Load, err = loadReport(r[28:])
+	case choice.Probed:
+		ev.Engine = choice.EngineID(be.Uint32(r[3:]))
+		ev.Result, known = resultCodes[be.Uint16(r[7:])]
+		ev.Latency = choice.Nanos(be.Uint64(r[9:]))
+		ev.Load, err = loadReport(r[17:])
+	case choice.Listed:
+		ev.List, known = listCodes[r[3]]
+		rec.Set = SetID(be.Uint16(r[12:]))
+	}
+	if !known {
+		return rec, fmt.Errorf("unknown result or list code")
+	}
+	return rec, err
+}
+
+// Reply gathers the actions that answer one batch.
+type Reply struct {
+	records, tail []byte
+	count         uint32
+}
+
+// Add puts one action of an instance at the end of the reply.
+func (p *Reply) Add(inst Instance, a choice.Action) {
+	be := binary.BigEndian
+	var r [actionSize]byte
+	r[0] = actionCodes[a.Kind]
+	be.PutUint16(r[1:], uint16(inst))
+	be.PutUint32(r[3:], uint32(a.Job))
+	switch a.Kind {
+	case choice.Dispatch:
+		be.PutUint32(r[7:], uint32(a.Engine))
+		be.PutUint64(r[11:], uint64(a.Span))
+	case choice.Throttle:
+		be.PutUint64(r[7:], uint64(a.Span))
+	case choice.Retract:
+		be.PutUint16(r[7:], uint16(a.Seq))
+	case choice.Terms:
+		r[7] = a.Priority
+		be.PutUint32(r[8:], math.Float32bits(float32(a.MemoryMB)))
+	case choice.Timer:
+		be.PutUint64(r[3:], uint64(a.Span))
+		be.PutUint64(r[11:], uint64(a.Mark))
+	case choice.Probe:
+		be.PutUint32(r[3:], uint32(a.Engine))
+	case choice.Track:
+		r[3] = 1
+	case choice.Log:
+		be.PutUint32(r[3:], uint32(len(p.tail)))
+		be.PutUint32(r[7:], uint32(len(a.Text)))
+		p.tail = append(p.tail, a.Text...)
+	}
+	p.records = append(p.records, r[:]...)
+	p.count++
+}
+
+// WriteTo writes the reply as one frame and empties it for the next batch.
+func (p *Reply) WriteTo(w io.Writer) (int64, error) {
+	frame := make([]byte, 8, 8+len(p.records)+len(p.tail))
+	binary.BigEndian.PutUint32(frame, uint32(4+len(p.records)+len(p.tail)))
+	binary.BigEndian.PutUint32(frame[4:], p.count)
+	frame = append(append(frame, p.records...), p.tail...)
+	*p = Reply{records: p.records[:0], tail: p.tail[:0]}
+	n, err := w.Write(frame)
+	return int64(n), err
+}
