--- a/choice/choice.go
+++ b/choice/choice.go
@@ -497,11 +497,16 @@
 		if e == j.last {
 			load += 0.5
 		}
-		if home := c.home(e, j.tables); home < 2 {
+		switch home := c.home(e, j.tables); {
+		case j.typ.holds: // each controller sends a group's loads elsewhere: they would stand still behind each other
+			if home%int(1/c.share+0.5) == int(c.facts.num("me", 0)) {
+				load -= 0.5
+			}
+		case home < 2:
 			load -= 0.25
 		}
 		if (j.typ.holds || j.typ.waits) && c.heldBy(e, j.tables) {
-			load += 2 // it would stand still behind the load
+			load += 2
 		}
 		if load += 0.02 * c.chance.unit(); load < least {
 			best, least = e, load
