--- a/choice/choice.go
+++ b/choice/choice.go
@@ -353,8 +353,8 @@
 	if c.now+Nanos(0.8*left) > j.lost {
 		return true
 	}
-	if c.now+Nanos(left*t.slow) > j.due {
-		if worth *= t.late; worth == 0 || c.price > 0 {
+	if c.now+Nanos(left*min(t.slow, 2)) > j.due {
+		if worth *= t.late; worth == 0 {
 			return true
 		}
 	}
