--- a/choice/choice.go
+++ b/choice/choice.go
@@ -84,6 +84,7 @@
 	firstZone          ZoneID
 	firstCell          CellID
 	last               *engine
+	ready              Nanos // when its key first let it go
 	parked, over       bool
 	streaming          bool
 }
@@ -409,6 +410,9 @@
 func (c *Controller) head(b *bucket) *job {
 	for _, j := range b.fifo {
 		if c.turn(j) {
+			if j.ready == 0 {
+				j.ready = c.now
+			}
 			return j
 		}
 	}
@@ -853,7 +857,7 @@
 	waited := 0.0
 	for _, b := range c.buckets {
 		if j := c.head(b); j != nil {
-			waited = max(waited, float64(c.now-j.arrived)/float64(max(b.typ.aim, ms)))
+			waited = max(waited, float64(c.now-j.ready)/float64(max(b.typ.aim, ms)))
 		}
 	}
 	c.reprice(waited)
