Never send a load behind our own load on its tables, and keep off other controllers' engines

Also guards against a hot group of tables; may hurt where one engine of a controller's part is cold or ill, so it is a cost and not a ban.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -465,6 +465,9 @@
 	if len(e.flights) == 0 {
 		return true
 	}
+	if (j.typ.holds || j.typ.waits) && c.heldBy(e, j.tables) {
+		return false // it would stand still behind the load, and hold its memory
+	}
 	return e.threads+j.typ.threads <= most && (e.memory == 0 || e.grants+c.need(j) <= e.memory*c.share*slack)
 }
 
@@ -501,16 +504,12 @@
 		if e == j.last {
 			load += 0.5
 		}
-		switch home := c.home(e, j.tables); {
-		case j.typ.holds: // each controller sends a group's loads elsewhere: they would stand still behind each other
-			if home%int(1/c.share+0.5) == int(c.facts.num("me", 0)) {
-				load -= 0.5
-			}
-		case home < 2:
+		home := c.home(e, j.tables)
+		if !j.typ.holds && home < 2 {
 			load -= 0.25
 		}
-		if (j.typ.holds || j.typ.waits) && c.heldBy(e, j.tables) {
-			load += 2
+		if j.typ.holds && home%int(1/c.share+0.5) != int(c.facts.num("me", 0)) {
+			load += 1 // each controller has other engines for a group's loads, as they stand still behind each other
 		}
 		if load += 0.02 * c.chance.unit(); load < least {
 			best, least = e, load
