Lend what fresh load reports show that sibling controllers leave free

Should also help an uneven front and a controller that just started; may hurt where reports are old, so only fresh ones count and only without pressure.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -45,6 +45,7 @@
 	restFirst    = second
 	restMost     = 8 * second
 	probesBack   = 2
+	reportFresh  = 1500 * ms // a load report younger than this shows what siblings leave free
 	probeEvery   = 400 * ms
 	coldSafety   = 0.6 // of the budget that a cold engine stands
 )
@@ -137,6 +138,7 @@
 	since, rest     Nanos
 	strikes, passed int
 	heard, probed   Nanos
+	reported        Nanos // when the last load report came
 	probing         bool
 	others          float64 // threads of other controllers, by its last report
 	sent            []sentWork
@@ -451,10 +453,15 @@
 	if e.mode == aside || (e.mode == trial && len(e.flights) > 0) || c.now < e.fullUntil {
 		return false
 	}
-	start, slack := e.cores*c.share, 1.3
+	// A sibling that is gone or idle leaves its share: where a fresh load report shows it free, it is lent.
+	start, memory := e.cores*c.share, e.memory*c.share*1.3
 	most := 2 * start
+	if c.now-e.reported < reportFresh {
+		most = max(most, crowded*e.cores-e.others)
+		memory = max(memory, e.memory*(1-e.others/(2*e.cores)))
+	}
 	if e.pressed || borrows {
-		most, slack = e.bound, 1
+		most, memory = e.bound, e.memory*c.share
 	}
 	if c.quick(j.typ) {
 		most += start / 2
@@ -468,7 +475,7 @@
 	if (j.typ.holds || j.typ.waits) && c.heldBy(e, j.tables) {
 		return false // it would stand still behind the load, and hold its memory
 	}
-	return e.threads+j.typ.threads <= most && (e.memory == 0 || e.grants+c.need(j) <= e.memory*c.share*slack)
+	return e.threads+j.typ.threads <= most && (e.memory == 0 || e.grants+c.need(j) <= memory)
 }
 
 // need is the memory that a job is thought to use.
@@ -836,6 +843,7 @@
 		for _, o := range c.engines {
 			threads, n = threads+o.threads, n+float64(len(o.flights))
 		}
+		e.reported = c.now
 		e.others = max(0, v-float64(len(e.flights))) * threads / n
 	}
 }
