--- a/choice/choice.go
+++ b/choice/choice.go
@@ -472,9 +472,6 @@
 	if len(e.flights) == 0 {
 		return true
 	}
-	if (j.typ.holds || j.typ.waits) && c.heldBy(e, j.tables) {
-		return false // it would stand still behind the load, and hold its memory
-	}
 	return e.threads+j.typ.threads <= most && (e.memory == 0 || e.grants+c.need(j) <= memory)
 }
 
@@ -504,6 +501,9 @@
 		if !c.allowed(j, e) || !c.room(j, e, borrows) {
 			continue
 		}
+		if (j.typ.holds || j.typ.waits) && c.heldBy(e, j.tables) {
+			continue // it would stand still behind the load, and hold its memory
+		}
 		load := (e.threads + e.others + j.typ.threads) / (e.cores * c.warmth(e)) * min(3, max(0.5, e.slow*n/max(slow, 0.1)))
 		if e.Zone != ZoneID(c.facts.num("locality", 0)) {
 			load += 2 * c.facts.num("tariffs.cross_zone", 0)
@@ -863,7 +863,9 @@
 	}
 	waited := 0.0
 	for _, b := range c.buckets {
-		if j := c.head(b); j != nil {
+		if j := c.head(b); j != nil && !slices.ContainsFunc(c.engines, func(e *engine) bool {
+			return c.allowed(j, e) && c.room(j, e, b.used+j.typ.threads > c.limit())
+		}) { // what has room but waits for a load on its tables is no sign of overload
 			waited = max(waited, float64(c.now-j.ready)/float64(max(b.typ.aim, ms)))
 		}
 	}
