--- a/choice/choice.go
+++ b/choice/choice.go
@@ -621,15 +621,23 @@
 	if c.quick(t) {
 		j.priority = 3
 	}
-	grant := 0.0
+	grant, held := 0.0, c.need(j)
 	if c.facts.flag("domain.grants_count") && j.memory > 0 {
-		grant = min(c.need(j)*math.Exp(0.8*t.memDev), e.memory*c.facts.num("domain.max_grant_share", 1))
+		// Spare memory buys safety from a low estimate; where only what is used counts, safety is free.
+		safety := min(2.2, max(0.6, 2.5*(1-e.grants/max(1, e.memory*c.share))))
+		if c.facts.text("domain.memory_short") == "swap" {
+			safety = 2.5
+		}
+		grant = min(held*math.Exp(safety*t.memDev), e.memory*c.facts.num("domain.max_grant_share", 1))
+		if c.facts.text("domain.memory_short") != "swap" {
+			held = grant
+		}
 	}
 	if c.facts.flag("domain.grants_count") || c.facts.flag("domain.takes_priority") {
 		c.do(Action{Kind: Terms, Job: j.id, Priority: j.priority, MemoryMB: grant})
 	}
 	c.do(Action{Kind: Dispatch, Job: j.id, Engine: e.Engine})
-	f := &flight{job: j, engine: e, seq: Seq(j.dispatches), sent: c.now, memory: c.need(j),
+	f := &flight{job: j, engine: e, seq: Seq(j.dispatches), sent: c.now, memory: held,
 		expect: j.work / t.threads * t.slow}
 	if j.dispatches > 0 && c.facts.num("invariants.further_ratio", -1) >= 0 {
 		c.further = append(c.further, c.now)
