--- a/choice/choice.go
+++ b/choice/choice.go
@@ -67,27 +67,22 @@
 }
 
 type job struct {
-	id                 JobID
-	typ                *jobType
-	bucket             *bucket
-	tenant             TenantID
-	key                Key
-	tables             TableSet
-	arrived, due, lost Nanos // due: the SLA time ends; lost: the job timeout
-	work               float64
-	memory             float64
-	worth              float64
-	priority           uint8
-	dispatches         int
-	flight             *flight // the dispatch that is out: at most one
-	mayHaveRun         bool    // some dispatch is not proved never to have run
-	firstAt            Nanos   // when the first such dispatch was sent, and the group that it binds
-	firstZone          ZoneID
-	firstCell          CellID
-	last               *engine
-	ready              Nanos // when its key first let it go
-	parked, over       bool
-	streaming          bool
+	id                        JobID
+	typ                       *jobType
+	bucket                    *bucket
+	tenant                    TenantID
+	key                       Key
+	tables                    TableSet
+	arrived, ready, due, lost Nanos // ready: its key lets it go; due: the SLA time ends; lost: the job timeout
+	work, memory, worth       float64
+	dispatches                int
+	flight                    *flight // the dispatch that is out: at most one
+	last                      *engine
+	firstAt                   Nanos // when the first dispatch that may have run was sent, and the group it binds
+	firstZone                 ZoneID
+	firstCell                 CellID
+	mayHaveRun                bool // some dispatch is not proved never to have run
+	parked, over, streaming   bool
 }
 
 // flight is a dispatch whose outcome has not come.
@@ -126,22 +121,15 @@
 
 type engine struct {
 	Line
-	cores, memory   float64
-	threads, grants float64 // of our own dispatches
-	flights         []*flight
-	bound           float64
-	slow            float64 // latency over best, lately
-	pressed         bool
-	fullUntil       Nanos
-	stepped, halved Nanos
-	mode            mode
-	since, rest     Nanos
-	strikes, passed int
-	heard, probed   Nanos
-	reported        Nanos // when the last load report came
-	probing         bool
-	others          float64 // threads of other controllers, by its last report
-	sent            []sentWork
+	cores, memory, threads, grants, others float64 // threads, grants: of our dispatches; others: siblings' threads
+	bound, slow                            float64 // slow: latency over best, lately
+	flights                                []*flight
+	pressed, probing                       bool
+	mode                                   mode
+	fullUntil, stepped, halved, since      Nanos
+	rest, heard, probed, reported          Nanos
+	strikes, passed                        int
+	sent                                   []sentWork
 }
 
 // sentWork is usual work sent to a cold engine; forgotten after the window of the rule.
@@ -158,28 +146,23 @@
 
 // Controller decides for one instance.
 type Controller struct {
-	now, booted Nanos
-	acts        []Action
-	facts       Facts
-	chance      pcg
-	types       []*jobType
-	share       float64 // this controller's even share
-	mostTries   int
-	engines     []*engine      // by id; a gone engine leaves once its dispatches are over
-	jobs        map[JobID]*job // until over and nothing is out
-	live        []*job         // the same, in order of arrival
-	buckets     []*bucket
-	lines       map[Key]*keyLine
-	tenants     map[TenantID]*tenantSeen
-	price       float64 // in mean billed value for a second of work
-	priced      bool
-	worthMean   float64
-	workMean    float64
-	spare       float64
-	taken       []Nanos // arrivals and further dispatches inside the rationing window
-	further     []Nanos
-	tracked     bool
-	asked       Nanos
+	now, booted, asked         Nanos
+	acts                       []Action
+	facts                      Facts
+	chance                     pcg
+	types                      []*jobType
+	share                      float64 // this controller's even share
+	mostTries                  int
+	engines                    []*engine      // by id; a gone engine leaves once its dispatches are over
+	jobs                       map[JobID]*job // until over and nothing is out
+	live                       []*job         // the same, in order of arrival
+	buckets                    []*bucket
+	lines                      map[Key]*keyLine
+	tenants                    map[TenantID]*tenantSeen
+	price, worthMean, workMean float64 // price: in mean billed value for a second of work
+	priced, tracked            bool
+	spare                      float64 // further dispatches of what may have run that are left
+	taken, further             []Nanos // arrivals and further dispatches inside the rationing window
 }
 
 // pcg is a permuted congruential generator (XSH RR 64/32).
@@ -218,7 +201,7 @@
 			c.end(j)
 		}
 	case Probed:
-		c.probeAnswer(ev)
+		c.probed(ev)
 	case TimerDue:
 		c.sweep()
 	}
@@ -246,8 +229,8 @@
 			stretch: f.num(at("aim_stretch"), 0), worth: f.num(at("gain"), 1), late: f.num(at("late_worth"), 0),
 			repeatable: f.text(at("idempotency")) == "repeatable", keyed: f.text(at("idempotency")) == "by_key",
 			scope: f.text(at("key_scope")), window: f.span(at("repeat_window_ns")),
-			ordered: f.flag(at("fifo_by_key")), holds: f.flag(of("writes_tables")), waits: f.flag(of("waits_for_loads")),
-			zones: f.list(at("allowed_in")), kinds: f.list(at("kinds_only")), best: 1, slow: 1,
+			ordered: f.flag(at("fifo_by_key")), holds: f.flag(of("writes_tables")),
+			waits: f.flag(of("waits_for_loads")), zones: f.list(at("allowed_in")), kinds: f.list(at("kinds_only")), best: 1, slow: 1,
 		}
 		t.usual = math.Max(float64(t.aim)*t.threads/2, float64(ms)) // until jobs tell better
 		c.types = append(c.types, t)
@@ -255,7 +238,7 @@
 	c.do(Action{Kind: Timer, Span: sweepEvery})
 }
 
-// list takes discovery's view. A start time that changes is a restart: what was learned of the engine is void.
+// list takes discovery's view. A start time that changes is a restart: what was learned there is void.
 func (c *Controller) list(ev Event) {
 	c.tracked = ev.List != ListFailed && (c.tracked || ev.List != CachedList)
 	if ev.List == ListFailed {
@@ -276,11 +259,13 @@
 		e := c.engines[i]
 		if !known || e.StartedAt != l.StartedAt {
 			e.slow, e.pressed, e.mode, e.strikes, e.others, e.heard = 1, false, open, 0, 0, c.now
-			e.cores = math.Max(1, c.facts.num(fmt.Sprintf("domain.cpu_of_kind.%d", l.Kind), 1))
-			e.memory = c.facts.num(fmt.Sprintf("domain.size_mb.%d", l.Kind), 0)
+			e.bound = 0
+		}
+		e.Line, e.cores = l, math.Max(1, c.facts.num(fmt.Sprintf("domain.cpu_of_kind.%d", l.Kind), 1))
+		e.memory = c.facts.num(fmt.Sprintf("domain.size_mb.%d", l.Kind), 0)
+		if e.bound == 0 {
 			e.bound = e.cores * c.share
 		}
-		e.Line = l
 	}
 }
 
@@ -291,7 +276,7 @@
 	}
 	t := c.types[ev.Type]
 	j := &job{id: ev.Job, typ: t, tenant: ev.Tenant, key: ev.Key, tables: ev.Tables, arrived: c.now,
-		lost: c.now + max(0, ev.Left), work: t.usual, worth: t.worth, priority: 1}
+		lost: c.now + max(0, ev.Left), work: t.usual, worth: t.worth}
 	if ev.CostKnown && ev.Cost > 0 {
 		j.work = min(float64(ev.Cost)*math.Exp(t.costBias), float64(3600*second))
 		t.usual += 0.02 * (j.work - t.usual)
@@ -504,12 +489,13 @@
 		if (j.typ.holds || j.typ.waits) && c.heldBy(e, j.tables) {
 			continue // it would stand still behind the load, and hold its memory
 		}
-		load := (e.threads + e.others + j.typ.threads) / (e.cores * c.warmth(e)) * min(3, max(0.5, e.slow*n/max(slow, 0.1)))
+		load := (e.threads + e.others + j.typ.threads) / (e.cores * c.warmth(e))
+		load *= min(3, max(0.5, e.slow*n/max(slow, 0.1)))
 		if e.Zone != ZoneID(c.facts.num("locality", 0)) {
 			load += 2 * c.facts.num("tariffs.cross_zone", 0)
 		}
 		if e == j.last {
-			load += 0.5
+			load += 2
 		}
 		home := c.home(e, j.tables)
 		if !j.typ.holds && home < 2 {
@@ -544,7 +530,9 @@
 }
 
 func (c *Controller) heldBy(e *engine, tables TableSet) bool {
-	return slices.ContainsFunc(e.flights, func(f *flight) bool { return f.job.typ.holds && f.job.tables == tables })
+	return slices.ContainsFunc(e.flights, func(f *flight) bool {
+		return f.job.typ.holds && f.job.tables == tables
+	})
 }
 
 // allowed is the gate of the rules for a dispatch; nothing is sent past it.
@@ -561,9 +549,8 @@
 		return false
 	case !c.turn(j): // rule 5
 		return false
-	case t.zones != nil && !slices.Contains(t.zones, any(float64(e.Zone))): // rule 6
-		return false
-	case t.kinds != nil && !slices.Contains(t.kinds, any(float64(e.Kind))):
+	case t.zones != nil && !slices.Contains(t.zones, any(float64(e.Zone))),
+		t.kinds != nil && !slices.Contains(t.kinds, any(float64(e.Kind))): // rule 6
 		return false
 	}
 	return j.dispatches == 0 || c.rationed() // rule 7
@@ -617,9 +604,9 @@
 	}
 	t := j.typ
 	c.unpark(j)
-	j.priority = 1
+	priority := uint8(1)
 	if c.quick(t) {
-		j.priority = 3
+		priority = 3
 	}
 	grant, held := 0.0, c.need(j)
 	if c.facts.flag("domain.grants_count") && j.memory > 0 {
@@ -634,7 +621,7 @@
 		}
 	}
 	if c.facts.flag("domain.grants_count") || c.facts.flag("domain.takes_priority") {
-		c.do(Action{Kind: Terms, Job: j.id, Priority: j.priority, MemoryMB: grant})
+		c.do(Action{Kind: Terms, Job: j.id, Priority: priority, MemoryMB: grant})
 	}
 	c.do(Action{Kind: Dispatch, Job: j.id, Engine: e.Engine})
 	f := &flight{job: j, engine: e, seq: Seq(j.dispatches), sent: c.now, memory: held,
@@ -668,8 +655,7 @@
 	if j.over || j.streaming {
 		return
 	}
-	unsure := j.mayHaveRun || j.flight != nil
-	t := j.typ
+	t, unsure := j.typ, j.mayHaveRun || j.flight != nil
 	if !unsure || t.repeatable || (t.keyed && t.scope == "all" && c.now < j.firstAt+t.window) {
 		wait := Nanos(0)
 		if c.facts.flag("limits.retry_after") {
@@ -736,11 +722,10 @@
 	if f.called || j.over || j.streaming || !j.typ.repeatable || c.spare < 1 || j.dispatches >= c.mostTries {
 		return
 	}
-	if c.now+Nanos(f.expect) > j.lost || !c.facts.flag("limits.cancel") || !c.rationed() {
-		return
+	if c.now+Nanos(f.expect) <= j.lost && c.facts.flag("limits.cancel") && c.rationed() {
+		c.spare--
+		c.retract(f)
 	}
-	c.spare--
-	c.retract(f)
 }
 
 // answer takes the outcome of a dispatch and returns the bucket that it freed.
@@ -773,11 +758,9 @@
 		return j.bucket
 	}
 	again := !j.mayHaveRun || t.repeatable || t.keyed
-	if f.called || ev.Result.NeverRan() {
-	} else if c.spare < 1 {
-		again = false
-	} else {
-		c.spare--
+	if !f.called && !ev.Result.NeverRan() {
+		again = again && c.spare >= 1
+		c.spare = max(0, c.spare-1)
 	}
 	if !again || j.dispatches >= c.mostTries || c.late(j) || c.notWorth(j) {
 		c.giveUp(j)
@@ -795,7 +778,7 @@
 	if c.facts.flag("domain.says_cost") && ev.Bill > 0 {
 		work = math.Max(float64(ev.Bill>>12)*float64(ms), float64(ms))
 		t.costN = min(t.costN+1, 100)
-		t.costBias += (math.Log(work / j.work)) / max(t.costN, 10)
+		t.costBias += min(3, max(-3, math.Log(work/j.work))) / max(t.costN, 10)
 		if used := float64(ev.Bill&4095) * 4; used > 0 && j.memory > 0 {
 			t.memN = min(t.memN+1, 100)
 			off := math.Log(used/j.memory) - t.memBias
@@ -905,7 +888,9 @@
 
 // tidy empties the tables of what is past.
 func (c *Controller) tidy() {
-	c.engines = slices.DeleteFunc(c.engines, func(e *engine) bool { return e.State == Gone && len(e.flights) == 0 })
+	c.engines = slices.DeleteFunc(c.engines, func(e *engine) bool {
+		return e.State == Gone && len(e.flights) == 0
+	})
 	c.buckets = slices.DeleteFunc(c.buckets, func(b *bucket) bool {
 		return len(b.fifo) == 0 && b.used == 0 && c.now-b.seen > tenantMemory
 	})
@@ -971,8 +956,8 @@
 
 func (c *Controller) setMode(e *engine, m mode, why string) {
 	e.mode, e.since, e.passed = m, c.now, 0
-	c.log("engine %d %s: %s, latency/best=%.2f out=%d", e.Engine, [...]string{"open", "aside", "on trial"}[m], why,
-		e.slow, len(e.flights))
+	c.log("engine %d %s: %s, latency/best=%.2f out=%d",
+		e.Engine, [...]string{"open", "aside", "on trial"}[m], why, e.slow, len(e.flights))
 }
 
 // watch sets a silent engine aside - it took jobs and answers none - and leads it back: probes answered (or,
@@ -1005,17 +990,15 @@
 	}
 }
 
-func (c *Controller) probeAnswer(ev Event) {
-	for _, e := range c.engines {
-		if e.Engine != ev.Engine {
-			continue
-		}
-		e.probing = false
-		if ev.Result == Done {
-			e.passed++
-			c.report(e, ev.Load)
-		} else {
-			e.passed = 0
-		}
+func (c *Controller) probed(ev Event) {
+	i := slices.IndexFunc(c.engines, func(e *engine) bool { return e.Engine == ev.Engine })
+	if i < 0 {
+		return
 	}
+	e := c.engines[i]
+	e.probing = false
+	if e.passed++; ev.Result != Done {
+		e.passed = 0
+	}
+	c.report(e, ev.Load)
 }
--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,306 @@
+package choice
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+)
+
+func (s *stage) sentTo(id JobID) []EngineID {
+	var to []EngineID
+	for _, d := range s.jobs[id].sends {
+		to = append(to, d.engine)
+	}
+	return to
+}
+
+func want(t *testing.T, ok bool, format string, v ...any) {
+	t.Helper()
+	if !ok {
+		t.Fatalf(format, v...)
+	}
+}
+
+func TestUnderItsLimitAJobIsSentAtOnce(t *testing.T) {
+	s := newStage(t, plainFacts(), 2)
+	id := s.arrive(0, 0, 1)
+	want(t, len(s.sentTo(id)) == 1, "not sent")
+	want(t, s.acts[0].Kind == Terms && s.acts[0].Priority == 3, "a quick type goes at the highest priority: %+v", s.acts)
+}
+
+func TestLimitIsCoresTimesTwoByShareAndTenants(t *testing.T) {
+	s := newStage(t, plainFacts(), 3)
+	s.arrive(0, 0, 1)
+	want(t, s.c.limit() == 3*8*2/2, "limit %v", s.c.limit())
+	s.arriveAs(Event{Type: 0, Tenant: 1, Left: second, Cost: ms, CostKnown: true})
+	want(t, s.c.limit() == 3*8*2/2/2, "limit %v with two tenants", s.c.limit())
+	s.list(ListChanges, Line{Engine: 100, State: Draining})
+	want(t, s.c.limit() == 2*8*2/2/2, "live limit %v", s.c.limit())
+}
+
+func TestPastItsRoomAJobParksAndACompletionDrainsItsBucketFirst(t *testing.T) {
+	s := newStage(t, plainFacts(), 1)
+	var ids []JobID
+	for range 6 { // two threads each, twice the start is eight
+		ids = append(ids, s.arrive(1, 0, 1))
+	}
+	want(t, len(s.sentTo(ids[3])) == 1 && len(s.sentTo(ids[4])) == 0, "four fit")
+	s.arrive(2, 9, 2)
+	s.now += 100 * ms
+	s.finish(ids[0], Done)
+	want(t, len(s.sentTo(ids[4])) == 1 && len(s.sentTo(ids[5])) == 0, "the freed bucket's head leaves, alone")
+}
+
+func TestAFullQueueThrottlesAtOnceWithARetryAfter(t *testing.T) {
+	s := newStage(t, plainFacts(), 0)
+	for range bucketDepth {
+		s.arrive(1, 0, 1)
+	}
+	id := s.arrive(1, 0, 1)
+	want(t, s.jobs[id].by == Throttle && s.acts[0].Span == second, "not throttled: %+v", s.acts)
+}
+
+func TestABoundBindsOnlyUnderPressureWidensByOneAndHalves(t *testing.T) {
+	s := newStage(t, plainFacts(), 1)
+	e := s.c.engines[0]
+	want(t, e.bound == 4 && !e.pressed, "starts at cores by share")
+	j := &job{typ: s.c.types[1], work: float64(second), bucket: &bucket{}}
+	f := &flight{engine: e, expect: 1e9}
+	s.now += second
+	s.c.now = s.now
+	s.c.learn(j, f, Event{Latency: 450 * ms})
+	want(t, e.bound == 5, "widens by a thread near best: %v", e.bound)
+	for range 40 {
+		s.c.learn(j, f, Event{Latency: 6 * second})
+	}
+	want(t, e.pressed && e.bound == 2.5, "pressed %v, halved once to %v", e.pressed, e.bound)
+	e.flights, e.threads = []*flight{f}, 2
+	want(t, !s.c.room(j, e, false), "the bound binds under pressure")
+	e.pressed = false
+	want(t, s.c.room(j, e, false) && !s.c.room(j, e, true), "without pressure it binds borrowers only")
+}
+
+func TestTheSweepDropsWhatHasGivenUp(t *testing.T) {
+	s := newStage(t, plainFacts(), 0)
+	id := s.arrive(0, 0, 1)
+	s.pass(3 * second)
+	want(t, s.jobs[id].by == Throttle, "a job never sent is throttled, not cancelled for good")
+}
+
+func TestRunOnceIsNeverRepeatedNorThrottledOnceSent(t *testing.T) {
+	for _, r := range []Result{Failed, Reset, TimedOut, Retracted} {
+		s := newStage(t, plainFacts(), 2)
+		id := s.arrive(2, 1, 1)
+		s.finish(id, r)
+		want(t, s.jobs[id].by == CancelForGood && len(s.sentTo(id)) == 1, "after %v: %+v", r, s.jobs[id])
+	}
+	s := newStage(t, plainFacts(), 2)
+	id := s.arrive(2, 1, 1)
+	s.finish(id, Unreachable)
+	to := s.sentTo(id)
+	want(t, len(to) == 2 && to[0] != to[1], "what never ran goes elsewhere: %v", to)
+}
+
+func TestKeyedIsRepeatedOnlyInItsGroupAndWindow(t *testing.T) {
+	f := plainFacts().set("classes", []any{map[string]any{"idempotency": "by_key", "key_scope": "zone",
+		"repeat_window_ns": 5e8, "aim_ns": 5e9, "give_up_ns": 20e9, "late_worth": 0.5}})
+	s := newStage(t, f, 4)
+	id := s.arrive(0, 1, 1)
+	s.c.spare = 5
+	s.finish(id, Reset)
+	to := s.sentTo(id)
+	want(t, len(to) == 2 && to[0]%2 == to[1]%2, "in its zone: %v", to)
+	s.now += second
+	s.finish(id, Reset)
+	want(t, len(s.sentTo(id)) == 2 && s.jobs[id].by != Throttle, "not past its window")
+}
+
+func TestOneJobAKeyInOrderWithItsRest(t *testing.T) {
+	s := newStage(t, plainFacts(), 3)
+	a, b, other := s.arrive(2, 5, 1), s.arrive(2, 5, 2), s.arrive(2, 6, 3)
+	want(t, len(s.sentTo(b)) == 0 && len(s.sentTo(other)) == 1, "one at a time for each key")
+	s.finish(a, Reset)
+	s.pass(250 * ms)
+	want(t, len(s.sentTo(b)) == 0, "the key rests")
+	s.pass(200 * ms)
+	want(t, len(s.sentTo(b)) == 1, "and goes on after it")
+}
+
+func TestPlacementAndBudgetBindWhereSet(t *testing.T) {
+	f := plainFacts().set("invariants.further_ratio", 0.0).set("invariants.budget_free", 1.0).
+		set("invariants.extra_window_ns", 1e9)
+	f.list("classes")[0].(map[string]any)["allowed_in"] = []any{1.0}
+	s := newStage(t, f, 1) // zone 0 only
+	bound := s.arrive(0, 0, 1)
+	want(t, len(s.sentTo(bound)) == 0, "no engine allowed")
+	a, b := s.arrive(1, 0, 1), s.arrive(1, 0, 1)
+	s.finish(a, Unreachable)
+	s.now += second / 4
+	s.tell(Event{Kind: TimerDue})
+	s.finish(b, Unreachable)
+	want(t, len(s.sentTo(a)) == 2 && len(s.sentTo(b)) == 1, "one further dispatch: %v %v", s.sentTo(a), s.sentTo(b))
+}
+
+func TestNothingNewToADrainingEngineAndLittleToAColdOne(t *testing.T) {
+	s := newStage(t, plainFacts(), 1)
+	s.list(ListChanges, Line{Engine: 100, State: Draining})
+	want(t, len(s.sentTo(s.arrive(0, 0, 1))) == 0, "sent to a draining engine")
+	s.now += 2 * second
+	s.list(ListChanges, Line{Engine: 101, State: Ready, StartedAt: s.now})
+	for range 100 {
+		s.arrive(0, 0, 1) // the stage checks the budget
+	}
+	want(t, len(s.c.engines[len(s.c.engines)-1].sent) > 3, "a cold engine gets something")
+}
+
+// The failure: an engine takes jobs and answers none, and looks emptiest.
+func TestASilentEngineIsSetAsideAndComesBackAfterProbesAndATrial(t *testing.T) {
+	s := newStage(t, plainFacts(), 3)
+	silent := s.sentTo(s.arrive(0, 0, 1))[0]
+	for range 200 {
+		s.arrive(0, 0, 1)
+		for _, j := range slices.Clone(s.taken) {
+			for _, d := range j.sends {
+				if !d.over && d.engine != silent && s.now-d.at > 200*ms {
+					s.finish(j.ev.Job, Done)
+				} else if !d.over && d.called {
+					s.finish(j.ev.Job, Retracted)
+				}
+			}
+		}
+		s.pass(20 * ms)
+	}
+	e := s.c.engines[int(silent-100)]
+	want(t, e.mode == aside, "mode %v", e.mode)
+	want(t, slices.ContainsFunc(s.texts, func(l string) bool { return strings.Contains(l, "aside: silent") }), "%v", s.texts)
+	for range 150 {
+		for _, p := range s.probes {
+			s.tell(Event{Kind: Probed, Engine: p, Result: Done})
+		}
+		s.probes = nil
+		s.pass(20 * ms)
+	}
+	want(t, e.mode == trial, "mode %v after probes", e.mode)
+}
+
+func TestWhenAllFailTheFleetIsNotSetAside(t *testing.T) {
+	s := newStage(t, plainFacts(), 6)
+	for range 60 {
+		id := s.arrive(0, 0, 1)
+		for len(s.sentTo(id)) > 0 && s.jobs[id].out() {
+			s.finish(id, Failed)
+		}
+	}
+	out := 0
+	for _, e := range s.c.engines {
+		if e.mode != open {
+			out++
+		}
+	}
+	want(t, out == 2, "%d of 6 set aside", out)
+}
+
+// The failure: a bad plan runs many times as long; its own notes project it.
+func TestABadPlanIsCalledBackAndSentAgain(t *testing.T) {
+	s := newStage(t, plainFacts(), 2)
+	s.c.spare = 5
+	id := s.arrive(1, 0, 1)
+	s.now += 500 * ms
+	s.tell(Event{Kind: Noted, Job: id, Note: Progress, Amount: 0.3})
+	want(t, !s.jobs[id].sends[0].called, "a good pace is left alone")
+	s.now += 1500 * ms
+	s.tell(Event{Kind: Noted, Job: id, Note: Progress, Amount: 0.31})
+	want(t, s.jobs[id].sends[0].called, "not called back")
+	s.finish(id, Retracted)
+	want(t, len(s.sentTo(id)) == 2, "not sent again")
+}
+
+// The failure: waiting for a key's turn counted as overload, and other types were throttled for it.
+func TestAKeysLineIsNoOverload(t *testing.T) {
+	s := newStage(t, plainFacts(), 3)
+	for range 5 {
+		s.arrive(2, 5, 1)
+	}
+	s.pass(2 * second)
+	want(t, s.c.price == 0, "price %v", s.c.price)
+}
+
+// The failure: a load stood still behind another load on its tables, and held memory and its key there.
+func TestALoadNeverJoinsOurOwnLoadOnItsTables(t *testing.T) {
+	s := newStage(t, plainFacts(), 2)
+	a, b, c := s.arrive(2, 1, 7), s.arrive(2, 2, 7), s.arrive(2, 3, 7)
+	want(t, len(s.sentTo(c)) == 0 && s.sentTo(a)[0] != s.sentTo(b)[0], "%v %v %v", s.sentTo(a), s.sentTo(b), s.sentTo(c))
+}
+
+// The failure: siblings stopped, and the controllers left kept to their small even share.
+func TestWhatSiblingsLeaveFreeIsLent(t *testing.T) {
+	s := newStage(t, plainFacts().set("balancers", 8.0), 1)
+	e := s.c.engines[0]
+	e.flights, e.threads = []*flight{{job: &job{typ: s.c.types[0]}}}, 2
+	j := &job{typ: s.c.types[1]}
+	want(t, !s.c.room(j, e, false), "its share is one thread")
+	s.c.report(e, []float64{1})
+	want(t, s.c.room(j, e, false), "the report shows the engine free")
+}
+
+func TestGrantsLearnTheBiasOfEstimates(t *testing.T) {
+	s := newStage(t, plainFacts(), 2)
+	grant := func() float64 {
+		id := s.arriveAs(Event{Type: 0, Left: 2 * second, Cost: 100 * ms, CostKnown: true, MemoryMB: 100})
+		g := s.acts[0].MemoryMB
+		s.now += 100 * ms
+		s.jobs[id].ev.MemoryMB = 300
+		s.finish(id, Done)
+		return g
+	}
+	first := grant()
+	for range 50 {
+		grant()
+	}
+	want(t, first < 150 && grant() > 290, "grants %v, then %v", first, grant())
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	play := func() string {
+		s := newStage(t, plainFacts(), 5)
+		log := &strings.Builder{}
+		for i := range 300 {
+			s.arrive(TypeID(i%3), Key(i%4), TableSet(i%7))
+			fmt.Fprintln(log, s.acts)
+			s.pass(15 * ms)
+			fmt.Fprintln(log, s.acts)
+		}
+		return log.String()
+	}
+	want(t, play() == play(), "two plays differ")
+}
+
+// FuzzRules plays random runs under varied settings; the stage checks the rules after every step.
+func FuzzRules(f *testing.F) {
+	for seed := range int64(24) {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, seed int64) {
+		r := rand.New(rand.NewSource(seed))
+		facts := plainFacts()
+		keyed := map[string]any{"idempotency": "by_key", "key_scope": []string{"all", "zone", "cell"}[r.Intn(3)],
+			"repeat_window_ns": 1e9, "aim_ns": 1e9, "give_up_ns": 3e9, "gain": 2.0, "fifo_by_key": r.Intn(2) == 0}
+		placed := map[string]any{"idempotency": "repeatable", "aim_ns": 1e9, "give_up_ns": 3e9, "gain": 2.0,
+			"allowed_in": []any{1.0}, "kinds_only": []any{0.0, 1.0}}
+		facts.set("classes", append(facts.list("classes"), keyed, placed))
+		if r.Intn(2) == 0 {
+			facts.set("invariants.further_ratio", 0.05).set("invariants.budget_free", 2.0).
+				set("invariants.extra_window_ns", 2e9)
+		}
+		if r.Intn(3) == 0 {
+			facts.set("balancers", 1.0).set("limits.cancel", false).set("limits.probes", false)
+		}
+		if r.Intn(3) == 0 {
+			facts.set("telemetry", nil).set("invariants.order_pause_ns", 0.0).set("domain.cpu_of_kind", []any{})
+		}
+		facts.set("tenants", []any{map[string]any{"quota_per_s": 5.0}})
+		newStage(t, facts, r.Intn(6)).chaos(r, 300)
+	})
+}
--- /dev/null
+++ b/choice/stage_test.go
@@ -0,0 +1,402 @@
+package choice
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+	"testing"
+)
+
+// clientGone marks a staged job whose client left.
+const clientGone = ActionKind(250)
+
+// stage plays the world around one controller and checks the seven rules after every action.
+type stage struct {
+	t       testing.TB
+	c       Controller
+	now     Nanos
+	facts   Facts
+	jobs    map[JobID]*staged
+	taken   []*staged
+	lines   map[EngineID]Line
+	told    map[EngineID]Nanos // when the engine was told to be draining or gone
+	timers  []Nanos
+	probes  []EngineID
+	cold    map[EngineID][]sentWork
+	nextID  JobID
+	further []Nanos
+	acts    []Action // of the last event
+	texts   []string
+}
+
+type staged struct {
+	ev     Event
+	at     Nanos
+	ended  bool
+	by     ActionKind
+	sends  []*sending
+	settle Nanos // its key's rest after its last unsure outcome
+}
+
+type sending struct {
+	engine EngineID
+	at     Nanos
+	over   bool
+	called bool
+	result Result
+}
+
+func (j *staged) out() bool {
+	return slices.ContainsFunc(j.sends, func(s *sending) bool { return !s.over })
+}
+
+func (j *staged) unsure() bool {
+	return slices.ContainsFunc(j.sends, func(s *sending) bool { return !s.over || !s.result.NeverRan() })
+}
+
+// plainFacts has three types: a short restartable, a long restartable, a run-once load in order of its key.
+func plainFacts() Facts {
+	class := func(effect string, aim, give, gain float64, more map[string]any) map[string]any {
+		m := map[string]any{"idempotency": effect, "aim_ns": aim * 1e9, "give_up_ns": give * 1e9, "gain": gain,
+			"late_worth": 0.5, "aim_stretch": 2.0, "key_scope": "all", "repeat_window_ns": 5e9}
+		for k, v := range more {
+			m[k] = v
+		}
+		return m
+	}
+	return Facts{
+		"balancers": 2.0, "me": 0.0, "step_ns": 5e6, "discovery": "automatic",
+		"classes": []any{class("repeatable", 0.5, 2.5, 1, nil), class("repeatable", 1.5, 20, 10, nil),
+			class("once", 3, 20, 10, map[string]any{"fifo_by_key": true})},
+		"domain": map[string]any{"class_threads": []any{1.0, 2.0, 2.0}, "cpu_of_kind": []any{8.0},
+			"size_mb": []any{16000.0}, "grants_count": true, "takes_priority": true, "max_grant_share": 0.4,
+			"writes_tables": []any{false, false, true}, "says_cost": true, "memory_short": "queue"},
+		"limits": map[string]any{"most_tries": 4.0, "cancel": true, "probes": true, "retry_after": true,
+			"max_retry_after_ns": 1e9},
+		"invariants": map[string]any{"answer_slack_ns": 2e7, "drain_grace_ns": 2.5e8, "start_capacity": 0.4,
+			"warm_within_ns": 1e10, "fall_multiple": 2.0, "fall_ns": 1e9, "order_pause_ns": 3e8},
+		"telemetry": map[string]any{"via": "on_probe", "fields": []any{"concurrent"}},
+	}
+}
+
+// set changes one setting by its dotted path.
+func (f Facts) set(path string, v any) Facts {
+	at, name := f, path
+	for i := 0; i < len(name); i++ {
+		if name[i] == '.' {
+			next, _ := at[name[:i]].(map[string]any)
+			at, name, i = next, name[i+1:], -1
+		}
+	}
+	at[name] = v
+	return f
+}
+
+func newStage(t testing.TB, f Facts, engines int) *stage {
+	s := &stage{t: t, now: Nanos(1e12), facts: f, jobs: map[JobID]*staged{}, lines: map[EngineID]Line{},
+		told: map[EngineID]Nanos{}, cold: map[EngineID][]sentWork{}}
+	s.tell(Event{Kind: Started, Seed: 7, Facts: f})
+	var lines []Line
+	for i := range engines {
+		lines = append(lines, Line{Engine: EngineID(100 + i), State: Ready, Zone: ZoneID(i % 2)})
+	}
+	s.list(CachedList, lines...)
+	return s
+}
+
+func (s *stage) list(kind ListKind, lines ...Line) {
+	if kind != ListChanges && kind != ListFailed {
+		for id := range s.lines {
+			if _, was := s.told[id]; !was {
+				s.told[id] = s.now
+			}
+		}
+	}
+	for _, l := range lines {
+		s.lines[l.Engine] = l
+		if l.State == Ready {
+			delete(s.told, l.Engine)
+		} else if _, was := s.told[l.Engine]; !was {
+			s.told[l.Engine] = s.now
+		}
+	}
+	s.tell(Event{Kind: Listed, List: kind, Lines: lines})
+}
+
+func (s *stage) tell(ev Event) {
+	s.acts = slices.Clone(s.c.Decide(s.now, ev))
+	for _, a := range s.acts {
+		s.check(a)
+	}
+}
+
+func (s *stage) arrive(typ TypeID, key Key, tables TableSet) JobID {
+	cost := Nanos(100e6)
+	if typ > 0 {
+		cost = Nanos(2e9)
+	}
+	give := s.facts.span(fmt.Sprintf("classes.%d.give_up_ns", typ))
+	return s.arriveAs(Event{Type: typ, Key: key, Tables: tables, Left: give, Cost: cost, CostKnown: true, MemoryMB: 200})
+}
+
+func (s *stage) arriveAs(ev Event) JobID {
+	s.nextID++
+	ev.Kind, ev.Job = Arrived, s.nextID
+	j := &staged{ev: ev, at: s.now}
+	s.jobs[ev.Job] = j
+	s.taken = append(s.taken, j)
+	s.tell(ev)
+	return ev.Job
+}
+
+// finish ends the oldest dispatch of a job that is out.
+func (s *stage) finish(id JobID, r Result) {
+	j := s.jobs[id]
+	for i, d := range j.sends {
+		if d.over {
+			continue
+		}
+		d.over, d.result = true, r
+		if r == TimedOut || r == Reset || r == Retracted {
+			j.settle = s.now + s.facts.span("invariants.order_pause_ns")
+		}
+		final := j.ended
+		if r == Done && !j.ended {
+			final, j.ended, j.by = true, true, Dispatch
+		}
+		bill := uint32(0)
+		if j.ev.Cost > 0 && j.ev.Cost <= 10*second {
+			bill = uint32(j.ev.Cost/ms)<<12 | uint32(j.ev.MemoryMB/4)&4095
+		}
+		s.tell(Event{Kind: Answered, Job: id, Seq: Seq(i), Engine: d.engine, Result: r,
+			Latency: s.now - d.at, Final: final, Bill: bill})
+		return
+	}
+}
+
+// pass lets time go by in steps, with timers due; nothing else happens.
+func (s *stage) pass(span Nanos) {
+	for end := s.now + span; s.now < end; {
+		s.now += 5 * ms
+		due := 0
+		s.timers = slices.DeleteFunc(s.timers, func(at Nanos) bool {
+			if at <= s.now {
+				due++
+			}
+			return at <= s.now
+		})
+		for range due {
+			s.tell(Event{Kind: TimerDue})
+		}
+		for _, j := range s.taken {
+			slack := s.facts.span("invariants.answer_slack_ns")
+			if lost := j.at + max(0, j.ev.Left); !j.ended && s.now > lost+slack {
+				s.t.Fatalf("rule 1: job %d of type %d has no final answer", j.ev.Job, j.ev.Type)
+			} else if !j.ended && s.now >= lost && j.out() {
+				s.finish(j.ev.Job, TimedOut)
+			}
+		}
+		s.taken = slices.DeleteFunc(s.taken, func(j *staged) bool { return j.ended && !j.out() && s.now > j.settle })
+	}
+}
+
+func (s *stage) check(a Action) {
+	j := s.jobs[a.Job]
+	switch a.Kind {
+	case Timer:
+		s.timers = append(s.timers, s.now+a.Span)
+	case Probe:
+		s.probes = append(s.probes, a.Engine)
+	case Log:
+		s.texts = append(s.texts, a.Text)
+	case Retract:
+		if int(a.Seq) >= len(j.sends) {
+			s.t.Fatalf("retracts dispatch %d of job %d, never sent", a.Seq, a.Job)
+		}
+		j.sends[a.Seq].called = true
+	case Throttle, CancelForGood:
+		at := func(name string) string { return fmt.Sprintf("classes.%d.%s", j.ev.Type, name) }
+		effect := s.facts.text(at("idempotency"))
+		switch {
+		case j.ended:
+			s.t.Fatalf("rule 1: a second final answer for job %d", a.Job)
+		case a.Kind == Throttle && j.unsure() && effect == "once":
+			s.t.Fatalf("rule 2: run-once job %d throttled though it may have run", a.Job)
+		case a.Kind == Throttle && j.unsure() && effect == "by_key" && s.facts.text(at("key_scope")) != "all":
+			s.t.Fatalf("rule 2: keyed job %d throttled outside its group", a.Job)
+		}
+		j.ended, j.by = true, a.Kind
+	case Dispatch:
+		s.checkDispatch(j, a)
+		j.sends = append(j.sends, &sending{engine: a.Engine, at: s.now})
+	}
+}
+
+func (s *stage) checkDispatch(j *staged, a Action) {
+	at := func(name string) string { return fmt.Sprintf("classes.%d.%s", j.ev.Type, name) }
+	line, known := s.lines[a.Engine]
+	switch told, gone := s.told[a.Engine]; {
+	case j.ended || s.now > j.at+max(0, j.ev.Left):
+		s.t.Fatalf("rule 1: job %d sent after its end", a.Job)
+	case j.out():
+		s.t.Fatalf("job %d has two dispatches out", a.Job)
+	case !known:
+		s.t.Fatalf("job %d sent to unknown engine %d", a.Job, a.Engine)
+	case gone && s.now > told+s.facts.span("invariants.drain_grace_ns"):
+		s.t.Fatalf("rule 3: job %d sent to engine %d that drains or is gone", a.Job, a.Engine)
+	case len(j.sends) >= int(s.facts.num("limits.most_tries", 1)):
+		s.t.Fatalf("job %d sent too often", a.Job)
+	}
+	if effect := s.facts.text(at("idempotency")); j.unsure() && effect != "repeatable" {
+		first := j.sends[slices.IndexFunc(j.sends, func(d *sending) bool { return !d.result.NeverRan() })]
+		was, scope := s.lines[first.engine], s.facts.text(at("key_scope"))
+		if effect == "once" || s.now > first.at+s.facts.span(at("repeat_window_ns")) ||
+			(scope == "zone" && was.Zone != line.Zone) || (scope == "cell" && was.Cell != line.Cell) {
+			s.t.Fatalf("rule 2: job %d (%s) sent again though it may have run", a.Job, effect)
+		}
+	}
+	if s.facts.flag(at("fifo_by_key")) && j.ev.Key != 0 {
+		for _, o := range s.taken {
+			if o == j {
+				break
+			}
+			if o.ev.Key == j.ev.Key && s.facts.flag(fmt.Sprintf("classes.%d.fifo_by_key", o.ev.Type)) &&
+				(!o.ended || o.out() || s.now < o.settle) {
+				s.t.Fatalf("rule 5: job %d sent before its key's turn", a.Job)
+			}
+		}
+	}
+	if zones := s.facts.list(at("allowed_in")); zones != nil && !slices.Contains(zones, any(float64(line.Zone))) {
+		s.t.Fatalf("rule 6: job %d sent to zone %d", a.Job, line.Zone)
+	}
+	if kinds := s.facts.list(at("kinds_only")); kinds != nil && !slices.Contains(kinds, any(float64(line.Kind))) {
+		s.t.Fatalf("rule 6: job %d sent to kind %d", a.Job, line.Kind)
+	}
+	if ratio := s.facts.num("invariants.further_ratio", -1); ratio >= 0 && len(j.sends) > 0 {
+		s.further = append(s.further, s.now)
+		window, n, took := s.facts.span("invariants.extra_window_ns"), 0.0, 0.0
+		for _, f := range s.further {
+			if f > s.now-window {
+				n++
+			}
+		}
+		for _, o := range s.jobs {
+			if o.at > s.now-window {
+				took++
+			}
+		}
+		if n > s.facts.num("invariants.budget_free", 0)+ratio*took {
+			s.t.Fatalf("rule 7: %v further dispatches for %v jobs taken", n, took)
+		}
+	}
+	s.checkCold(j, line)
+}
+
+// checkCold holds rule 4 against this controller's even share, by the usual work of its type.
+func (s *stage) checkCold(j *staged, line Line) {
+	f := s.facts
+	if line.StartedAt == 0 || s.now-line.StartedAt >= f.span("invariants.warm_within_ns") {
+		return
+	}
+	sent := append(s.cold[line.Engine], sentWork{s.now, s.usual(j.ev.Type)})
+	s.cold[line.Engine] = sent
+	sum := 0.0
+	for _, w := range sent {
+		if w.at >= s.now-f.span("invariants.fall_ns") {
+			sum += w.work
+		}
+	}
+	cores := f.num(fmt.Sprintf("domain.cpu_of_kind.%d", line.Kind), 1)
+	most := f.num("invariants.fall_multiple", 1) * f.num("invariants.start_capacity", 1) * cores *
+		f.num("invariants.fall_ns", 0) / math.Max(1, f.num("balancers", 1))
+	if sum > most {
+		s.t.Fatalf("rule 4: cold engine %d was sent %.1f of %.1f s of work", line.Engine, sum/1e9, most/1e9)
+	}
+}
+
+// usual is the mean work of the jobs of a type that came.
+func (s *stage) usual(typ TypeID) float64 {
+	sum, n := 0.0, 0.0
+	for _, j := range s.jobs {
+		if j.ev.Type == typ && j.ev.CostKnown && j.ev.Cost > 0 && j.ev.Cost <= 10*second {
+			sum, n = sum+float64(j.ev.Cost), n+1
+		}
+	}
+	return sum / math.Max(1, n)
+}
+
+// chaos plays a seeded random run: outcomes, notes, probes, lists and clients as bad as they come.
+func (s *stage) chaos(r *rand.Rand, steps int) {
+	for range steps {
+		for n := r.Intn(3); n > 0; n-- {
+			typ := TypeID(r.Intn(len(s.facts.list("classes"))))
+			ev := Event{Type: typ, Tenant: TenantID(r.Intn(3)), Key: Key(r.Intn(4)), Tables: TableSet(r.Intn(4)),
+				Left: Nanos(r.Int63n(int64(3 * second))), Cost: Nanos(r.Int63n(int64(second))), CostKnown: true, MemoryMB: 100}
+			switch r.Intn(12) {
+			case 0:
+				ev.CostKnown, ev.Cost, ev.MemoryMB = false, 0, math.NaN()
+			case 1:
+				ev.Cost, ev.MemoryMB = math.MaxInt64, math.Inf(1)
+			case 2:
+				ev.Left, ev.Cost = 0, -5
+			}
+			s.arriveAs(ev)
+		}
+		for _, j := range slices.Clone(s.taken) {
+			for i, d := range j.sends {
+				if d.over {
+					continue
+				}
+				switch roll := r.Intn(60); {
+				case d.called && roll < 40:
+					s.finish(j.ev.Job, Retracted)
+				case roll < 9:
+					s.finish(j.ev.Job, Done)
+				case roll < 16:
+					s.finish(j.ev.Job, Result(2+r.Intn(7)))
+				case roll < 20:
+					s.tell(Event{Kind: Noted, Job: j.ev.Job, Seq: Seq(i), Engine: d.engine, Note: NoteKind(r.Intn(4)),
+						Amount: r.Float64()})
+				}
+				break
+			}
+			if r.Intn(200) == 0 && !j.ended {
+				j.ended, j.by = true, clientGone
+				s.tell(Event{Kind: ClientLeft, Job: j.ev.Job})
+			}
+		}
+		for _, e := range s.probes {
+			s.tell(Event{Kind: Probed, Engine: e, Result: Result(1 + r.Intn(8)), Load: []float64{r.Float64() * 20}})
+		}
+		s.probes = nil
+		switch id := EngineID(100 + r.Intn(5)); r.Intn(25) {
+		case 0:
+			s.list(ListChanges, Line{Engine: id, State: EngineState(r.Intn(3)), Kind: KindID(r.Intn(3)),
+				Zone: ZoneID(id % 2)})
+		case 1:
+			s.list(ListChanges, Line{Engine: id, State: Ready, StartedAt: s.now, Zone: ZoneID(id % 2)})
+		case 2:
+			s.list(ListFailed)
+		case 3:
+			s.list(WholeList, Line{Engine: id, State: Ready, Zone: ZoneID(id % 2)},
+				Line{Engine: id + 1, State: Ready, Zone: ZoneID((id + 1) % 2)})
+		case 4:
+			s.tell(Event{Kind: TimerDue, Mark: 99})
+			s.tell(Event{Kind: Answered, Job: 1 << 30, Result: Done})
+			s.tell(Event{Kind: StreamBegan, Job: 1 << 30})
+		}
+		s.pass(Nanos(1+r.Intn(8)) * 5 * ms)
+	}
+	for range 1000 { // the world calms down: every job must end, and every table empty
+		for _, j := range slices.Clone(s.taken) {
+			if j.out() {
+				s.finish(j.ev.Job, Done)
+			}
+		}
+		s.pass(20 * ms)
+	}
+	if n := len(s.c.jobs) + len(s.c.lines) + len(s.c.buckets) + len(s.c.tenants); n != 0 {
+		s.t.Fatalf("%d entries stay in tables after all is over", n)
+	}
+}
--- /dev/null
+++ b/cmd/adapter/main_test.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"bytes"
+	"encoding/binary"
+	"testing"
+)
+
+// record lays out a 48-byte event: its code, the instance, then pairs of offset and big-endian bytes.
+func record(code byte, inst uint16, put map[int][]byte) []byte {
+	r := make([]byte, 48)
+	r[0] = code
+	binary.BigEndian.PutUint16(r[1:], inst)
+	for at, b := range put {
+		copy(r[at:], b)
+	}
+	return r
+}
+
+func batch(clock uint64, tail string, records ...[]byte) []byte {
+	body := binary.BigEndian.AppendUint64(nil, clock)
+	body = binary.BigEndian.AppendUint32(body, uint32(len(records)))
+	body = append(append(body, bytes.Join(records, nil)...), tail...)
+	return append(binary.BigEndian.AppendUint32(nil, uint32(len(body))), body...)
+}
+
+const settings = `{"balancers": 1, "classes": [{"idempotency": "repeatable", "aim_ns": 1e9}], "unheard_of": {"x": 1}}`
+
+func TestServe(t *testing.T) {
+	lines := string(append([]byte{0, 0, 0, 9, 0, 0, 0, 0, 0, 1}, make([]byte, 12)...))
+	n := byte(len(settings))
+	in := batch(1e9, settings+lines,
+		record(10, 4, map[int][]byte{18: {n}}),
+		record(50, 0, map[int][]byte{6: {n}, 10: {1}}),
+		record(110, 4, map[int][]byte{3: {4}}))
+	job := map[int][]byte{3: {0, 0, 0, 7}, 20: {0, 0, 0, 0, 0x77, 0x35, 0x94, 0}}
+	in = append(in, batch(2e9, "", record(20, 4, job))...)
+	in = append(in, batch(3e9, "", record(80, 4, nil), record(20, 4, job))...)
+	var out bytes.Buffer
+	if err := serve(bytes.NewReader(in), &out); err != nil {
+		t.Fatal(err)
+	}
+	timer := append([]byte{50, 0, 4, 0, 0, 0, 0, 1, 0x31, 0x2d, 0}, make([]byte, 13)...)
+	assign := append([]byte{10, 0, 4, 0, 0, 0, 7, 0, 0, 0, 9}, make([]byte, 13)...)
+	frame := func(acts ...[]byte) []byte {
+		body := append([]byte{0, 0, 0, byte(len(acts))}, bytes.Join(acts, nil)...)
+		return append([]byte{0, 0, 0, byte(len(body))}, body...)
+	}
+	want := bytes.Join([][]byte{frame(timer), frame(assign), frame()}, nil)
+	if !bytes.Equal(out.Bytes(), want) {
+		t.Errorf("got  %x\nwant %x", out.Bytes(), want)
+	}
+}
+
+func TestServeEndsOnBrokenInput(t *testing.T) {
+	for name, in := range map[string][]byte{
+		"cut frame":       {0, 0, 0, 12, 1},
+		"broken settings": batch(1, "{", record(10, 1, map[int][]byte{18: {1}})),
+	} {
+		if err := serve(bytes.NewReader(in), &bytes.Buffer{}); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
