--- a/choice/choice.go
+++ b/choice/choice.go
@@ -60,12 +60,18 @@
 	ordered, holds, waits bool
 	zones, kinds          []any
 	parked                int
-	usual                 float64 // mean work of a job, ns
+	usual, usualN         float64 // mean work of a job, ns
 	costBias, costN       float64 // log of true work over estimate
 	memBias, memDev, memN float64 // log of true memory over estimate, its mean deviation
 	best, slow            float64 // latency over (work / threads): the best seen, and lately
 }
 
+// meanOf moves the usual work: a plain mean at first, which a fresh controller needs, then a moving one.
+func (t *jobType) meanOf(work float64) {
+	t.usualN = min(t.usualN+1, 50)
+	t.usual += (work - t.usual) / (t.usualN + 1)
+}
+
 type job struct {
 	id                        JobID
 	typ                       *jobType
@@ -121,7 +127,7 @@
 
 type engine struct {
 	Line
-	cores, memory, threads, grants, others float64 // threads, grants: of our dispatches; others: siblings' threads
+	cores, memory, threads, grants, others float64 // threads, grants: ours; others: siblings' threads
 	bound, slow                            float64 // slow: latency over best, lately
 	flights                                []*flight
 	pressed, probing                       bool
@@ -211,8 +217,8 @@
 
 func (c *Controller) do(a Action) { c.acts = append(c.acts, a) }
 
-func (c *Controller) log(format string, v ...any) {
-	c.do(Action{Kind: Log, Text: fmt.Sprintf(format, v...)})
+func (c *Controller) log(text string, v ...any) {
+	c.do(Action{Kind: Log, Text: fmt.Sprintf(text, v...)})
 }
 
 func (c *Controller) start(ev Event) {
@@ -230,7 +236,8 @@
 			repeatable: f.text(at("idempotency")) == "repeatable", keyed: f.text(at("idempotency")) == "by_key",
 			scope: f.text(at("key_scope")), window: f.span(at("repeat_window_ns")),
 			ordered: f.flag(at("fifo_by_key")), holds: f.flag(of("writes_tables")),
-			waits: f.flag(of("waits_for_loads")), zones: f.list(at("allowed_in")), kinds: f.list(at("kinds_only")), best: 1, slow: 1,
+			waits: f.flag(of("waits_for_loads")), zones: f.list(at("allowed_in")),
+			kinds: f.list(at("kinds_only")), best: 1, slow: 1,
 		}
 		t.usual = math.Max(float64(t.aim)*t.threads/2, float64(ms)) // until jobs tell better
 		c.types = append(c.types, t)
@@ -258,8 +265,7 @@
 		}
 		e := c.engines[i]
 		if !known || e.StartedAt != l.StartedAt {
-			e.slow, e.pressed, e.mode, e.strikes, e.others, e.heard = 1, false, open, 0, 0, c.now
-			e.bound = 0
+			e.slow, e.pressed, e.mode, e.strikes, e.others, e.heard, e.bound = 1, false, open, 0, 0, c.now, 0
 		}
 		e.Line, e.cores = l, math.Max(1, c.facts.num(fmt.Sprintf("domain.cpu_of_kind.%d", l.Kind), 1))
 		e.memory = c.facts.num(fmt.Sprintf("domain.size_mb.%d", l.Kind), 0)
@@ -279,7 +285,7 @@
 		lost: c.now + max(0, ev.Left), work: t.usual, worth: t.worth}
 	if ev.CostKnown && ev.Cost > 0 {
 		j.work = min(float64(ev.Cost)*math.Exp(t.costBias), float64(3600*second))
-		t.usual += 0.02 * (j.work - t.usual)
+		t.meanOf(j.work)
 	}
 	if ev.MemoryMB > 0 && ev.MemoryMB < 1e9 {
 		j.memory = ev.MemoryMB
@@ -304,22 +310,20 @@
 		j.worth *= c.facts.num("over_share_worth", 1)
 	}
 	j.bucket = c.bucketOf(t, j.tenant)
-	if c.notWorth(j) {
+	switch full := len(j.bucket.fifo) >= bucketDepth || t.parked >= typeCeiling; {
+	case c.notWorth(j):
 		c.giveUp(j)
-	} else if len(j.bucket.fifo) > 0 || !c.send(j) {
-		if len(j.bucket.fifo) >= bucketDepth || t.parked >= typeCeiling {
-			c.giveUp(j)
-			return
-		}
-		j.parked = true
-		t.parked++
-		j.bucket.fifo = append(j.bucket.fifo, j)
+	case len(j.bucket.fifo) == 0 && c.send(j):
+	case full:
+		c.giveUp(j)
+	default:
+		c.park(j, len(j.bucket.fifo))
 	}
 }
 
 // withinShare counts a tenant's jobs against this controller's even part of its quota.
 func (c *Controller) withinShare(id TenantID) bool {
-	s, quota := c.tenants[id], c.facts.num(fmt.Sprintf("tenants.%d.quota_per_s", id), math.Inf(1))*c.share
+	s, quota := c.tenants[id], c.facts.num(fmt.Sprintf("tenants.%d.quota_per_s", id), 1e9)*c.share
 	if s == nil {
 		s = &tenantSeen{at: c.now, credit: 2 * quota}
 		c.tenants[id] = s
@@ -451,13 +455,9 @@
 	if c.quick(j.typ) {
 		most += start / 2
 	}
-	if w := c.warmth(e); w < 1 {
-		most *= w
-	}
-	if len(e.flights) == 0 {
-		return true
-	}
-	return e.threads+j.typ.threads <= most && (e.memory == 0 || e.grants+c.need(j) <= memory)
+	most *= c.warmth(e)
+	fits := e.memory == 0 || e.grants+c.need(j) <= memory
+	return len(e.flights) == 0 || (fits && e.threads+j.typ.threads <= most)
 }
 
 // need is the memory that a job is thought to use.
@@ -642,6 +642,12 @@
 	return true
 }
 
+func (c *Controller) park(j *job, at int) {
+	j.parked = true
+	j.typ.parked++
+	j.bucket.fifo = slices.Insert(j.bucket.fifo, at, j)
+}
+
 func (c *Controller) unpark(j *job) {
 	if j.parked {
 		j.parked = false
@@ -766,9 +772,7 @@
 		c.giveUp(j)
 		return j.bucket
 	}
-	j.parked = true
-	t.parked++
-	j.bucket.fifo = slices.Insert(j.bucket.fifo, 0, j)
+	c.park(j, 0)
 	return j.bucket
 }
 
@@ -786,7 +790,7 @@
 			t.memDev += (math.Abs(off) - t.memDev) / max(t.memN, 5)
 		}
 		if j.work == t.usual {
-			t.usual += 0.02 * (work - t.usual)
+			t.meanOf(work)
 		}
 	}
 	took := float64(ev.Latency) / (work / t.threads)
@@ -904,6 +908,7 @@
 			delete(c.lines, k)
 		}
 	}
+	c.rationed()
 	if c.facts.text("discovery") == "subscribe" && !c.tracked && c.now-c.asked >= second {
 		c.asked = c.now
 		c.do(Action{Kind: Track})
