Latency with fewer threads than cores is no pressure; a bound's floor is its start

Cause: with all engines slow at once the bounds halved to half a thread a core and the price threw out all but lookups. Should also help a slow dependency and a heavier mix; may hurt an engine that is slow for reasons of its own, which pick weighs instead.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -11,6 +11,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 )
@@ -28,6 +29,7 @@
 	wellAbove  = 2.0  // from here an engine is under pressure and its bound binds
 	grown      = 3.0  // from here its bound halves
 	crowded    = 1.75 // threads a core in a load report that also count as pressure
+	relaxed    = 1.4  // and below which it no longer does
 	widenEvery = 250 * ms
 	halveEvery = 2 * second
 
@@ -196,14 +198,12 @@
 		c.arrive(ev)
 	case Noted:
 		c.note(ev)
-	case StreamBegan:
-		if j := c.jobs[ev.Job]; j != nil {
-			j.streaming = true
-		}
 	case Answered:
 		own = c.answer(ev)
-	case ClientLeft:
-		if j := c.jobs[ev.Job]; j != nil && !j.over {
+	case StreamBegan, ClientLeft:
+		if j := c.jobs[ev.Job]; j == nil || j.over {
+			break
+		} else if j.streaming = ev.Kind == StreamBegan; !j.streaming {
 			c.end(j)
 		}
 	case Probed:
@@ -699,9 +699,6 @@
 	delete(c.jobs, j.id)
 	if l := c.lines[j.key]; l != nil && j.typ.ordered {
 		l.jobs = slices.DeleteFunc(l.jobs, func(o *job) bool { return o == j })
-		if len(l.jobs) == 0 && c.now >= l.rest {
-			delete(c.lines, j.key)
-		}
 	}
 }
 
@@ -809,18 +806,19 @@
 	c.pressure(e)
 }
 
-// pressure sets whether an engine's bound binds, and halves it when latency has grown.
+// pressure sets whether an engine's bound binds, and halves it when latency has grown, to its start at the
+// least. Latency that grew with fewer threads there than cores is no crowding (something that all depend on
+// is slow, say): fewer threads would only cost more.
 func (c *Controller) pressure(e *engine) {
-	busy := e.threads + e.others
-	was := e.pressed
-	if e.slow > wellAbove || c.now < e.fullUntil || busy > crowded*e.cores {
+	busy, was, full := (e.threads+e.others)/e.cores, e.pressed, c.now < e.fullUntil
+	if full || busy > crowded || (busy > 1 && e.slow > wellAbove) {
 		e.pressed = true
-	} else if e.slow < nearBest {
+	} else if busy < 1 || (e.slow < nearBest && busy < relaxed) {
 		e.pressed = false
 	}
-	if (e.slow > grown || c.now < e.fullUntil) && c.now-e.halved >= halveEvery {
+	if (full || (busy > 1 && e.slow > grown)) && c.now-e.halved >= halveEvery {
 		e.halved, e.stepped = c.now, c.now
-		e.bound = max(e.cores*c.share/2, e.bound/2)
+		e.bound = max(e.cores*c.share, e.bound/2)
 	}
 	if was != e.pressed {
 		c.log("engine %d pressed=%v latency/best=%.2f threads=%.0f others=%.0f bound=%.1f",
@@ -898,16 +896,8 @@
 	c.buckets = slices.DeleteFunc(c.buckets, func(b *bucket) bool {
 		return len(b.fifo) == 0 && b.used == 0 && c.now-b.seen > tenantMemory
 	})
-	for id, s := range c.tenants {
-		if c.now-s.at > tenantMemory {
-			delete(c.tenants, id)
-		}
-	}
-	for k, l := range c.lines {
-		if len(l.jobs) == 0 && c.now >= l.rest {
-			delete(c.lines, k)
-		}
-	}
+	maps.DeleteFunc(c.tenants, func(_ TenantID, s *tenantSeen) bool { return c.now-s.at > tenantMemory })
+	maps.DeleteFunc(c.lines, func(_ Key, l *keyLine) bool { return len(l.jobs) == 0 && c.now >= l.rest })
 	c.rationed()
 	if c.facts.text("discovery") == "subscribe" && !c.tracked && c.now-c.asked >= second {
 		c.asked = c.now
