--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,7 +35,7 @@
 
 	waitShare = 0.15 // of the SLA time, waited by a head: from here the price of a thread rises
 	priceUp   = 0.5  // a second, in units of the mean billed value for a second of work
-	priceDown = 0.25
+	priceDown = 0.5
 	priceMost = 2.0
 
 	overdueTimes = 5.0  // times its expected time: a dispatch that ran so long is called back
@@ -879,7 +879,7 @@
 	step := float64(sweepEvery) / float64(second)
 	if waited > waitShare {
 		c.price = min(priceMost, c.price+priceUp*step)
-	} else {
+	} else if waited < waitShare/3 {
 		c.price = max(0, c.price-priceDown*step)
 	}
 	if on := c.price > 0; on != c.priced && (on || c.price == 0) {
