--- a/choice/choice.go
+++ b/choice/choice.go
@@ -168,6 +168,7 @@
 	lines                      map[Key]*keyLine
 	tenants                    map[TenantID]*tenantSeen
 	price, worthMean, workMean float64 // price: in mean billed value for a second of work
+	grantEach                  float64 // memory granted for a thread out
 	priced, tracked            bool
 	spare                      float64 // further dispatches of what may have run that are left
 	taken, further             []Nanos // arrivals and further dispatches inside the rationing window
@@ -447,7 +448,7 @@
 	most := 2 * start
 	if c.now-e.reported < reportFresh {
 		most = max(most, crowded*e.cores-e.others)
-		memory = max(memory, e.memory*(1-e.others/(2*e.cores)))
+		memory = max(e.memory*c.share, e.memory-e.others*c.grantEach)
 	}
 	if e.pressed || borrows {
 		most, memory = e.bound, e.memory*c.share
@@ -826,18 +827,17 @@
 	}
 }
 
-// report reads an engine's load report: jobs in hand beyond ours, in threads by our own mean.
+// report reads an engine's load report: jobs in hand beyond ours, in threads, each with memory, by our means.
 func (c *Controller) report(e *engine, load []float64) {
+	threads, n, grants := 1.0, 1.0, 0.0
+	for _, o := range c.engines {
+		threads, n, grants = threads+o.threads, n+float64(len(o.flights)), grants+o.grants
+	}
+	c.grantEach = grants / threads
 	for i, v := range load {
-		if c.facts.text(fmt.Sprintf("telemetry.fields.%d", i)) != "concurrent" || !(v >= 0) {
-			continue
-		}
-		threads, n := 1.0, 1.0
-		for _, o := range c.engines {
-			threads, n = threads+o.threads, n+float64(len(o.flights))
+		if c.facts.text(fmt.Sprintf("telemetry.fields.%d", i)) == "concurrent" && v >= 0 {
+			e.reported, e.others = c.now, max(0, v-float64(len(e.flights)))*threads/n
 		}
-		e.reported = c.now
-		e.others = max(0, v-float64(len(e.flights))) * threads / n
 	}
 }
 
