Set aside engines that refuse connections beyond a third of the fleet

Should also catch engines at their connection limit; may hurt when a blip cuts all engines off for a moment: they come back after two answered probes.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -918,14 +918,15 @@
 		c.pressure(e)
 	case Failed, Reset, Unreachable, TimedOut:
 		if e.strikes++; e.mode == trial || (e.mode == open && e.strikes >= strikesOut) {
-			c.setAside(e, fmt.Sprintf("%d failures in a row", e.strikes))
+			c.setAside(e, r == Unreachable, fmt.Sprintf("%d failures in a row", e.strikes))
 		}
 	}
 }
 
 // setAside takes an engine out until it answered probes; never more than a third of the fleet, since what
-// strikes most engines at once is no fault of theirs.
-func (c *Controller) setAside(e *engine, why string) {
+// strikes most engines at once is no fault of theirs. Only one that refuses connections goes whatever the
+// others do: it fails so fast that it looks emptiest, and a job sent there is sure to be wasted.
+func (c *Controller) setAside(e *engine, down bool, why string) {
 	out, ready := 1, 0
 	for _, o := range c.engines {
 		if o.State == Ready {
@@ -935,7 +936,7 @@
 			}
 		}
 	}
-	if e.mode == open && out > max(1, ready/3) {
+	if e.mode == open && !down && out > max(1, ready/3) {
 		return
 	}
 	if e.rest = min(restMost, 2*e.rest); e.mode == open {
@@ -975,7 +976,7 @@
 			}
 		}
 		if (overdue >= 2 || (overdue > 0 && e.mode == trial)) && c.now-e.heard > quietTime {
-			c.setAside(e, fmt.Sprintf("silent for %d ms, %d overdue", (c.now-e.heard)/ms, overdue))
+			c.setAside(e, false, fmt.Sprintf("silent for %d ms, %d overdue", (c.now-e.heard)/ms, overdue))
 		}
 	}
 	wanted := e.mode == aside || c.facts.text("telemetry.via") == "on_probe"
