--- a/choice/choice.go
+++ b/choice/choice.go
@@ -38,8 +38,8 @@
 	priceDown = 0.5
 	priceMost = 2.0
 
-	overdueTimes = 5.0  // times its expected time: a dispatch that ran so long is called back
-	badPlanTimes = 4.0  // the same, when its own notes project it
+	overdueTimes = 4.0  // times its expected time: a dispatch that ran so long is called back
+	badPlanTimes = 3.0  // the same, when its own notes project it
 	spareShare   = 0.1  // further dispatches of what may have run, for each job taken
 	spareMost    = 10.0 // and at once
 	strikesOut   = 3    // failures in a row that set an engine aside
