--- a/choice/choice.go
+++ b/choice/choice.go
@@ -159,7 +159,7 @@
 	facts                      Facts
 	chance                     pcg
 	types                      []*jobType
-	share                      float64 // this controller's even share
+	even, share                float64 // 1/controllers, and what we carry by the load reports where that is more
 	mostTries                  int
 	engines                    []*engine      // by id; a gone engine leaves once its dispatches are over
 	jobs                       map[JobID]*job // until over and nothing is out
@@ -225,7 +225,8 @@
 func (c *Controller) start(ev Event) {
 	f := ev.Facts
 	c.facts, c.booted, c.chance = f, c.now, pcg(ev.Seed)
-	c.share = 1 / math.Max(1, f.num("balancers", 1))
+	c.even = 1 / math.Max(1, f.num("balancers", 1))
+	c.share = c.even
 	c.mostTries = max(1, int(f.num("limits.most_tries", 1)))
 	c.jobs, c.lines, c.tenants = map[JobID]*job{}, map[Key]*keyLine{}, map[TenantID]*tenantSeen{}
 	for i := range f.list("classes") {
@@ -502,7 +503,7 @@
 		if !j.typ.holds && home < 2 {
 			load -= 0.25
 		}
-		if j.typ.holds && home%int(1/c.share+0.5) != int(c.facts.num("me", 0)) {
+		if j.typ.holds && home%int(1/c.even+0.5) != int(c.facts.num("me", 0)) {
 			load += 1 // each controller has other engines for a group's loads, as they stand still behind each other
 		}
 		if load += 0.02 * c.chance.unit(); load < least {
@@ -584,7 +585,7 @@
 		sum += s.work
 	}
 	stands := c.facts.num("invariants.fall_multiple", 1) * c.facts.num("invariants.start_capacity", 0)
-	return c.now-c.booted >= window && sum <= coldSafety*c.share*stands*0.85*e.cores*float64(window)
+	return c.now-c.booted >= window && sum <= coldSafety*c.even*stands*0.85*e.cores*float64(window)
 }
 
 // rationed is rule 7: whether one more dispatch beyond a job's first keeps within the stated budget.
@@ -863,11 +864,17 @@
 		}
 	}
 	c.reprice(waited)
+	ours, all := 0.0, 0.0
 	for _, e := range c.engines {
+		if c.now-e.reported < reportFresh {
+			ours, all = ours+e.threads, all+e.threads+e.others
+		}
 		e.slow += 0.002 * (1 - e.slow)
 		c.pressure(e)
 		c.watch(e)
 	}
+	// A front that is uneven, or siblings gone, leave one controller more than its even share of the work.
+	c.share += 0.02 * (max(c.even, ours/max(1, all)) - c.share)
 	c.tidy()
 }
 
