--- a/choice/choice.go
+++ b/choice/choice.go
@@ -444,11 +444,9 @@
 	if e.mode == aside || (e.mode == trial && len(e.flights) > 0) || c.now < e.fullUntil {
 		return false
 	}
-	// A sibling that is gone or idle leaves its share: where a fresh load report shows it free, it is lent.
 	start, memory := e.cores*c.share, e.memory*c.share*1.3
 	most := 2 * start
 	if c.now-e.reported < reportFresh {
-		most = max(most, crowded*e.cores-e.others)
 		memory = max(e.memory*c.share, e.memory-e.others*c.grantEach)
 	}
 	if e.pressed || borrows {
