--- a/choice/choice.go
+++ b/choice/choice.go
@@ -607,6 +607,8 @@
 	priority := uint8(1)
 	if c.quick(t) {
 		priority = 3
+	} else if t.holds {
+		priority = 2 // others stand still behind it
 	}
 	grant, held := 0.0, c.need(j)
 	if c.facts.flag("domain.grants_count") && j.memory > 0 {
