--- a/choice/choice.go
+++ b/choice/choice.go
@@ -344,7 +344,7 @@
 // price. One rule for bursts, floods of a tenant, costly jobs and a slow fleet alike.
 func (c *Controller) notWorth(j *job) bool {
 	t, left, worth := j.typ, j.work/j.typ.threads, j.worth
-	if c.now+Nanos(0.8*left) > j.lost {
+	if c.late(j) || c.now+Nanos(0.8*left) > j.lost {
 		return true
 	}
 	if c.now+Nanos(left*min(t.slow, 2)) > j.due {
@@ -645,7 +645,7 @@
 }
 
 func (c *Controller) park(j *job, at int) {
-	j.parked = true
+	j.parked, j.ready = true, 0
 	j.typ.parked++
 	j.bucket.fifo = slices.Insert(j.bucket.fifo, at, j)
 }
@@ -754,11 +754,7 @@
 	if ev.Result == Done {
 		c.learn(j, f, ev)
 	}
-	if ev.Final {
-		c.unpark(j)
-		j.over = true
-	}
-	if j.over {
+	if j.over = j.over || ev.Final; j.over {
 		c.forget(j)
 		return j.bucket
 	}
@@ -767,7 +763,7 @@
 		again = again && c.spare >= 1
 		c.spare = max(0, c.spare-1)
 	}
-	if !again || j.dispatches >= c.mostTries || c.late(j) || c.notWorth(j) {
+	if !again || j.dispatches >= c.mostTries || c.notWorth(j) {
 		c.giveUp(j)
 		return j.bucket
 	}
@@ -801,9 +797,8 @@
 	t.slow += 0.05 * (min(took, 10) - t.slow)
 	ratio := min(took/t.best, 10)
 	e.slow += min(0.25, max(0.02, work/float64(4*second))) * (ratio - e.slow)
-	start := e.cores * c.share
 	if ratio < nearBest && c.now-e.stepped >= widenEvery {
-		e.stepped, e.bound = c.now, min(2*start, e.bound+1)
+		e.stepped, e.bound = c.now, min(2*e.cores*c.share, e.bound+1)
 	}
 	c.pressure(e)
 }
@@ -889,7 +884,7 @@
 	} else if waited < waitShare/3 {
 		c.price = max(0, c.price-priceDown*step)
 	}
-	if on := c.price > 0; on != c.priced && (on || c.price == 0) {
+	if on := c.price > 0; on != c.priced {
 		c.priced = on
 		c.log("overload=%v price=%.2f head waited=%.2f of SLA time", on, c.price, waited)
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -95,6 +95,28 @@
 	want(t, s.jobs[id].by == Throttle, "a job never sent is throttled, not cancelled for good")
 }
 
+// The failure: a job parked again after a dispatch counted its time there as waiting, and raised the price.
+func TestAJobParkedAgainHasNotWaited(t *testing.T) {
+	s := newStage(t, plainFacts(), 1)
+	s.c.spare = 5
+	s.list(ListChanges, Line{Engine: 100, State: Draining})
+	id := s.arrive(1, 0, 1)
+	s.list(ListChanges, Line{Engine: 100, State: Ready})
+	s.now += 3 * second
+	s.list(ListChanges, Line{Engine: 100, State: Draining})
+	s.finish(id, Reset)
+	s.pass(20 * ms)
+	want(t, len(s.sentTo(id)) == 1, "sent %v", s.sentTo(id))
+	want(t, s.c.jobs[id].parked && s.c.price == 0, "price %v", s.c.price)
+}
+
+// The failure: a job that comes with next to no time left outlived it until the next sweep.
+func TestAJobWithNoTimeLeftIsAnsweredAtOnce(t *testing.T) {
+	s := newStage(t, plainFacts(), 1)
+	id := s.arriveAs(Event{Type: 0, Left: 0, Cost: 1, CostKnown: true})
+	want(t, s.jobs[id].by == Throttle, "answered by %v", s.jobs[id].by)
+}
+
 func TestRunOnceIsNeverRepeatedNorThrottledOnceSent(t *testing.T) {
 	for _, r := range []Result{Failed, Reset, TimedOut, Retracted} {
 		s := newStage(t, plainFacts(), 2)
