--- a/choice/choice.go
+++ b/choice/choice.go
@@ -169,23 +169,11 @@
 	tenants                    map[TenantID]*tenantSeen
 	price, worthMean, workMean float64 // price: in mean billed value for a second of work
 	grantEach                  float64 // memory granted for a thread out
-	priced, tracked            bool
+	priced, pressed, tracked   bool
 	spare                      float64 // further dispatches of what may have run that are left
 	taken, further             []Nanos // arrivals and further dispatches inside the rationing window
 }
 
-// pcg is a permuted congruential generator (XSH RR 64/32).
-type pcg uint64
-
-func (p *pcg) next() uint32 {
-	s := uint64(*p)
-	*p = pcg(s*6364136223846793005 + 1442695040888963407)
-	x, rot := uint32(((s>>18)^s)>>27), uint32(s>>59)
-	return x>>rot | x<<(-rot&31)
-}
-
-func (p *pcg) unit() float64 { return float64(p.next()) / (1 << 32) }
-
 // Decide is told what happened and returns what to do.
 func (c *Controller) Decide(now Nanos, ev Event) []Action {
 	c.now, c.acts = now, c.acts[:0]
@@ -721,13 +709,21 @@
 	}
 }
 
+// again tells whether a job may be called back to be sent again: restartable ones, keyed ones well inside
+// their window.
+func (c *Controller) again(j *job) bool {
+	t := j.typ
+	return !j.over && !j.streaming && j.dispatches < c.mostTries && c.facts.flag("limits.cancel") &&
+		(t.repeatable || (t.keyed && c.now+second < j.firstAt+t.window))
+}
+
 // callBack retracts a dispatch to send its job again, within the spare dispatches.
 func (c *Controller) callBack(f *flight) {
 	j := f.job
-	if f.called || j.over || j.streaming || !j.typ.repeatable || c.spare < 1 || j.dispatches >= c.mostTries {
+	if f.called || !j.typ.repeatable || !c.again(j) || c.spare < 1 {
 		return
 	}
-	if c.now+Nanos(f.expect) <= j.lost && c.facts.flag("limits.cancel") && c.rationed() {
+	if c.now+Nanos(f.expect) <= j.lost && c.rationed() {
 		c.spare--
 		c.retract(f)
 	}
@@ -807,7 +803,7 @@
 // least. Latency that grew with fewer threads there than cores is no crowding (something that all depend on
 // is slow, say): fewer threads would only cost more.
 func (c *Controller) pressure(e *engine) {
-	busy, was, full := (e.threads+e.others)/e.cores, e.pressed, c.now < e.fullUntil
+	busy, full := (e.threads+e.others)/e.cores, c.now < e.fullUntil
 	if full || busy > crowded || (busy > 1 && e.slow > wellAbove) {
 		e.pressed = true
 	} else if busy < 1 || (e.slow < nearBest && busy < relaxed) {
@@ -817,10 +813,6 @@
 		e.halved, e.stepped = c.now, c.now
 		e.bound = max(e.cores*c.share, e.bound/2)
 	}
-	if was != e.pressed {
-		c.log("engine %d pressed=%v latency/best=%.2f threads=%.0f others=%.0f bound=%.1f",
-			e.Engine, e.pressed, e.slow, e.threads, e.others, e.bound)
-	}
 }
 
 // report reads an engine's load report: jobs in hand beyond ours, in threads, each with memory, by our means.
@@ -859,7 +851,7 @@
 		}
 	}
 	c.reprice(waited)
-	ours, all := 0.0, 0.0
+	ours, all, pressed, slow := 0.0, 0.0, 0, 0.0
 	for _, e := range c.engines {
 		if c.now-e.reported < reportFresh {
 			ours, all = ours+e.threads, all+e.threads+e.others
@@ -867,6 +859,13 @@
 		e.slow += 0.002 * (1 - e.slow)
 		c.pressure(e)
 		c.watch(e)
+		if slow += e.slow / float64(len(c.engines)); e.pressed {
+			pressed++
+		}
+	}
+	if on := 2*pressed > len(c.engines); on != c.pressed && (on || 4*pressed < len(c.engines)) {
+		c.pressed = on
+		c.log("pressure=%v on %d of %d engines, latency/best=%.2f", on, pressed, len(c.engines), slow)
 	}
 	// A front that is uneven, or siblings gone, leave one controller more than its even share of the work.
 	c.share += 0.02 * (max(c.even, ours/max(1, all)) - c.share)
@@ -946,7 +945,7 @@
 	}
 	c.setMode(e, aside, why)
 	for _, f := range slices.Clone(e.flights) {
-		if j := f.job; !j.over && j.typ.repeatable && j.dispatches < c.mostTries {
+		if c.again(f.job) {
 			c.retract(f)
 		}
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -230,6 +230,17 @@
 	want(t, out == 2, "%d of 6 set aside", out)
 }
 
+// The failure: a keyed job on a silent engine waited for its job timeout though its group drops repeats.
+func TestOffASilentEngineWhatMayRunAgainIsCalledBack(t *testing.T) {
+	f := plainFacts()
+	f.list("classes")[1].(map[string]any)["idempotency"] = "by_key"
+	s := newStage(t, f, 4)
+	keyed, once := s.arrive(1, 0, 1), s.arrive(2, 1, 2)
+	s.c.setAside(s.c.jobs[keyed].flight.engine, false, "silent")
+	s.c.setAside(s.c.jobs[once].flight.engine, true, "silent")
+	want(t, s.c.jobs[keyed].flight.called && !s.c.jobs[once].flight.called, "keyed called back, run-once waited for")
+}
+
 // The failure: a bad plan runs many times as long; its own notes project it.
 func TestABadPlanIsCalledBackAndSentAgain(t *testing.T) {
 	s := newStage(t, plainFacts(), 2)
