--- a/choice/choice.go
+++ b/choice/choice.go
@@ -480,7 +480,8 @@
 		load := (e.threads + e.others + j.typ.threads) / (e.cores * c.warmth(e))
 		load *= min(3, max(0.5, e.slow*n/max(slow, 0.1)))
 		if e.Zone != ZoneID(c.facts.num("locality", 0)) {
-			load += 10 * c.facts.num("tariffs.cross_zone", 0)
+			// The price is one a job: it weighs on jobs of little billed value, so that those stay near.
+			load += min(2, 10*c.facts.num("tariffs.cross_zone", 0)*c.worthMean/max(0.01, j.typ.worth))
 		}
 		if e == j.last {
 			load += 2
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -309,6 +309,18 @@
 	want(t, first < 150 && grant() > 290, "grants %v, then %v", first, grant())
 }
 
+func TestCrossingWeighsOnJobsOfLittleValue(t *testing.T) {
+	s := newStage(t, plainFacts().set("tariffs", map[string]any{"cross_zone": 0.05}), 2)
+	s.arrive(1, 0, 3) // lifts the mean billed value
+	e := s.c.engines[0]
+	e.threads = 3 // zone 0 is ours, and has less room
+	for _, typ := range []TypeID{0, 1} {
+		j := &job{typ: s.c.types[typ], lost: s.now + second, bucket: &bucket{}}
+		s.c.worthMean = 5
+		want(t, (s.c.pick(j, false) == e) == (typ == 0), "type %d", typ)
+	}
+}
+
 func TestSameEventsSameActions(t *testing.T) {
 	play := func() string {
 		s := newStage(t, plainFacts(), 5)
