--- a/choice/choice.go
+++ b/choice/choice.go
@@ -40,10 +40,10 @@
 
 	overdueTimes = 4.0  // times its expected time: a dispatch that ran so long is called back
 	badPlanTimes = 3.0  // the same, when its own notes project it
-	spareShare   = 0.1  // further dispatches of what may have run, for each job taken
+	badStep      = 0.05 // of the part of an engine's dispatches that are lost or fail
+	spareShare   = 0.2  // further dispatches of what may have run, for each job taken
 	spareMost    = 10.0 // and at once
 	strikesOut   = 3    // failures in a row that set an engine aside
-	quietTime    = 600 * ms
 	restFirst    = second
 	restMost     = 8 * second
 	probesBack   = 2
@@ -98,10 +98,10 @@
 	job            *job
 	engine         *engine
 	seq            Seq
-	sent           Nanos
+	sent, noted    Nanos // noted: the last note on it came
 	expect, memory float64
 	share          float64 // of the work done, by the last note
-	called         bool    // retracted
+	called, blamed bool    // retracted; counted as lost
 }
 
 // bucket is one reservation type of one tenant. Emptied by completions; dropped by the sweep once idle.
@@ -130,12 +130,12 @@
 type engine struct {
 	Line
 	cores, memory, threads, grants, others float64 // threads, grants: ours; others: siblings' threads
-	bound, slow                            float64 // slow: latency over best, lately
+	bound, slow, bad                       float64 // slow: latency over best; bad: part lost or failed
 	flights                                []*flight
 	pressed, probing                       bool
 	mode                                   mode
 	fullUntil, stepped, halved, since      Nanos
-	rest, heard, probed, reported          Nanos
+	rest, probed, reported                 Nanos
 	strikes, passed                        int
 	sent                                   []sentWork
 }
@@ -251,11 +251,11 @@
 			return cmp.Compare(e.Engine, id)
 		})
 		if !known {
-			c.engines = slices.Insert(c.engines, i, &engine{slow: 1, heard: c.now, Line: l})
+			c.engines = slices.Insert(c.engines, i, &engine{slow: 1, Line: l})
 		}
 		e := c.engines[i]
 		if !known || e.StartedAt != l.StartedAt {
-			e.slow, e.pressed, e.mode, e.strikes, e.others, e.heard, e.bound = 1, false, open, 0, 0, c.now, 0
+			e.slow, e.bad, e.pressed, e.mode, e.strikes, e.others, e.bound = 1, 0, false, open, 0, 0, 0
 		}
 		e.Line, e.cores = l, math.Max(1, c.facts.num(fmt.Sprintf("domain.cpu_of_kind.%d", l.Kind), 1))
 		e.memory = c.facts.num(fmt.Sprintf("domain.size_mb.%d", l.Kind), 0)
@@ -479,6 +479,7 @@
 		}
 		load := (e.threads + e.others + j.typ.threads) / (e.cores * c.warmth(e))
 		load *= min(3, max(0.5, e.slow*n/max(slow, 0.1)))
+		load += 4 * e.bad
 		if e.Zone != ZoneID(c.facts.num("locality", 0)) {
 			// The price is one a job: it weighs on jobs of little billed value, so that those stay near.
 			load += min(2, 10*c.facts.num("tariffs.cross_zone", 0)*c.worthMean/max(0.01, j.typ.worth))
@@ -512,12 +513,6 @@
 	return rank
 }
 
-func mix(id EngineID, tables TableSet) uint32 {
-	p := pcg(uint64(id)<<32 ^ uint64(tables)*0x9e3779b97f4a7c15)
-	p.next()
-	return p.next()
-}
-
 func (c *Controller) heldBy(e *engine, tables TableSet) bool {
 	return slices.ContainsFunc(e.flights, func(f *flight) bool {
 		return f.job.typ.holds && f.job.tables == tables
@@ -615,7 +610,7 @@
 		c.do(Action{Kind: Terms, Job: j.id, Priority: priority, MemoryMB: grant})
 	}
 	c.do(Action{Kind: Dispatch, Job: j.id, Engine: e.Engine})
-	f := &flight{job: j, engine: e, seq: Seq(j.dispatches), sent: c.now, memory: held,
+	f := &flight{job: j, engine: e, seq: Seq(j.dispatches), sent: c.now, noted: c.now, memory: held,
 		expect: j.work / t.threads * t.slow}
 	if j.dispatches > 0 && c.facts.num("invariants.further_ratio", -1) >= 0 {
 		c.further = append(c.further, c.now)
@@ -697,19 +692,28 @@
 // and sent again, as is any dispatch far over its expected time (overdue), whatever the cause.
 func (c *Controller) note(ev Event) {
 	j := c.jobs[ev.Job]
-	if j == nil || j.flight == nil || j.flight.seq != ev.Seq || ev.Note != Progress {
+	if j == nil || j.flight == nil || j.flight.seq != ev.Seq {
 		return
 	}
 	f := j.flight
-	if ev.Amount > f.share {
-		f.share, f.engine.heard = ev.Amount, c.now
+	if f.noted = c.now; ev.Note != Progress {
+		return
 	}
+	f.share = max(f.share, ev.Amount)
 	took := float64(c.now - f.sent)
 	if whole := took / max(f.share, 0.01); whole > badPlanTimes*f.expect && whole-took > 1.5*f.expect {
 		c.callBack(f)
 	}
 }
 
+// lost tells that a dispatch has run far over its expected time, or that its notes stopped. It counts against
+// its engine like an error: one that loses a part is chosen less, a silent one set aside after three.
+func (c *Controller) lost(f *flight) bool {
+	period := 5 * c.facts.span("domain.note_period_ns") / 2
+	return float64(c.now-f.sent) > max(overdueTimes*f.expect, float64(f.job.typ.aim)/2) ||
+		(period > 0 && c.now-f.noted > period)
+}
+
 // again tells whether a job may be called back to be sent again: restartable ones, keyed ones well inside
 // their window.
 func (c *Controller) again(j *job) bool {
@@ -721,10 +725,8 @@
 // callBack retracts a dispatch to send its job again, within the spare dispatches.
 func (c *Controller) callBack(f *flight) {
 	j := f.job
-	if f.called || !j.typ.repeatable || !c.again(j) || c.spare < 1 {
-		return
-	}
-	if c.now+Nanos(f.expect) <= j.lost && c.rationed() {
+	ends := c.now + Nanos(f.expect)
+	if j.typ.repeatable && !f.called && c.again(j) && c.spare >= 1 && ends <= j.lost && c.rationed() {
 		c.spare--
 		c.retract(f)
 	}
@@ -747,7 +749,7 @@
 		l.rest = max(l.rest, c.now+c.facts.span("invariants.order_pause_ns"))
 	}
 	c.report(e, ev.Load)
-	c.judge(e, ev.Result, f)
+	c.judge(e, ev.Result)
 	if ev.Result == Done {
 		c.learn(j, f, ev)
 	}
@@ -839,7 +841,11 @@
 		case j.over || j.streaming:
 		case c.late(j) || (f == nil && c.notWorth(j)):
 			c.giveUp(j)
-		case f != nil && float64(c.now-f.sent) > max(overdueTimes*f.expect, float64(second)):
+		case f != nil && !f.called && !j.typ.holds && c.lost(f): // loads may rightly stand still
+			if !f.blamed {
+				f.blamed = true
+				c.judge(f.engine, TimedOut)
+			}
 			c.callBack(f)
 		}
 	}
@@ -857,7 +863,7 @@
 		if c.now-e.reported < reportFresh {
 			ours, all = ours+e.threads, all+e.threads+e.others
 		}
-		e.slow += 0.002 * (1 - e.slow)
+		e.slow, e.bad = e.slow+0.002*(1-e.slow), 0.999*e.bad
 		c.pressure(e)
 		c.watch(e)
 		if slow += e.slow / float64(len(c.engines)); e.pressed {
@@ -908,10 +914,10 @@
 }
 
 // judge counts an outcome for or against an engine.
-func (c *Controller) judge(e *engine, r Result, f *flight) {
+func (c *Controller) judge(e *engine, r Result) {
 	switch r {
 	case Done:
-		e.heard, e.strikes = c.now, 0
+		e.strikes, e.bad = 0, e.bad*(1-badStep)
 		if e.mode == trial {
 			c.setMode(e, open, "a job was done")
 		}
@@ -919,8 +925,9 @@
 		e.fullUntil = c.now + second/5
 		c.pressure(e)
 	case Failed, Reset, Unreachable, TimedOut:
+		e.bad += badStep * (1 - e.bad)
 		if e.strikes++; e.mode == trial || (e.mode == open && e.strikes >= strikesOut) {
-			c.setAside(e, r == Unreachable, fmt.Sprintf("%d failures in a row", e.strikes))
+			c.setAside(e, r == Unreachable, fmt.Sprintf("%d failed or lost in a row", e.strikes))
 		}
 	}
 }
@@ -958,8 +965,8 @@
 		e.Engine, [...]string{"open", "aside", "on trial"}[m], why, e.slow, len(e.flights))
 }
 
-// watch sets a silent engine aside - it took jobs and answers none - and leads it back: probes answered (or,
-// where probing is barred, its rest over), then one job at a time until one is done.
+// watch leads back an engine that was set aside: probes answered (or, where probing is barred, its rest
+// over), then one job at a time until one is done.
 func (c *Controller) watch(e *engine) {
 	if e.State != Ready {
 		return
@@ -969,18 +976,6 @@
 		e.strikes = 0
 		c.setMode(e, trial, fmt.Sprintf("%d probes answered", e.passed))
 	}
-	if e.mode != aside {
-		overdue, shortest := 0, math.Inf(1)
-		for _, f := range e.flights {
-			if shortest = min(shortest, f.expect); f.sent >= e.heard && !f.called &&
-				float64(c.now-f.sent) > max(3*f.expect, float64(quietTime)) {
-				overdue++
-			}
-		}
-		if (overdue >= 2 || (overdue > 0 && e.mode == trial)) && c.now-e.heard > quietTime {
-			c.setAside(e, false, fmt.Sprintf("silent for %d ms, %d overdue", (c.now-e.heard)/ms, overdue))
-		}
-	}
 	wanted := e.mode == aside || c.facts.text("telemetry.via") == "on_probe"
 	if probes && wanted && !e.probing && c.now-e.probed >= probeEvery {
 		e.probing, e.probed = true, c.now
