--- a/choice/choice.go
+++ b/choice/choice.go
@@ -445,7 +445,8 @@
 	}
 	most *= c.warmth(e)
 	fits := e.memory == 0 || e.grants+c.need(j) <= memory
-	return len(e.flights) == 0 || (fits && e.threads+j.typ.threads <= most)
+	// A job fits if half of it does: small shares of small engines would else shut out jobs of many threads.
+	return len(e.flights) == 0 || (fits && e.threads+j.typ.threads/2 <= most)
 }
 
 // need is the memory that a job is thought to use.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -314,6 +314,15 @@
 	want(t, s.c.share < 0.3, "share %v though the reports show others", s.c.share)
 }
 
+// The failure: a job of many threads never fitted a small share of a small engine beside a single lookup.
+func TestAJobFitsIfHalfOfItDoes(t *testing.T) {
+	f := plainFacts().set("balancers", 4.0).set("domain.class_threads", []any{1.0, 4.0, 2.0})
+	s := newStage(t, f, 1)
+	s.arrive(0, 0, 1)
+	want(t, len(s.sentTo(s.arrive(1, 0, 1))) == 1, "four threads beside one, where four are the most")
+	want(t, len(s.sentTo(s.arrive(1, 0, 1))) == 0, "but no further job")
+}
+
 func TestGrantsLearnTheBiasOfEstimates(t *testing.T) {
 	s := newStage(t, plainFacts(), 2)
 	grant := func() float64 {
