--- a/choice/choice.go
+++ b/choice/choice.go
@@ -444,13 +444,19 @@
 		most += start / 2
 	}
 	most *= c.warmth(e)
-	fits := e.memory == 0 || e.grants+c.need(j) <= memory
 	// A job fits if half of it does: small shares of small engines would else shut out jobs of many threads.
-	return len(e.flights) == 0 || (fits && e.threads+j.typ.threads/2 <= most)
+	// Where none of ours runs one may go, but not where siblings are known to fill the engine.
+	need, half := c.need(j, e), j.typ.threads/2
+	if len(e.flights) == 0 {
+		return e.others+half <= 2*e.cores && (e.memory == 0 || e.others*c.grantEach+need <= e.memory)
+	}
+	return e.threads+half <= most && (e.memory == 0 || e.grants+need <= memory)
 }
 
-// need is the memory that a job is thought to use.
-func (c *Controller) need(j *job) float64 { return j.memory * math.Exp(j.typ.memBias) }
+// need is the memory that a job is thought to use on an engine.
+func (c *Controller) need(j *job, e *engine) float64 {
+	return min(j.memory*math.Exp(j.typ.memBias), e.memory*c.facts.num("domain.max_grant_share", 1))
+}
 
 // warmth is the part of its capacity that a started engine is sure to have.
 func (c *Controller) warmth(e *engine) float64 {
@@ -595,7 +601,7 @@
 	} else if t.holds {
 		priority = 2 // others stand still behind it
 	}
-	grant, held := 0.0, c.need(j)
+	grant, held := 0.0, c.need(j, e)
 	if c.facts.flag("domain.grants_count") && j.memory > 0 {
 		// Spare memory buys safety from a low estimate; where only what is used counts, safety is free.
 		safety := min(2.2, max(0.6, 2.5*(1-e.grants/max(1, e.memory*c.share))))
@@ -863,6 +869,8 @@
 	for _, e := range c.engines {
 		if c.now-e.reported < reportFresh {
 			ours, all = ours+e.threads, all+e.threads+e.others
+		} else {
+			e.others *= 0.98 // an old report fades
 		}
 		e.slow, e.bad = e.slow+0.002*(1-e.slow), 0.999*e.bad
 		c.pressure(e)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -323,6 +323,18 @@
 	want(t, len(s.sentTo(s.arrive(1, 0, 1))) == 0, "but no further job")
 }
 
+// The failure: in a burst each of five controllers put one long job on every engine, past its memory and cores.
+func TestTheFirstJobHeedsWhatSiblingsHold(t *testing.T) {
+	s := newStage(t, plainFacts().set("balancers", 5.0), 1)
+	e := s.c.engines[0]
+	e.others, e.reported = 18, s.now
+	want(t, len(s.sentTo(s.arrive(1, 0, 1))) == 0, "siblings hold 18 threads on 8 cores")
+	e.others, e.reported, s.c.grantEach = 8, s.now, 3000
+	want(t, len(s.sentTo(s.arrive(1, 0, 1))) == 0, "siblings hold all its memory")
+	s.pass(4 * second)
+	want(t, e.others < 2 && len(e.flights) > 0, "an old report fades: %v", e.others)
+}
+
 func TestGrantsLearnTheBiasOfEstimates(t *testing.T) {
 	s := newStage(t, plainFacts(), 2)
 	grant := func() float64 {
