--- a/choice/choice.go
+++ b/choice/choice.go
@@ -132,7 +132,7 @@
 	cores, memory, threads, grants, others float64 // threads, grants: ours; others: siblings' threads
 	bound, slow, bad                       float64 // slow: latency over best; bad: part lost or failed
 	flights                                []*flight
-	pressed, probing                       bool
+	pressed                                bool
 	mode                                   mode
 	fullUntil, stepped, halved, since      Nanos
 	rest, probed, reported                 Nanos
@@ -155,6 +155,7 @@
 // Controller decides for one instance.
 type Controller struct {
 	now, booted, asked         Nanos
+	tick                       Mark // of the last timer set
 	acts                       []Action
 	facts                      Facts
 	chance                     pcg
@@ -168,7 +169,7 @@
 	lines                      map[Key]*keyLine
 	tenants                    map[TenantID]*tenantSeen
 	price, worthMean, workMean float64 // price: in mean billed value for a second of work
-	grantEach                  float64 // memory granted for a thread out
+	grantEach, slowMean        float64 // memory granted for a thread out; the engines' mean latency over best
 	priced, pressed, tracked   bool
 	spare                      float64 // further dispatches of what may have run that are left
 	taken, further             []Nanos // arrivals and further dispatches inside the rationing window
@@ -198,7 +199,9 @@
 	case Probed:
 		c.probed(ev)
 	case TimerDue:
-		c.sweep()
+		if ev.Mark == c.tick { // a timer that is not the last one set would start a second chain of them
+			c.sweep()
+		}
 	}
 	c.drain(own)
 	return c.acts
@@ -213,9 +216,8 @@
 func (c *Controller) start(ev Event) {
 	f := ev.Facts
 	c.facts, c.booted, c.chance = f, c.now, pcg(ev.Seed)
-	c.even = 1 / math.Max(1, f.num("balancers", 1))
-	c.share = c.even
-	c.mostTries = max(1, int(f.num("limits.most_tries", 1)))
+	c.even, c.slowMean = 1/math.Max(1, f.num("balancers", 1)), 1
+	c.share, c.mostTries = c.even, max(1, int(f.num("limits.most_tries", 1)))
 	c.jobs, c.lines, c.tenants = map[JobID]*job{}, map[Key]*keyLine{}, map[TenantID]*tenantSeen{}
 	for i := range f.list("classes") {
 		at := func(name string) string { return fmt.Sprintf("classes.%d.%s", i, name) }
@@ -232,7 +234,13 @@
 		t.usual = math.Max(float64(t.aim)*t.threads/2, float64(ms)) // until jobs tell better
 		c.types = append(c.types, t)
 	}
-	c.do(Action{Kind: Timer, Span: sweepEvery})
+	c.arm()
+}
+
+// arm sets the timer of the next sweep.
+func (c *Controller) arm() {
+	c.tick++
+	c.do(Action{Kind: Timer, Span: sweepEvery, Mark: c.tick})
 }
 
 // list takes discovery's view. A start time that changes is a restart: what was learned there is void.
@@ -320,11 +328,11 @@
 	}
 	s.credit = min(s.credit+quota*float64(c.now-s.at)/float64(second), 2*quota)
 	s.at = c.now
-	if s.credit < 1 {
-		return false
+	within := s.credit >= 1
+	if within {
+		s.credit--
 	}
-	s.credit--
-	return true
+	return within
 }
 
 // notWorth tells whether a job has become not worth its threads: it cannot end before its job timeout, or
@@ -344,15 +352,12 @@
 }
 
 func (c *Controller) bucketOf(t *jobType, tenant TenantID) *bucket {
-	for _, b := range c.buckets {
-		if b.typ == t && b.tenant == tenant {
-			b.seen = c.now
-			return b
-		}
+	i := slices.IndexFunc(c.buckets, func(b *bucket) bool { return b.typ == t && b.tenant == tenant })
+	if i < 0 {
+		i, c.buckets = len(c.buckets), append(c.buckets, &bucket{typ: t, tenant: tenant})
 	}
-	b := &bucket{typ: t, tenant: tenant, seen: c.now}
-	c.buckets = append(c.buckets, b)
-	return b
+	c.buckets[i].seen = c.now
+	return c.buckets[i]
 }
 
 // limit is every bucket's limit in threads, read anew at each use.
@@ -406,13 +411,14 @@
 	return !j.typ.ordered || j.key == 0 || l == nil || (l.jobs[0] == j && c.now >= l.rest)
 }
 
+// borrows tells whether a job would go past its bucket's limit.
+func (c *Controller) borrows(j *job) bool {
+	return j.bucket.used > 0 && j.bucket.used+j.typ.threads > c.limit()
+}
+
 // send dispatches a job if its bucket and an engine let it.
 func (c *Controller) send(j *job) bool {
-	if !c.turn(j) {
-		return false
-	}
-	b := j.bucket
-	e := c.pick(j, b.used > 0 && b.used+j.typ.threads > c.limit())
+	e := c.pick(j, c.borrows(j))
 	return e != nil && c.dispatch(j, e)
 }
 
@@ -471,12 +477,7 @@
 // weighed by how slow it answers beside the others.
 func (c *Controller) pick(j *job, borrows bool) *engine {
 	var best *engine
-	least, slow, n := math.Inf(1), 0.0, 0.0
-	for _, e := range c.engines {
-		if e.State == Ready && e.mode == open {
-			slow, n = slow+e.slow, n+1
-		}
-	}
+	least := math.Inf(1)
 	for _, e := range c.engines {
 		if !c.allowed(j, e) || !c.room(j, e, borrows) {
 			continue
@@ -485,8 +486,7 @@
 			continue // it would stand still behind the load, and hold its memory
 		}
 		load := (e.threads + e.others + j.typ.threads) / (e.cores * c.warmth(e))
-		load *= min(3, max(0.5, e.slow*n/max(slow, 0.1)))
-		load += 4 * e.bad
+		load = load*min(3, max(0.5, e.slow/c.slowMean)) + 4*e.bad
 		if e.Zone != ZoneID(c.facts.num("locality", 0)) {
 			// The price is one a job: it weighs on jobs of little billed value, so that those stay near.
 			load += min(2, 10*c.facts.num("tariffs.cross_zone", 0)*c.worthMean/max(0.01, j.typ.worth))
@@ -702,14 +702,12 @@
 	if j == nil || j.flight == nil || j.flight.seq != ev.Seq {
 		return
 	}
-	f := j.flight
-	if f.noted = c.now; ev.Note != Progress {
-		return
-	}
-	f.share = max(f.share, ev.Amount)
-	took := float64(c.now - f.sent)
-	if whole := took / max(f.share, 0.01); whole > badPlanTimes*f.expect && whole-took > 1.5*f.expect {
-		c.callBack(f)
+	f, took := j.flight, float64(c.now-j.flight.sent)
+	if f.noted = c.now; ev.Note == Progress {
+		f.share = max(f.share, ev.Amount)
+		if whole := took / max(f.share, 0.01); whole > badPlanTimes*f.expect && whole-took > 1.5*f.expect {
+			c.callBack(f)
+		}
 	}
 }
 
@@ -766,8 +764,7 @@
 	}
 	again := !j.mayHaveRun || t.repeatable || t.keyed
 	if !f.called && !ev.Result.NeverRan() {
-		again = again && c.spare >= 1
-		c.spare = max(0, c.spare-1)
+		again, c.spare = again && c.spare >= 1, max(0, c.spare-1)
 	}
 	if !again || j.dispatches >= c.mostTries || c.notWorth(j) {
 		c.giveUp(j)
@@ -790,9 +787,7 @@
 			t.memBias += off / t.memN
 			t.memDev += (math.Abs(off) - t.memDev) / max(t.memN, 5)
 		}
-		if j.work == t.usual {
-			t.meanOf(work)
-		}
+		t.meanOf(work)
 	}
 	took := float64(ev.Latency) / (work / t.threads)
 	if took < t.best {
@@ -841,7 +836,7 @@
 
 // sweep drops what has given up, calls back what is overdue, moves the price and watches the engines.
 func (c *Controller) sweep() {
-	c.do(Action{Kind: Timer, Span: sweepEvery})
+	c.arm()
 	c.live = slices.DeleteFunc(c.live, func(j *job) bool { return j.over && j.flight == nil })
 	for _, j := range c.live {
 		switch f := j.flight; {
@@ -859,44 +854,51 @@
 	waited := 0.0
 	for _, b := range c.buckets {
 		if j := c.head(b); j != nil && !slices.ContainsFunc(c.engines, func(e *engine) bool {
-			return c.allowed(j, e) && c.room(j, e, b.used+j.typ.threads > c.limit())
+			return c.allowed(j, e) && c.room(j, e, c.borrows(j))
 		}) { // what has room but waits for a load on its tables is no sign of overload
 			waited = max(waited, float64(c.now-j.ready)/float64(max(b.typ.aim, ms)))
 		}
 	}
-	c.reprice(waited)
-	ours, all, pressed, slow := 0.0, 0.0, 0, 0.0
+	ours, all, cores, slow, n, pressed := 0.0, 0.0, 0.0, 0.0, 0.0, 0
 	for _, e := range c.engines {
 		if c.now-e.reported < reportFresh {
-			ours, all = ours+e.threads, all+e.threads+e.others
+			ours, all, cores = ours+e.threads, all+e.threads+e.others, cores+e.cores
 		} else {
 			e.others *= 0.98 // an old report fades
 		}
 		e.slow, e.bad = e.slow+0.002*(1-e.slow), 0.999*e.bad
 		c.pressure(e)
 		c.watch(e)
-		if slow += e.slow / float64(len(c.engines)); e.pressed {
+		if e.State == Ready && e.mode == open {
+			slow, n = slow+e.slow, n+1
+		}
+		if e.pressed {
 			pressed++
 		}
 	}
+	c.slowMean = max(0.1, slow/max(1, n))
 	if on := 2*pressed > len(c.engines); on != c.pressed && (on || 4*pressed < len(c.engines)) {
 		c.pressed = on
-		c.log("pressure=%v on %d of %d engines, latency/best=%.2f", on, pressed, len(c.engines), slow)
+		c.log("pressure=%v on %d of %d engines, latency/best=%.2f", on, pressed, len(c.engines), c.slowMean)
 	}
 	// A front that is uneven, or siblings gone, leave one controller more than its even share of the work.
 	c.share += 0.02 * (max(c.even, ours/max(1, all)) - c.share)
+	c.reprice(waited, all < cores)
 	c.tidy()
 }
 
 // late tells that a job's final answer is due: the next sweep would come after its job timeout.
 func (c *Controller) late(j *job) bool { return c.now+sweepEvery+2*c.facts.span("step_ns") >= j.lost }
 
-// reprice moves the price of a second of work by how long heads wait.
-func (c *Controller) reprice(waited float64) {
+// reprice moves the price of a second of work by how long heads wait; with idle cores it falls fast.
+func (c *Controller) reprice(waited float64, idle bool) {
 	step := float64(sweepEvery) / float64(second)
 	if waited > waitShare {
 		c.price = min(priceMost, c.price+priceUp*step)
 	} else if waited < waitShare/3 {
+		if idle {
+			step *= 4
+		}
 		c.price = max(0, c.price-priceDown*step)
 	}
 	if on := c.price > 0; on != c.priced {
@@ -986,21 +988,19 @@
 		c.setMode(e, trial, fmt.Sprintf("%d probes answered", e.passed))
 	}
 	wanted := e.mode == aside || c.facts.text("telemetry.via") == "on_probe"
-	if probes && wanted && !e.probing && c.now-e.probed >= probeEvery {
-		e.probing, e.probed = true, c.now
+	if probes && wanted && c.now-e.probed >= probeEvery {
+		e.probed = c.now
 		c.do(Action{Kind: Probe, Engine: e.Engine})
 	}
 }
 
 func (c *Controller) probed(ev Event) {
-	i := slices.IndexFunc(c.engines, func(e *engine) bool { return e.Engine == ev.Engine })
-	if i < 0 {
-		return
-	}
-	e := c.engines[i]
-	e.probing = false
-	if e.passed++; ev.Result != Done {
-		e.passed = 0
+	for _, e := range c.engines {
+		if e.Engine == ev.Engine {
+			if e.passed++; ev.Result != Done {
+				e.passed = 0
+			}
+			c.report(e, ev.Load)
+		}
 	}
-	c.report(e, ev.Load)
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -165,8 +165,7 @@
 	want(t, len(s.sentTo(bound)) == 0, "no engine allowed")
 	a, b := s.arrive(1, 0, 1), s.arrive(1, 0, 1)
 	s.finish(a, Unreachable)
-	s.now += second / 4
-	s.tell(Event{Kind: TimerDue})
+	s.pass(second / 4)
 	s.finish(b, Unreachable)
 	want(t, len(s.sentTo(a)) == 2 && len(s.sentTo(b)) == 1, "one further dispatch: %v %v", s.sentTo(a), s.sentTo(b))
 }
@@ -335,6 +334,20 @@
 	want(t, e.others < 2 && len(e.flights) > 0, "an old report fades: %v", e.others)
 }
 
+// The failure: after a slowdown the price took seconds to fall while engines stood idle.
+func TestThePriceFallsFastWithIdleCores(t *testing.T) {
+	s := newStage(t, plainFacts(), 1)
+	fall := func(idle bool) float64 {
+		s.c.price = 1
+		s.c.reprice(0, idle)
+		return 1 - s.c.price
+	}
+	want(t, fall(true) > 3*fall(false) && fall(false) > 0, "falls by %v and %v", fall(true), fall(false))
+	s.c.price = 1
+	s.c.reprice(waitShare/2, true)
+	want(t, s.c.price == 1, "it holds while heads wait a little")
+}
+
 func TestGrantsLearnTheBiasOfEstimates(t *testing.T) {
 	s := newStage(t, plainFacts(), 2)
 	grant := func() float64 {
--- a/choice/stage_test.go
+++ b/choice/stage_test.go
@@ -21,7 +21,7 @@
 	taken   []*staged
 	lines   map[EngineID]Line
 	told    map[EngineID]Nanos // when the engine was told to be draining or gone
-	timers  []Nanos
+	timers  map[Mark]Nanos
 	probes  []EngineID
 	cold    map[EngineID][]sentWork
 	nextID  JobID
@@ -95,7 +95,7 @@
 
 func newStage(t testing.TB, f Facts, engines int) *stage {
 	s := &stage{t: t, now: Nanos(1e12), facts: f, jobs: map[JobID]*staged{}, lines: map[EngineID]Line{},
-		told: map[EngineID]Nanos{}, cold: map[EngineID][]sentWork{}}
+		told: map[EngineID]Nanos{}, timers: map[Mark]Nanos{}, cold: map[EngineID][]sentWork{}}
 	s.tell(Event{Kind: Started, Seed: 7, Facts: f})
 	var lines []Line
 	for i := range engines {
@@ -179,15 +179,14 @@
 func (s *stage) pass(span Nanos) {
 	for end := s.now + span; s.now < end; {
 		s.now += 5 * ms
-		due := 0
-		s.timers = slices.DeleteFunc(s.timers, func(at Nanos) bool {
+		for mark, at := range s.timers {
 			if at <= s.now {
-				due++
+				delete(s.timers, mark)
+				s.tell(Event{Kind: TimerDue, Mark: mark})
 			}
-			return at <= s.now
-		})
-		for range due {
-			s.tell(Event{Kind: TimerDue})
+		}
+		if len(s.timers) != 1 {
+			s.t.Fatalf("%d timers are set, one is enough", len(s.timers))
 		}
 		for _, j := range s.taken {
 			slack := s.facts.span("invariants.answer_slack_ns")
@@ -205,7 +204,7 @@
 	j := s.jobs[a.Job]
 	switch a.Kind {
 	case Timer:
-		s.timers = append(s.timers, s.now+a.Span)
+		s.timers[a.Mark] = s.now + a.Span
 	case Probe:
 		s.probes = append(s.probes, a.Engine)
 	case Log:
--- a/cmd/adapter/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -40,7 +40,7 @@
 	if err := serve(bytes.NewReader(in), &out); err != nil {
 		t.Fatal(err)
 	}
-	timer := append([]byte{50, 0, 4, 0, 0, 0, 0, 1, 0x31, 0x2d, 0}, make([]byte, 13)...)
+	timer := append([]byte{50, 0, 4, 0, 0, 0, 0, 1, 0x31, 0x2d, 0, 0, 0, 0, 0, 0, 0, 0, 1}, make([]byte, 5)...)
 	assign := append([]byte{10, 0, 4, 0, 0, 0, 7, 0, 0, 0, 9}, make([]byte, 13)...)
 	frame := func(acts ...[]byte) []byte {
 		body := append([]byte{0, 0, 0, byte(len(acts))}, bytes.Join(acts, nil)...)
