--- a/choice/choice.go
+++ b/choice/choice.go
@@ -78,17 +78,14 @@
 	id                        JobID
 	typ                       *jobType
 	bucket                    *bucket
-	tenant                    TenantID
 	key                       Key
 	tables                    TableSet
 	arrived, ready, due, lost Nanos // ready: its key lets it go; due: the SLA time ends; lost: the job timeout
 	work, memory, worth       float64
 	dispatches                int
 	flight                    *flight // the dispatch that is out: at most one
-	last                      *engine
-	firstAt                   Nanos // when the first dispatch that may have run was sent, and the group it binds
-	firstZone                 ZoneID
-	firstCell                 CellID
+	firstAt                   Nanos   // when the first dispatch that may have run was sent, and to whom
+	first, last               *engine
 	mayHaveRun                bool // some dispatch is not proved never to have run
 	parked, over, streaming   bool
 }
@@ -119,13 +116,9 @@
 	rest Nanos
 }
 
-type mode uint8
+type mode string
 
-const (
-	open mode = iota
-	aside
-	trial
-)
+const open, aside, trial mode = "open", "aside", "on trial"
 
 type engine struct {
 	Line
@@ -259,7 +252,7 @@
 			return cmp.Compare(e.Engine, id)
 		})
 		if !known {
-			c.engines = slices.Insert(c.engines, i, &engine{slow: 1, Line: l})
+			c.engines = slices.Insert(c.engines, i, &engine{slow: 1, mode: open, Line: l})
 		}
 		e := c.engines[i]
 		if !known || e.StartedAt != l.StartedAt {
@@ -279,7 +272,7 @@
 		return
 	}
 	t := c.types[ev.Type]
-	j := &job{id: ev.Job, typ: t, tenant: ev.Tenant, key: ev.Key, tables: ev.Tables, arrived: c.now,
+	j := &job{id: ev.Job, typ: t, key: ev.Key, tables: ev.Tables, arrived: c.now,
 		lost: c.now + max(0, ev.Left), work: t.usual, worth: t.worth}
 	if ev.CostKnown && ev.Cost > 0 {
 		j.work = min(float64(ev.Cost)*math.Exp(t.costBias), float64(3600*second))
@@ -304,10 +297,10 @@
 	c.spare = min(spareMost, c.spare+spareShare)
 	c.worthMean += 0.01 * (j.worth - c.worthMean)
 	c.workMean += 0.01 * (j.work - c.workMean)
-	if !c.withinShare(j.tenant) {
+	if !c.withinShare(ev.Tenant) {
 		j.worth *= c.facts.num("over_share_worth", 1)
 	}
-	j.bucket = c.bucketOf(t, j.tenant)
+	j.bucket = c.bucketOf(t, ev.Tenant)
 	switch full := len(j.bucket.fifo) >= bucketDepth || t.parked >= typeCeiling; {
 	case c.notWorth(j):
 		c.giveUp(j)
@@ -373,10 +366,7 @@
 
 // drain sends what is parked: the freed bucket first, then the earliest-due head that fits anywhere.
 func (c *Controller) drain(own *bucket) {
-	for own != nil {
-		if j := c.head(own); j == nil || !c.send(j) {
-			break
-		}
+	for j := c.head(own); j != nil && c.send(j); j = c.head(own) {
 	}
 	for {
 		var heads []*job
@@ -394,6 +384,9 @@
 
 // head is the first parked job whose key lets it go.
 func (c *Controller) head(b *bucket) *job {
+	if b == nil {
+		return nil
+	}
 	for _, j := range b.fifo {
 		if c.turn(j) {
 			if j.ready == 0 {
@@ -556,8 +549,8 @@
 	if !t.keyed || c.now >= j.firstAt+t.window-2*c.facts.span("step_ns") {
 		return false
 	}
-	return t.scope == "all" || (t.scope == "zone" && e.Zone == j.firstZone) ||
-		(t.scope == "cell" && e.Cell == j.firstCell)
+	return t.scope == "all" || (t.scope == "zone" && e.Zone == j.first.Zone) ||
+		(t.scope == "cell" && e.Cell == j.first.Cell)
 }
 
 // coldRoom is rule 4: this controller's even share of what a just-started engine stands in any window. A
@@ -626,7 +619,7 @@
 		e.sent = append(e.sent, sentWork{c.now, t.usual})
 	}
 	if !j.mayHaveRun {
-		j.firstAt, j.firstZone, j.firstCell = c.now, e.Zone, e.Cell
+		j.firstAt, j.first = c.now, e
 	}
 	j.flight, j.last = f, e
 	j.dispatches++
@@ -972,8 +965,7 @@
 
 func (c *Controller) setMode(e *engine, m mode, why string) {
 	e.mode, e.since, e.passed = m, c.now, 0
-	c.log("engine %d %s: %s, latency/best=%.2f out=%d",
-		e.Engine, [...]string{"open", "aside", "on trial"}[m], why, e.slow, len(e.flights))
+	c.log("engine %d %s: %s, latency/best=%.2f out=%d", e.Engine, m, why, e.slow, len(e.flights))
 }
 
 // watch leads back an engine that was set aside: probes answered (or, where probing is barred, its rest
