--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,7 +43,7 @@
 	badStep      = 0.05 // of the part of an engine's dispatches that are lost or fail
 	spareShare   = 0.2  // further dispatches of what may have run, for each job taken
 	spareMost    = 10.0 // and at once
-	strikesOut   = 3    // failures in a row that set an engine aside
+	strikesOut   = 3.0  // failures in a row that set an engine aside
 	restFirst    = second
 	restMost     = 8 * second
 	probesBack   = 2
@@ -162,7 +162,8 @@
 	lines                      map[Key]*keyLine
 	tenants                    map[TenantID]*tenantSeen
 	price, worthMean, workMean float64 // price: in mean billed value for a second of work
-	grantEach, slowMean        float64 // memory granted for a thread out; the engines' mean latency over best
+	grantEach                  float64 // memory granted for a thread out
+	slowMean, badMean          float64 // over open engines: latency over best, part of dispatches lost or failed
 	priced, pressed, tracked   bool
 	spare                      float64 // further dispatches of what may have run that are left
 	taken, further             []Nanos // arrivals and further dispatches inside the rationing window
@@ -852,7 +853,7 @@
 			waited = max(waited, float64(c.now-j.ready)/float64(max(b.typ.aim, ms)))
 		}
 	}
-	ours, all, cores, slow, n, pressed := 0.0, 0.0, 0.0, 0.0, 0.0, 0
+	ours, all, cores, slow, bad, n, pressed := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0
 	for _, e := range c.engines {
 		if c.now-e.reported < reportFresh {
 			ours, all, cores = ours+e.threads, all+e.threads+e.others, cores+e.cores
@@ -863,13 +864,13 @@
 		c.pressure(e)
 		c.watch(e)
 		if e.State == Ready && e.mode == open {
-			slow, n = slow+e.slow, n+1
+			slow, bad, n = slow+e.slow, bad+e.bad, n+1
 		}
 		if e.pressed {
 			pressed++
 		}
 	}
-	c.slowMean = max(0.1, slow/max(1, n))
+	c.slowMean, c.badMean = max(0.1, slow/max(1, n)), bad/max(1, n)
 	if on := 2*pressed > len(c.engines); on != c.pressed && (on || 4*pressed < len(c.engines)) {
 		c.pressed = on
 		c.log("pressure=%v on %d of %d engines, latency/best=%.2f", on, pressed, len(c.engines), c.slowMean)
@@ -930,7 +931,12 @@
 		c.pressure(e)
 	case Failed, Reset, Unreachable, TimedOut:
 		e.bad += badStep * (1 - e.bad)
-		if e.strikes++; e.mode == trial || (e.mode == open && e.strikes >= strikesOut) {
+		// Where all engines lose a part (the way to them does, say), a few in a row are chance and no silence.
+		out := max(strikesOut, math.Log(0.001)/math.Log(min(0.9, c.badMean)))
+		if e.mode == trial {
+			out -= strikesOut - 1
+		}
+		if e.strikes++; e.mode != aside && float64(e.strikes) >= out {
 			c.setAside(e, r == Unreachable, fmt.Sprintf("%d failed or lost in a row", e.strikes))
 		}
 	}
