--- a/choice/choice.go
+++ b/choice/choice.go
@@ -95,7 +95,8 @@
 	job            *job
 	engine         *engine
 	seq            Seq
-	sent, noted    Nanos // noted: the last note on it came
+	sent           Nanos
+	noted, paced   Nanos // the last note on it came, the last that told progress
 	expect, memory float64
 	share          float64 // of the work done, by the last note
 	called, blamed bool    // retracted; counted as lost
@@ -698,7 +699,11 @@
 	}
 	f, took := j.flight, float64(c.now-j.flight.sent)
 	if f.noted = c.now; ev.Note == Progress {
-		f.share = max(f.share, ev.Amount)
+		if ahead := ev.Amount - f.share; f.share > 0 && ahead > 0 { // long jobs tell late how slow an engine is
+			pace := float64(c.now-f.paced) / (ahead * j.work / j.typ.threads)
+			f.engine.slow += 0.1 * (min(pace/j.typ.best, 10) - f.engine.slow)
+		}
+		f.share, f.paced = max(f.share, ev.Amount), c.now
 		if whole := took / max(f.share, 0.01); whole > badPlanTimes*f.expect && whole-took > 1.5*f.expect {
 			c.callBack(f)
 		}
