--- a/choice/choice.go
+++ b/choice/choice.go
@@ -919,7 +919,7 @@
 	c.rationed()
 	if c.facts.text("discovery") == "subscribe" && !c.tracked && c.now-c.asked >= second {
 		c.asked = c.now
-		c.do(Action{Kind: Track})
+		c.do(Action{Kind: Track, On: true})
 	}
 }
 
--- a/choice/types.go
+++ b/choice/types.go
@@ -19,6 +19,7 @@
 	KindID   uint16
 	CellID   uint16
 	Seq      uint16
+	PeerID   uint32
 	Mark     uint64
 	TableSet int64
 )
@@ -133,6 +134,9 @@
 
 	List  ListKind // Listed
 	Lines []Line
+
+	Peer PeerID // Heard
+	Said []byte
 }
 
 // ActionKind says what is to be done.
@@ -147,8 +151,12 @@
 	Terms
 	Timer
 	Probe
+	CloseIdle
+	Tell
 	Track
+	ListAll
 	Log
+	Fault
 )
 
 // Action is something to be done; Kind says which of the fields count.
@@ -161,7 +169,9 @@
 	Priority uint8
 	MemoryMB float64
 	Mark     Mark
-	Text     string
+	Peer     PeerID // Tell
+	On       bool   // Track
+	Text     string // Log, Fault, and what Tell says
 }
 
 // Facts are the settings handed over at the start: a plain map of names to values, read by dotted
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -60,7 +60,8 @@
 	}
 	actionCodes = map[choice.ActionKind]byte{
 		choice.Dispatch: 10, choice.Throttle: 20, choice.CancelForGood: 30, choice.Retract: 40, choice.Timer: 50,
-		choice.Probe: 60, choice.Log: 90, choice.Track: 110, choice.Terms: 130,
+		choice.Probe: 60, choice.CloseIdle: 70, choice.Tell: 80, choice.Log: 90, choice.Fault: 100,
+		choice.Track: 110, choice.ListAll: 120, choice.Terms: 130,
 	}
 	resultCodes = map[uint16]choice.Result{
 		100: choice.Done, 301: choice.Failed, 302: choice.Full, 303: choice.TimedOut,
@@ -206,6 +207,9 @@
 		ev.Result, known = resultCodes[be.Uint16(r[7:])]
 		ev.Latency = choice.Nanos(be.Uint64(r[9:]))
 		ev.Load, err = loadReport(r[17:])
+	case choice.Heard:
+		ev.Peer = choice.PeerID(be.Uint32(r[3:]))
+		ev.Said, err = cut(tail, r[7:], 1)
 	case choice.Listed:
 		ev.List, known = listCodes[r[3]]
 		rec.Set = SetID(be.Uint16(r[12:]))
@@ -243,19 +247,29 @@
 	case choice.Timer:
 		be.PutUint64(r[3:], uint64(a.Span))
 		be.PutUint64(r[11:], uint64(a.Mark))
-	case choice.Probe:
+	case choice.Probe, choice.CloseIdle:
 		be.PutUint32(r[3:], uint32(a.Engine))
 	case choice.Track:
-		r[3] = 1
-	case choice.Log:
-		be.PutUint32(r[3:], uint32(len(p.tail)))
-		be.PutUint32(r[7:], uint32(len(a.Text)))
-		p.tail = append(p.tail, a.Text...)
+		if a.On {
+			r[3] = 1
+		}
+	case choice.Tell:
+		be.PutUint32(r[3:], uint32(a.Peer))
+		p.text(r[7:], a.Text)
+	case choice.Log, choice.Fault:
+		p.text(r[3:], a.Text)
 	}
 	p.records = append(p.records, r[:]...)
 	p.count++
 }
 
+// text puts a text into the tail and its span into a record.
+func (p *Reply) text(span []byte, text string) {
+	binary.BigEndian.PutUint32(span, uint32(len(p.tail)))
+	binary.BigEndian.PutUint32(span[4:], uint32(len(text)))
+	p.tail = append(p.tail, text...)
+}
+
 // WriteTo writes the reply as one frame and empties it for the next batch.
 func (p *Reply) WriteTo(w io.Writer) (int64, error) {
 	frame := make([]byte, 8, 8+len(p.records)+len(p.tail))
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -93,15 +93,17 @@
 	p.Add(3, choice.Action{Kind: choice.Dispatch, Job: 0x5d3a91c4, Engine: 0x03124a07, Span: 80000000})
 	p.Add(3, choice.Action{Kind: choice.Timer, Span: 500000000, Mark: 77})
 	p.Add(5, choice.Action{Kind: choice.Log, Text: "two servers known"})
+	p.Add(3, choice.Action{Kind: choice.Tell, Peer: 0xffffffff, Text: "hi 7"})
 	p.Add(3, choice.Action{Kind: choice.Terms, Job: 0x5d3a91c4, Priority: 2, MemoryMB: 640})
 	var out bytes.Buffer
 	if _, err := p.WriteTo(&out); err != nil {
 		t.Fatal(err)
 	}
-	want := unhex(t, "00000075 00000004",
+	want := unhex(t, "00000091 00000005",
 		"0a 0003 5d3a91c4 03124a07 0000000004c4b400 0000000000", "32 0003 000000001dcd6500 000000000000004d 0000000000",
-		"5a 0005 00000000 00000011 00000000000000000000000000", "82 0003 5d3a91c4 02 44200000 000000000000000000000000",
-		"74776f2073657276657273206b6e6f776e")
+		"5a 0005 00000000 00000011 00000000000000000000000000", "50 0003 ffffffff 00000011 00000004 000000000000000000",
+		"82 0003 5d3a91c4 02 44200000 000000000000000000000000",
+		"74776f2073657276657273206b6e6f776e 68692037")
 	if !bytes.Equal(out.Bytes(), want) {
 		t.Errorf("got  %x\nwant %x", out.Bytes(), want)
 	}
