--- a/choice/choice.go
+++ b/choice/choice.go
@@ -487,14 +487,14 @@
 			load += min(2, 10*c.facts.num("tariffs.cross_zone", 0)*c.worthMean/max(0.01, j.typ.worth))
 		}
 		if e == j.last {
-			load += 2
+			load += 4
 		}
 		home := c.home(e, j.tables)
 		if !j.typ.holds && home < 2 {
 			load -= 0.25
 		}
 		if j.typ.holds && home%int(1/c.even+0.5) != int(c.facts.num("me", 0)) {
-			load += 1 // each controller has other engines for a group's loads, as they stand still behind each other
+			load += 3 // each controller has other engines for a group's loads, as they stand still behind each other
 		}
 		if load += 0.02 * c.chance.unit(); load < least {
 			best, least = e, load
