Each job looks at few engines, probed on demand; unknown engines count as the fleet's mean

Now a controller looks at as many engines as its share of cores, four at least: the homes of the job's tables and some drawn at random, so that reports alike do not draw all to one engine; they are probed when a job whose billed value bears it wants them, within an allowance for each job taken. Means of billed value and work are plain means at first. Should also answer herding on any lagging report. May hurt where no engine looked at has room though others do, for the 300 ms until the next look.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -47,9 +47,16 @@
 	restFirst    = second
 	restMost     = 8 * second
 	probesBack   = 2
+	outStep      = 0.005     // of the means of what is out, a sweep
 	reportFresh  = 1500 * ms // a load report younger than this shows what siblings leave free
 	probeEvery   = 400 * ms
-	coldSafety   = 0.6 // of the budget that a cold engine stands
+	lookAgain    = 300 * ms // a parked head looks at other engines
+	lookWait     = 60 * ms  // and waits so long for the probes of a look
+	looksLeast   = 4        // engines that a job looks at, at the least
+	probesMost   = 12.0
+	probeBears   = 0.05  // of a job's billed value that the probes of a look may cost
+	probePoints  = 0.008 // points of service that probes may cost, for each job taken
+	coldSafety   = 0.6   // of the budget that a cold engine stands
 )
 
 // jobType is what is known of a reservation type: its settings, and what answers taught.
@@ -83,6 +90,9 @@
 	arrived, ready, due, lost Nanos // ready: its key lets it go; due: the SLA time ends; lost: the job timeout
 	work, memory, worth       float64
 	dispatches                int
+	looks                     []*engine // engines that it may go to, drawn at looked
+	homes                     [2]*engine
+	looked                    Nanos
 	flight                    *flight // the dispatch that is out: at most one
 	firstAt                   Nanos   // when the first dispatch that may have run was sent, and to whom
 	first, last               *engine
@@ -126,7 +136,7 @@
 	cores, memory, threads, grants, others float64 // threads, grants: ours; others: siblings' threads
 	bound, slow, bad                       float64 // slow: latency over best; bad: part lost or failed
 	flights                                []*flight
-	pressed                                bool
+	pressed, asked                         bool // asked: a probe is out
 	mode                                   mode
 	fullUntil, stepped, halved, since      Nanos
 	rest, probed, reported                 Nanos
@@ -162,8 +172,16 @@
 	buckets                    []*bucket
 	lines                      map[Key]*keyLine
 	tenants                    map[TenantID]*tenantSeen
+	arrivals                   float64 // up to a hundred
 	price, worthMean, workMean float64 // price: in mean billed value for a second of work
-	grantEach                  float64 // memory granted for a thread out
+	outJobs, outThreads        float64 // ours out, over some seconds, and what they were granted
+	outGrants, crowd           float64 // crowd: threads a core over the fleet, by load reports
+	probesLeft, crossing       float64 // probes that jobs taken have paid for; the price of crossing zones
+	reach, concurrentAt        int     // engines looked at for a job; place of the jobs in hand in a report
+	zone                       ZoneID
+	probes, cancels, swaps     bool
+	step, period               Nanos   // between batches, between notes
+	grantMost                  float64 // part of an engine's memory that a job gets at most
 	slowMean, badMean          float64 // over open engines: latency over best, part of dispatches lost or failed
 	priced, pressed, tracked   bool
 	spare                      float64 // further dispatches of what may have run that are left
@@ -213,6 +231,16 @@
 	c.facts, c.booted, c.chance = f, c.now, pcg(ev.Seed)
 	c.even, c.slowMean = 1/math.Max(1, f.num("balancers", 1)), 1
 	c.share, c.mostTries = c.even, max(1, int(f.num("limits.most_tries", 1)))
+	c.zone, c.crossing = ZoneID(f.num("locality", 0)), f.num("tariffs.cross_zone", 0)
+	c.probes, c.cancels = f.flag("limits.probes"), f.flag("limits.cancel")
+	c.swaps, c.step = f.text("domain.memory_short") == "swap", f.span("step_ns")
+	c.period, c.grantMost = f.span("domain.note_period_ns"), f.num("domain.max_grant_share", 1)
+	c.concurrentAt, c.probesLeft, c.reach = -1, probesMost, looksLeast
+	for i := range f.list("telemetry.fields") {
+		if f.text(fmt.Sprintf("telemetry.fields.%d", i)) == "concurrent" {
+			c.concurrentAt = i
+		}
+	}
 	c.jobs, c.lines, c.tenants = map[JobID]*job{}, map[Key]*keyLine{}, map[TenantID]*tenantSeen{}
 	for i := range f.list("classes") {
 		at := func(name string) string { return fmt.Sprintf("classes.%d.%s", i, name) }
@@ -257,15 +285,24 @@
 			c.engines = slices.Insert(c.engines, i, &engine{slow: 1, mode: open, Line: l})
 		}
 		e := c.engines[i]
-		if !known || e.StartedAt != l.StartedAt {
-			e.slow, e.bad, e.pressed, e.mode, e.strikes, e.others, e.bound = 1, 0, false, open, 0, 0, 0
-		}
+		restarted := !known || e.StartedAt != l.StartedAt
 		e.Line, e.cores = l, math.Max(1, c.facts.num(fmt.Sprintf("domain.cpu_of_kind.%d", l.Kind), 1))
+		if restarted {
+			e.slow, e.bad, e.pressed, e.mode, e.strikes, e.bound = 1, 0, false, open, 0, 0
+			e.others = c.crowd * e.cores * c.warmth(e)
+		}
 		e.memory = c.facts.num(fmt.Sprintf("domain.size_mb.%d", l.Kind), 0)
 		if e.bound == 0 {
 			e.bound = e.cores * c.share
 		}
 	}
+	sum := 0.0
+	for _, e := range c.engines {
+		if e.State == Ready {
+			sum += e.cores
+		}
+	}
+	c.reach = max(looksLeast, int(math.Ceil(sum*c.even)))
 }
 
 // arrive takes a job: it is priced, sent, parked in its bucket or throttled at once.
@@ -297,8 +334,10 @@
 		c.taken = append(c.taken, c.now)
 	}
 	c.spare = min(spareMost, c.spare+spareShare)
-	c.worthMean += 0.01 * (j.worth - c.worthMean)
-	c.workMean += 0.01 * (j.work - c.workMean)
+	c.probesLeft = min(probesMost, c.probesLeft+min(2, probePoints/max(1e-9, c.facts.num("tariffs.probe", 0))))
+	c.arrivals = min(100, c.arrivals+1)
+	c.worthMean += (j.worth - c.worthMean) / c.arrivals
+	c.workMean += (j.work - c.workMean) / c.arrivals
 	if !c.withinShare(ev.Tenant) {
 		j.worth *= c.facts.num("over_share_worth", 1)
 	}
@@ -411,12 +450,79 @@
 	return j.bucket.used > 0 && j.bucket.used+j.typ.threads > c.limit()
 }
 
-// send dispatches a job if its bucket and an engine let it.
+// send dispatches a job if its bucket and an engine let it, once the probes of its look are in.
 func (c *Controller) send(j *job) bool {
+	if !c.turn(j) {
+		return false
+	}
+	c.look(j)
+	if c.now-j.looked < lookWait && slices.ContainsFunc(j.looks, func(e *engine) bool {
+		return e.asked && e.mode == open && c.now-e.reported >= reportFresh
+	}) {
+		return false
+	}
 	e := c.pick(j, c.borrows(j))
 	return e != nil && c.dispatch(j, e)
 }
 
+// look draws the engines that a job may go to. A controller whose share is many threads looks at all; one whose
+// share is few at as many as it has use for: the two homes of the job's tables and others drawn at random, so that
+// controllers by the hundred with reports alike do not all choose the same engine. Those without a fresh report
+// are probed where the job's billed value bears it; where probing is barred, those whose answers just told go first.
+func (c *Controller) look(j *job) {
+	if j.looks != nil && c.now-j.looked < lookAgain {
+		return
+	}
+	j.looked, j.looks, j.homes = c.now, j.looks[:0], [2]*engine{}
+	var first, second uint32
+	for _, e := range c.engines {
+		if m := mix(e.Engine, j.tables); e.State != Ready {
+			continue
+		} else if j.homes[0] == nil || m > first {
+			j.homes[1], second, j.homes[0], first = j.homes[0], first, e, m
+		} else if j.homes[1] == nil || m > second {
+			j.homes[1], second = e, m
+		}
+	}
+	add := func(e *engine) {
+		if e.State == Ready && e.mode != aside && !slices.Contains(j.looks, e) {
+			j.looks = append(j.looks, e)
+		}
+	}
+	if c.reach >= len(c.engines) {
+		j.looks = append(j.looks, c.engines...)
+	} else {
+		for _, e := range j.homes {
+			if e != nil && !j.typ.holds {
+				add(e)
+			}
+		}
+		for _, e := range c.engines {
+			if !c.probes && c.now-e.reported < reportFresh {
+				add(e)
+			}
+		}
+		for tries := 2 * c.reach; tries > 0 && len(j.looks) < c.reach; tries-- {
+			add(c.engines[int(c.chance.unit()*float64(len(c.engines)))])
+		}
+	}
+	if !c.probes || c.concurrentAt < 0 || float64(len(j.looks))*c.facts.num("tariffs.probe", 0)*c.worthMean >
+		probeBears*j.typ.worth {
+		return
+	}
+	for _, e := range j.looks {
+		if e.State == Ready && !e.asked && c.now-max(e.reported, e.probed) >= probeEvery && c.probesLeft >= 1 {
+			c.probesLeft--
+			c.probe(e)
+		}
+	}
+}
+
+func (c *Controller) probe(e *engine) {
+	e.probed, e.asked = c.now, true
+	c.do(Action{Kind: Probe, Engine: e.Engine})
+}
+
 // quick tells the types whose jobs are short beside the longest: they go at the highest priority, and over
 // an engine's bound by half its start, so that long jobs cannot keep them from every thread.
 func (c *Controller) quick(t *jobType) bool {
@@ -436,7 +542,7 @@
 	start, memory := e.cores*c.share, e.memory*c.share*1.3
 	most := 2 * start
 	if c.now-e.reported < reportFresh {
-		memory = max(e.memory*c.share, e.memory-e.others*c.grantEach)
+		memory = max(e.memory*c.share, e.memory-e.others*c.grantEach())
 	}
 	if e.pressed || borrows {
 		most, memory = e.bound, e.memory*c.share
@@ -449,20 +555,27 @@
 	// Where none of ours runs one may go, but not where siblings are known to fill the engine.
 	need, half := c.need(j, e), j.typ.threads/2
 	if len(e.flights) == 0 {
-		return e.others+half <= 2*e.cores && (e.memory == 0 || e.others*c.grantEach+need <= e.memory)
+		return e.others+half <= 2*e.cores && (e.memory == 0 || e.others*c.grantEach()+need <= e.memory)
 	}
 	return e.threads+half <= most && (e.memory == 0 || e.grants+need <= memory)
 }
 
+// threadsEach and grantEach are our own mean of threads a job and of memory a thread, which stand for siblings' too.
+func (c *Controller) threadsEach() float64 { return (c.outThreads + 0.1) / (c.outJobs + 0.1) }
+func (c *Controller) grantEach() float64   { return c.outGrants / (c.outThreads + 0.1) }
+
 // need is the memory that a job is thought to use on an engine.
 func (c *Controller) need(j *job, e *engine) float64 {
-	return min(j.memory*math.Exp(j.typ.memBias), e.memory*c.facts.num("domain.max_grant_share", 1))
+	return min(j.memory*math.Exp(j.typ.memBias), e.memory*c.grantMost)
 }
 
 // warmth is the part of its capacity that a started engine is sure to have.
 func (c *Controller) warmth(e *engine) float64 {
+	if e.StartedAt == 0 {
+		return 1
+	}
 	within, from := c.facts.span("invariants.warm_within_ns"), c.facts.num("invariants.start_capacity", 1)
-	if e.StartedAt == 0 || c.now-e.StartedAt >= within {
+	if c.now-e.StartedAt >= within {
 		return 1
 	}
 	return from + (1-from)*float64(max(0, c.now-e.StartedAt))/float64(within)
@@ -473,7 +586,7 @@
 func (c *Controller) pick(j *job, borrows bool) *engine {
 	var best *engine
 	least := math.Inf(1)
-	for _, e := range c.engines {
+	for _, e := range j.looks {
 		if !c.allowed(j, e) || !c.room(j, e, borrows) {
 			continue
 		}
@@ -482,19 +595,18 @@
 		}
 		load := (e.threads + e.others + j.typ.threads) / (e.cores * c.warmth(e))
 		load = load*min(3, max(0.5, e.slow/c.slowMean)) + 4*e.bad
-		if e.Zone != ZoneID(c.facts.num("locality", 0)) {
+		if e.Zone != c.zone {
 			// The price is one a job: it weighs on jobs of little billed value, so that those stay near.
-			load += min(2, 10*c.facts.num("tariffs.cross_zone", 0)*c.worthMean/max(0.01, j.typ.worth))
+			load += min(2, 10*c.crossing*c.worthMean/max(0.01, j.typ.worth))
 		}
 		if e == j.last {
 			load += 4
 		}
-		home := c.home(e, j.tables)
-		if !j.typ.holds && home < 2 {
-			load -= 0.25
+		if !j.typ.holds && (e == j.homes[0] || e == j.homes[1]) {
+			load -= 0.25 // they keep its tables warm
 		}
-		if j.typ.holds && home%int(1/c.even+0.5) != int(c.facts.num("me", 0)) {
-			load += 3 // each controller has other engines for a group's loads, as they stand still behind each other
+		if j.typ.holds && c.foreign(e, j.tables) {
+			load += 3
 		}
 		if load += 0.02 * c.chance.unit(); load < least {
 			best, least = e, load
@@ -503,16 +615,19 @@
 	return best
 }
 
-// home ranks an engine for a group of tables by a hash that every controller computes alike, so that each
-// group stays warm on few engines although controllers share nothing.
-func (c *Controller) home(e *engine, tables TableSet) int {
-	rank, mine := 0, mix(e.Engine, tables)
+// foreign tells whether an engine is another controller's for a group's loads, which stand still behind each other:
+// its rank by a hash that all compute alike says whose. With more controllers than engines there is none for each.
+func (c *Controller) foreign(e *engine, tables TableSet) bool {
+	rank, mine, controllers := 0, mix(e.Engine, tables), int(1/c.even+0.5)
+	if controllers > len(c.engines) {
+		return false
+	}
 	for _, o := range c.engines {
 		if o.State == Ready && o != e && mix(o.Engine, tables) > mine {
 			rank++
 		}
 	}
-	return rank
+	return rank%controllers != int(c.facts.num("me", 0))
 }
 
 func (c *Controller) heldBy(e *engine, tables TableSet) bool {
@@ -598,11 +713,11 @@
 	if c.facts.flag("domain.grants_count") && j.memory > 0 {
 		// Spare memory buys safety from a low estimate; where only what is used counts, safety is free.
 		safety := min(2.2, max(0.6, 2.5*(1-e.grants/max(1, e.memory*c.share))))
-		if c.facts.text("domain.memory_short") == "swap" {
+		if c.swaps {
 			safety = 2.5
 		}
-		grant = min(held*math.Exp(safety*t.memDev), e.memory*c.facts.num("domain.max_grant_share", 1))
-		if c.facts.text("domain.memory_short") != "swap" {
+		grant = min(held*math.Exp(safety*t.memDev), e.memory*c.grantMost)
+		if !c.swaps {
 			held = grant
 		}
 	}
@@ -671,7 +786,7 @@
 }
 
 func (c *Controller) retract(f *flight) {
-	if !f.called && c.facts.flag("limits.cancel") {
+	if !f.called && c.cancels {
 		f.called = true
 		c.do(Action{Kind: Retract, Job: f.job.id, Seq: f.seq})
 	}
@@ -711,7 +826,7 @@
 // lost tells that a dispatch has run far over its expected time, or that its notes stopped. It counts against
 // its engine like an error: one that loses a part is chosen less, a silent one set aside after three.
 func (c *Controller) lost(f *flight) bool {
-	period := 5 * c.facts.span("domain.note_period_ns") / 2
+	period := 5 * c.period / 2
 	return float64(c.now-f.sent) > max(overdueTimes*f.expect, float64(f.job.typ.aim)/2) ||
 		(period > 0 && c.now-f.noted > period)
 }
@@ -720,7 +835,7 @@
 // their window.
 func (c *Controller) again(j *job) bool {
 	t := j.typ
-	return !j.over && !j.streaming && j.dispatches < c.mostTries && c.facts.flag("limits.cancel") &&
+	return !j.over && !j.streaming && j.dispatches < c.mostTries && c.cancels &&
 		(t.repeatable || (t.keyed && c.now+second < j.firstAt+t.window))
 }
 
@@ -817,17 +932,11 @@
 	}
 }
 
-// report reads an engine's load report: jobs in hand beyond ours, in threads, each with memory, by our means.
+// report reads an engine's load report: jobs in hand beyond ours, in threads by our own mean.
 func (c *Controller) report(e *engine, load []float64) {
-	threads, n, grants := 1.0, 1.0, 0.0
-	for _, o := range c.engines {
-		threads, n, grants = threads+o.threads, n+float64(len(o.flights)), grants+o.grants
-	}
-	c.grantEach = grants / threads
-	for i, v := range load {
-		if c.facts.text(fmt.Sprintf("telemetry.fields.%d", i)) == "concurrent" && v >= 0 {
-			e.reported, e.others = c.now, max(0, v-float64(len(e.flights)))*threads/n
-		}
+	if at := c.concurrentAt; at >= 0 && at < len(load) && load[at] >= 0 {
+		e.reported, e.others = c.now, max(0, min(load[at], 1e6)-float64(len(e.flights)))*c.threadsEach()
+		c.crowd += 0.1 * ((e.threads+e.others)/e.cores - c.crowd)
 	}
 }
 
@@ -850,22 +959,24 @@
 	}
 	waited := 0.0
 	for _, b := range c.buckets {
-		if j := c.head(b); j != nil && !slices.ContainsFunc(c.engines, func(e *engine) bool {
+		if j := c.head(b); j != nil && !slices.ContainsFunc(j.looks, func(e *engine) bool {
 			return c.allowed(j, e) && c.room(j, e, c.borrows(j))
 		}) { // what has room but waits for a load on its tables is no sign of overload
 			waited = max(waited, float64(c.now-j.ready)/float64(max(b.typ.aim, ms)))
 		}
 	}
-	ours, all, cores, slow, bad, n, pressed := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0
+	jobs, threads, grants, cores, slow, bad, n, pressed := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0
 	for _, e := range c.engines {
-		if c.now-e.reported < reportFresh {
-			ours, all, cores = ours+e.threads, all+e.threads+e.others, cores+e.cores
-		} else {
-			e.others *= 0.98 // an old report fades
+		jobs, threads, grants = jobs+float64(len(e.flights)), threads+e.threads, grants+e.grants
+		if c.now-e.reported >= reportFresh { // what is not known is thought like the rest of the fleet, not empty
+			e.others += 0.02 * (max(0, c.crowd*e.cores-e.threads) - e.others)
 		}
 		e.slow, e.bad = e.slow+0.002*(1-e.slow), 0.999*e.bad
 		c.pressure(e)
 		c.watch(e)
+		if e.State == Ready {
+			cores += e.cores
+		}
 		if e.State == Ready && e.mode == open {
 			slow, bad, n = slow+e.slow, bad+e.bad, n+1
 		}
@@ -873,19 +984,24 @@
 			pressed++
 		}
 	}
+	c.outJobs += outStep * (jobs - c.outJobs)
+	c.outThreads += outStep * (threads - c.outThreads)
+	c.outGrants += outStep * (grants - c.outGrants)
 	c.slowMean, c.badMean = max(0.1, slow/max(1, n)), bad/max(1, n)
 	if on := 2*pressed > len(c.engines); on != c.pressed && (on || 4*pressed < len(c.engines)) {
 		c.pressed = on
 		c.log("pressure=%v on %d of %d engines, latency/best=%.2f", on, pressed, len(c.engines), c.slowMean)
 	}
 	// A front that is uneven, or siblings gone, leave one controller more than its even share of the work.
-	c.share += 0.02 * (max(c.even, ours/max(1, all)) - c.share)
-	c.reprice(waited, all < cores)
+	if c.crowd > 0 {
+		c.share += 0.02 * (min(1, max(c.even, c.outThreads/max(1, c.crowd*cores))) - c.share)
+	}
+	c.reprice(waited, c.crowd < 1)
 	c.tidy()
 }
 
 // late tells that a job's final answer is due: the next sweep would come after its job timeout.
-func (c *Controller) late(j *job) bool { return c.now+sweepEvery+2*c.facts.span("step_ns") >= j.lost }
+func (c *Controller) late(j *job) bool { return c.now+sweepEvery+2*c.step >= j.lost }
 
 // reprice moves the price of a second of work by how long heads wait; with idle cores it falls fast.
 func (c *Controller) reprice(waited float64, idle bool) {
@@ -985,21 +1101,19 @@
 	if e.State != Ready {
 		return
 	}
-	probes := c.facts.flag("limits.probes")
-	if e.mode == aside && c.now-e.since >= e.rest && (e.passed >= probesBack || !probes) {
+	if e.mode == aside && c.now-e.since >= e.rest && (e.passed >= probesBack || !c.probes) {
 		e.strikes = 0
 		c.setMode(e, trial, fmt.Sprintf("%d probes answered", e.passed))
 	}
-	wanted := e.mode == aside || c.facts.text("telemetry.via") == "on_probe"
-	if probes && wanted && c.now-e.probed >= probeEvery {
-		e.probed = c.now
-		c.do(Action{Kind: Probe, Engine: e.Engine})
+	if c.probes && e.mode == aside && c.now-e.probed >= max(probeEvery, e.rest/2) {
+		c.probe(e)
 	}
 }
 
 func (c *Controller) probed(ev Event) {
 	for _, e := range c.engines {
 		if e.Engine == ev.Engine {
+			e.asked = false
 			if e.passed++; ev.Result != Done {
 				e.passed = 0
 			}
