A tenant's share saves up four jobs at each controller

Cause: of hundreds of controllers each has well under a job a second of a tenant's quota, and two seconds' worth never reached the one job that counts as within it, so every job weighed as beyond its tenant's share. May let a flooding tenant have four jobs more at each controller.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -22,6 +22,7 @@
 const (
 	sweepEvery   = 20 * ms // drops what has given up, watches engines, moves the price
 	tenantMemory = 10 * second
+	quotaSaved   = 4.0 // jobs of a tenant's share, beside two seconds' worth
 	bucketDepth  = 96  // parked jobs a bucket
 	typeCeiling  = 400 // parked jobs a reservation type, over all its buckets
 
@@ -353,14 +354,16 @@
 	}
 }
 
-// withinShare counts a tenant's jobs against this controller's even part of its quota.
+// withinShare counts a tenant's jobs against this controller's even part of its quota. Some jobs are always saved up:
+// of hundreds of controllers each has less than a job a second, and traffic is uneven among them.
 func (c *Controller) withinShare(id TenantID) bool {
 	s, quota := c.tenants[id], c.facts.num(fmt.Sprintf("tenants.%d.quota_per_s", id), 1e9)*c.share
+	saved := 2*quota + quotaSaved
 	if s == nil {
-		s = &tenantSeen{at: c.now, credit: 2 * quota}
+		s = &tenantSeen{at: c.now, credit: saved}
 		c.tenants[id] = s
 	}
-	s.credit = min(s.credit+quota*float64(c.now-s.at)/float64(second), 2*quota)
+	s.credit = min(s.credit+quota*float64(c.now-s.at)/float64(second), saved)
 	s.at = c.now
 	within := s.credit >= 1
 	if within {
