Where not one job fits a controller's bound, all controllers' threads and memory as known decide

Cause: a bound of an eighth of a thread let one job of ours to each engine and no more, lookups waited beside it; and grants at their most generous, as our own part of the memory is next to nothing, filled the engines (heads waited for memory at one thread a core). Grants now heed what siblings hold. May hurt where reports lag a burst of siblings.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -555,14 +555,17 @@
 	}
 	most *= c.warmth(e)
 	// A job fits if half of it does: small shares of small engines would else shut out jobs of many threads.
-	// Where none of ours runs one may go, but not where siblings are known to fill the engine.
+	// Where none of ours runs, or a share is too small for one job, all controllers' jobs as known count instead.
 	need, half := c.need(j, e), j.typ.threads/2
-	if len(e.flights) == 0 {
-		return e.others+half <= 2*e.cores && (e.memory == 0 || e.others*c.grantEach()+need <= e.memory)
+	if len(e.flights) == 0 || most < half {
+		return e.threads+e.others+half <= 2*e.cores && (e.memory == 0 || c.held(e)+need <= e.memory)
 	}
 	return e.threads+half <= most && (e.memory == 0 || e.grants+need <= memory)
 }
 
+// held is the memory of an engine that all controllers' jobs hold, as far as is known.
+func (c *Controller) held(e *engine) float64 { return e.grants + e.others*c.grantEach() }
+
 // threadsEach and grantEach are our own mean of threads a job and of memory a thread, which stand for siblings' too.
 func (c *Controller) threadsEach() float64 { return (c.outThreads + 0.1) / (c.outJobs + 0.1) }
 func (c *Controller) grantEach() float64   { return c.outGrants / (c.outThreads + 0.1) }
@@ -715,7 +718,7 @@
 	grant, held := 0.0, c.need(j, e)
 	if c.facts.flag("domain.grants_count") && j.memory > 0 {
 		// Spare memory buys safety from a low estimate; where only what is used counts, safety is free.
-		safety := min(2.2, max(0.6, 2.5*(1-e.grants/max(1, e.memory*c.share))))
+		safety := min(2.2, max(0.6, 2.5*(1-max(c.held(e), e.grants/c.share)/max(1, e.memory))))
 		if c.swaps {
 			safety = 2.5
 		}
