Blind sends leave a quarter free, quick ones do not; own stalls excused; no word means like us

Now siblings are thought to hold what we hold. May hurt where reports are rare and engines far from full.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -20,7 +20,8 @@
 
 // Tuned values; one set for every deployment.
 const (
-	sweepEvery   = 20 * ms // drops what has given up, watches engines, moves the price
+	stoodStill   = 100 * ms // a sweep that comes so late shows that we stood still
+	sweepEvery   = 20 * ms  // drops what has given up, watches engines, moves the price
 	tenantMemory = 10 * second
 	quotaSaved   = 4.0 // jobs of a tenant's share, beside two seconds' worth
 	bucketDepth  = 96  // parked jobs a bucket
@@ -57,6 +58,8 @@
 	probesMost   = 12.0
 	probeBears   = 0.05  // of a job's billed value that the probes of a look may cost
 	probePoints  = 0.008 // points of service that probes may cost, for each job taken
+	blindPart    = 0.75  // of an engine that is filled without a fresh report
+	quickPart    = 1.25  // and by quick types, who need little and soon leave
 	coldSafety   = 0.6   // of the budget that a cold engine stands
 )
 
@@ -108,6 +111,7 @@
 	seq            Seq
 	sent           Nanos
 	noted, paced   Nanos // the last note on it came, the last that told progress
+	still          Nanos // of its time that this controller itself stood still
 	expect, memory float64
 	share          float64 // of the work done, by the last note
 	called, blamed bool    // retracted; counted as lost
@@ -181,6 +185,7 @@
 	reach, concurrentAt        int     // engines looked at for a job; place of the jobs in hand in a report
 	zone                       ZoneID
 	probes, cancels, swaps     bool
+	reportedLast, swept        Nanos
 	step, period               Nanos   // between batches, between notes
 	grantMost                  float64 // part of an engine's memory that a job gets at most
 	slowMean, badMean          float64 // over open engines: latency over best, part of dispatches lost or failed
@@ -258,6 +263,7 @@
 		t.usual = math.Max(float64(t.aim)*t.threads/2, float64(ms)) // until jobs tell better
 		c.types = append(c.types, t)
 	}
+	c.swept = c.now
 	c.arm()
 }
 
@@ -487,6 +493,8 @@
 			j.homes[1], second = e, m
 		}
 	}
+	bears := c.probes && c.concurrentAt >= 0 && float64(min(c.reach, len(c.engines)))*
+		c.facts.num("tariffs.probe", 0)*c.worthMean <= probeBears*j.typ.worth
 	add := func(e *engine) {
 		if e.State == Ready && e.mode != aside && !slices.Contains(j.looks, e) {
 			j.looks = append(j.looks, e)
@@ -495,8 +503,8 @@
 	if c.reach >= len(c.engines) {
 		j.looks = append(j.looks, c.engines...)
 	} else {
-		for _, e := range j.homes {
-			if e != nil && !j.typ.holds {
+		for _, e := range j.homes { // unseen, a hot group's homes would get its jobs from everywhere
+			if e != nil && !j.typ.holds && (bears || c.now-e.reported < reportFresh) {
 				add(e)
 			}
 		}
@@ -509,12 +517,8 @@
 			add(c.engines[int(c.chance.unit()*float64(len(c.engines)))])
 		}
 	}
-	if !c.probes || c.concurrentAt < 0 || float64(len(j.looks))*c.facts.num("tariffs.probe", 0)*c.worthMean >
-		probeBears*j.typ.worth {
-		return
-	}
 	for _, e := range j.looks {
-		if e.State == Ready && !e.asked && c.now-max(e.reported, e.probed) >= probeEvery && c.probesLeft >= 1 {
+		if bears && e.State == Ready && !e.asked && c.now-max(e.reported, e.probed) >= probeEvery && c.probesLeft >= 1 {
 			c.probesLeft--
 			c.probe(e)
 		}
@@ -558,7 +562,13 @@
 	// Where none of ours runs, or a share is too small for one job, all controllers' jobs as known count instead.
 	need, half := c.need(j, e), j.typ.threads/2
 	if len(e.flights) == 0 || most < half {
-		return e.threads+e.others+half <= 2*e.cores && (e.memory == 0 || c.held(e)+need <= e.memory)
+		part := 1.0
+		if c.quick(j.typ) {
+			part = quickPart
+		} else if c.now-e.reported >= reportFresh {
+			part = blindPart
+		}
+		return e.threads+e.others+half <= 2*part*e.cores && (e.memory == 0 || c.held(e)+need <= part*e.memory)
 	}
 	return e.threads+half <= most && (e.memory == 0 || e.grants+need <= memory)
 }
@@ -608,7 +618,7 @@
 		if e == j.last {
 			load += 4
 		}
-		if !j.typ.holds && (e == j.homes[0] || e == j.homes[1]) {
+		if !j.typ.holds && c.now-e.reported < reportFresh && (e == j.homes[0] || e == j.homes[1]) {
 			load -= 0.25 // they keep its tables warm
 		}
 		if j.typ.holds && c.foreign(e, j.tables) {
@@ -816,7 +826,7 @@
 	if j == nil || j.flight == nil || j.flight.seq != ev.Seq {
 		return
 	}
-	f, took := j.flight, float64(c.now-j.flight.sent)
+	f, took := j.flight, float64(c.now-j.flight.sent-j.flight.still)
 	if f.noted = c.now; ev.Note == Progress {
 		if ahead := ev.Amount - f.share; f.share > 0 && ahead > 0 { // long jobs tell late how slow an engine is
 			pace := float64(c.now-f.paced) / (ahead * j.work / j.typ.threads)
@@ -833,7 +843,7 @@
 // its engine like an error: one that loses a part is chosen less, a silent one set aside after three.
 func (c *Controller) lost(f *flight) bool {
 	period := 5 * c.period / 2
-	return float64(c.now-f.sent) > max(overdueTimes*f.expect, float64(f.job.typ.aim)/2) ||
+	return float64(c.now-f.sent-f.still) > max(overdueTimes*f.expect, float64(f.job.typ.aim)/2) ||
 		(period > 0 && c.now-f.noted > period)
 }
 
@@ -907,6 +917,9 @@
 		}
 		t.meanOf(work)
 	}
+	if f.still > 0 {
+		return // its latency tells of us, not of the engine
+	}
 	took := float64(ev.Latency) / (work / t.threads)
 	if took < t.best {
 		t.best += 0.1 * (took - t.best)
@@ -941,6 +954,7 @@
 // report reads an engine's load report: jobs in hand beyond ours, in threads by our own mean.
 func (c *Controller) report(e *engine, load []float64) {
 	if at := c.concurrentAt; at >= 0 && at < len(load) && load[at] >= 0 {
+		c.reportedLast = c.now
 		e.reported, e.others = c.now, max(0, min(load[at], 1e6)-float64(len(e.flights)))*c.threadsEach()
 		c.crowd += 0.1 * ((e.threads+e.others)/e.cores - c.crowd)
 	}
@@ -950,6 +964,7 @@
 func (c *Controller) sweep() {
 	c.arm()
 	c.live = slices.DeleteFunc(c.live, func(j *job) bool { return j.over && j.flight == nil })
+	c.stood(c.now - c.swept - sweepEvery)
 	for _, j := range c.live {
 		switch f := j.flight; {
 		case j.over || j.streaming:
@@ -999,6 +1014,9 @@
 		c.log("pressure=%v on %d of %d engines, latency/best=%.2f", on, pressed, len(c.engines), c.slowMean)
 	}
 	// A front that is uneven, or siblings gone, leave one controller more than its even share of the work.
+	if c.now-c.reportedLast >= reportFresh { // no word from any engine: siblings are thought to hold what we hold
+		c.crowd += outStep * (c.outThreads/max(1, c.even*cores) - c.crowd)
+	}
 	if c.crowd > 0 {
 		c.share += 0.02 * (min(1, max(c.even, c.outThreads/max(1, c.crowd*cores))) - c.share)
 	}
@@ -1006,6 +1024,20 @@
 	c.tidy()
 }
 
+// stood excuses the time that this controller itself stood still, which shows in its own timer: it says nothing
+// about engines or queues, and answers may lie behind the timer. Should also catch a machine short of CPU.
+func (c *Controller) stood(still Nanos) {
+	c.swept = c.now
+	if still < stoodStill {
+		return
+	}
+	for _, j := range c.live {
+		if j.ready = min(c.now, j.ready+still); j.flight != nil {
+			j.flight.still, j.flight.noted = j.flight.still+still, c.now
+		}
+	}
+}
+
 // late tells that a job's final answer is due: the next sweep would come after its job timeout.
 func (c *Controller) late(j *job) bool { return c.now+sweepEvery+2*c.step >= j.lost }
 
