A cold engine's budget is given in turn where an even part holds no job

Cause: with 40 to 300 controllers the even part of the budget is a fraction of a lookup, so restarted engines got nothing until warm. Now as many controllers as the budget holds long jobs may send in each window, in turn by number. Work is counted by the estimate where that is above the usual. May hurt if clocks of controllers and discovery differ by about a window.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -58,6 +58,7 @@
 	probesMost   = 12.0
 	probeBears   = 0.05  // of a job's billed value that the probes of a look may cost
 	probePoints  = 0.008 // points of service that probes may cost, for each job taken
+	turnPart     = 0.75  // of it where controllers take turns
 	blindPart    = 0.75  // of an engine that is filled without a fresh report
 	quickPart    = 1.25  // and by quick types, who need little and soon leave
 	coldSafety   = 0.6   // of the budget that a cold engine stands
@@ -568,7 +569,7 @@
 		} else if c.now-e.reported >= reportFresh {
 			part = blindPart
 		}
-		return e.threads+e.others+half <= 2*part*e.cores && (e.memory == 0 || c.held(e)+need <= part*e.memory)
+		return e.threads+e.others+half <= 2*part*e.cores*c.warmth(e) && (e.memory == 0 || c.held(e)+need <= part*e.memory)
 	}
 	return e.threads+half <= most && (e.memory == 0 || e.grants+need <= memory)
 }
@@ -662,7 +663,7 @@
 		return false
 	case e.State != Ready: // rule 3, with no use of the grace
 		return false
-	case !c.coldRoom(t, e): // rule 4
+	case !c.coldRoom(j, e): // rule 4
 		return false
 	case !c.turn(j): // rule 5
 		return false
@@ -686,19 +687,32 @@
 		(t.scope == "cell" && e.Cell == j.first.Cell)
 }
 
-// coldRoom is rule 4: this controller's even share of what a just-started engine stands in any window. A
-// controller that has itself just started waits a window, as it does not know what it sent before.
-func (c *Controller) coldRoom(t *jobType, e *engine) bool {
+// coldRoom is rule 4: this controller's part of what a just-started engine stands in any window, an even one where that
+// holds a job, else one given in turn, window by window since the start, to as many controllers as there are jobs in it.
+// A controller that has itself just started waits a window, as it does not know what it sent before.
+func (c *Controller) coldRoom(j *job, e *engine) bool {
 	if c.warmth(e) >= 1 {
 		return true
 	}
 	window := c.facts.span("invariants.fall_ns")
-	sum := t.usual
+	budget := coldSafety * c.facts.num("invariants.fall_multiple", 1) * c.facts.num("invariants.start_capacity", 0) *
+		0.85 * e.cores * float64(window)
+	sum, longest := max(j.work, j.typ.usual), 1.0
+	for _, t := range c.types {
+		longest = max(longest, t.usual)
+	}
 	for _, s := range e.sent {
 		sum += s.work
 	}
-	stands := c.facts.num("invariants.fall_multiple", 1) * c.facts.num("invariants.start_capacity", 0)
-	return c.now-c.booted >= window && sum <= coldSafety*c.even*stands*0.85*e.cores*float64(window)
+	controllers := int(1/c.even + 0.5)
+	if turns := max(1, int(budget/longest)); turns < controllers && window > 0 {
+		slot := int((c.now-e.StartedAt)/window) + int(e.Engine)
+		if me := int(c.facts.num("me", 0)); (me+controllers-slot*turns%controllers)%controllers >= turns {
+			return false
+		}
+		return c.now-c.booted >= window && sum <= turnPart*budget/float64(turns) // two turns may meet in a window
+	}
+	return c.now-c.booted >= window && sum <= budget/float64(controllers)
 }
 
 // rationed is rule 7: whether one more dispatch beyond a job's first keeps within the stated budget.
@@ -747,7 +761,7 @@
 		c.further = append(c.further, c.now)
 	}
 	if c.warmth(e) < 1 {
-		e.sent = append(e.sent, sentWork{c.now, t.usual})
+		e.sent = append(e.sent, sentWork{c.now, max(j.work, t.usual)})
 	}
 	if !j.mayHaveRun {
 		j.firstAt, j.first = c.now, e
