An engine that comes back untold, or is empty in a busy fleet, is taken for just started

An engine that refused a connection and answers again, or whose report shows under 15% of the jobs usual in the fleet, now keeps the cold budget. Should also serve an engine after a hang. May slow the use of one empty by chance.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -61,6 +61,7 @@
 	turnPart     = 0.75  // of it where controllers take turns
 	blindPart    = 0.75  // of an engine that is filled without a fresh report
 	quickPart    = 1.25  // and by quick types, who need little and soon leave
+	emptied      = 0.15  // of the jobs usual in the fleet: an engine that holds fewer is taken for just started
 	coldSafety   = 0.6   // of the budget that a cold engine stands
 )
 
@@ -142,7 +143,9 @@
 	cores, memory, threads, grants, others float64 // threads, grants: ours; others: siblings' threads
 	bound, slow, bad                       float64 // slow: latency over best; bad: part lost or failed
 	flights                                []*flight
-	pressed, asked                         bool // asked: a probe is out
+	back                                   Nanos // it is thought to have started, untold
+	down                                   bool  // refused connections when last tried
+	pressed, asked                         bool  // asked: a probe is out
 	mode                                   mode
 	fullUntil, stepped, halved, since      Nanos
 	rest, probed, reported                 Nanos
@@ -588,14 +591,15 @@
 
 // warmth is the part of its capacity that a started engine is sure to have.
 func (c *Controller) warmth(e *engine) float64 {
-	if e.StartedAt == 0 {
+	started := max(e.StartedAt, e.back)
+	if started == 0 {
 		return 1
 	}
 	within, from := c.facts.span("invariants.warm_within_ns"), c.facts.num("invariants.start_capacity", 1)
-	if c.now-e.StartedAt >= within {
+	if c.now-started >= within {
 		return 1
 	}
-	return from + (1-from)*float64(max(0, c.now-e.StartedAt))/float64(within)
+	return from + (1-from)*float64(max(0, c.now-started))/float64(within)
 }
 
 // pick is the engine with most room: fewest threads for its cores, all controllers' as far as reports tell,
@@ -706,7 +710,7 @@
 	}
 	controllers := int(1/c.even + 0.5)
 	if turns := max(1, int(budget/longest)); turns < controllers && window > 0 {
-		slot := int((c.now-e.StartedAt)/window) + int(e.Engine)
+		slot := int((c.now-max(e.StartedAt, e.back))/window) + int(e.Engine)
 		if me := int(c.facts.num("me", 0)); (me+controllers-slot*turns%controllers)%controllers >= turns {
 			return false
 		}
@@ -969,11 +973,24 @@
 func (c *Controller) report(e *engine, load []float64) {
 	if at := c.concurrentAt; at >= 0 && at < len(load) && load[at] >= 0 {
 		c.reportedLast = c.now
+		if jobs := c.crowd * e.cores / c.threadsEach(); load[at] < emptied*jobs && jobs > e.cores/4 && e.mode == open {
+			c.fresh(e, fmt.Sprintf("holds %.0f jobs where %.0f are usual", load[at], jobs))
+		}
 		e.reported, e.others = c.now, max(0, min(load[at], 1e6)-float64(len(e.flights)))*c.threadsEach()
 		c.crowd += 0.1 * ((e.threads+e.others)/e.cores - c.crowd)
 	}
 }
 
+// fresh takes an engine for just started though the list does not say so (it is late, or out of reach): it refused
+// connections and now answers, or is all but empty in a busy fleet. Everybody would fill it up while it is cold. Also
+// for one that comes back from a hang. It may slow the use of an engine that is empty by chance, for the warm-up.
+func (c *Controller) fresh(e *engine, why string) {
+	if e.down = false; c.warmth(e) >= 1 {
+		e.back = c.now
+		c.log("engine %d taken for just started: %s", e.Engine, why)
+	}
+}
+
 // sweep drops what has given up, calls back what is overdue, moves the price and watches the engines.
 func (c *Controller) sweep() {
 	c.arm()
@@ -1095,6 +1112,9 @@
 func (c *Controller) judge(e *engine, r Result) {
 	switch r {
 	case Done:
+		if e.down {
+			c.fresh(e, "answers after it refused connections")
+		}
 		e.strikes, e.bad = 0, e.bad*(1-badStep)
 		if e.mode == trial {
 			c.setMode(e, open, "a job was done")
@@ -1103,6 +1123,7 @@
 		e.fullUntil = c.now + second/5
 		c.pressure(e)
 	case Failed, Reset, Unreachable, TimedOut:
+		e.down = e.down || r == Unreachable
 		e.bad += badStep * (1 - e.bad)
 		// Where all engines lose a part (the way to them does, say), a few in a row are chance and no silence.
 		out := max(strikesOut, math.Log(0.001)/math.Log(min(0.9, c.badMean)))
@@ -1167,7 +1188,9 @@
 		if e.Engine == ev.Engine {
 			e.asked = false
 			if e.passed++; ev.Result != Done {
-				e.passed = 0
+				e.passed, e.fullUntil, e.down = 0, c.now+second, e.down || ev.Result == Unreachable
+			} else if e.down {
+				c.fresh(e, "answers after it refused connections")
 			}
 			c.report(e, ev.Load)
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -477,3 +477,19 @@
 	s.pass(16 * second)
 	want(t, len(s.sentTo(s.arrive(1, 0, 1))) == 1, "nothing is sent for ever: %v", s.c.crowd)
 }
+
+// The failure: engines restarted while the list was out of reach, looked emptiest, and were pushed over.
+func TestAnEngineThatComesBackUntoldIsTakenForJustStarted(t *testing.T) {
+	s := newStage(t, plainFacts(), 2)
+	refused, empty := s.c.engines[0], s.c.engines[1]
+	s.c.judge(refused, Unreachable)
+	want(t, s.c.warmth(refused) == 1, "a refused connection alone says nothing")
+	s.tell(Event{Kind: Probed, Engine: refused.Engine, Result: Done})
+	want(t, s.c.warmth(refused) < 1, "it answers again")
+	s.c.crowd = 1
+	s.c.report(empty, []float64{2})
+	want(t, s.c.warmth(empty) == 1, "two of eight jobs")
+	s.c.report(empty, []float64{0})
+	want(t, s.c.warmth(empty) < 1, "empty in a busy fleet")
+	want(t, strings.Count(s.texts, "taken for just started") == 1, "%v", s.texts)
+}
