--- a/choice/choice.go
+++ b/choice/choice.go
@@ -59,7 +59,7 @@
 	probeBears   = 0.05  // of a job's billed value that the probes of a look may cost
 	probePoints  = 0.008 // points of service that probes may cost, for each job taken
 	turnPart     = 0.75  // of it where controllers take turns
-	blindPart    = 0.75  // of an engine that is filled without a fresh report
+	blindPart    = 0.6   // of an engine that is filled without a fresh report
 	quickPart    = 1.25  // and by quick types, who need little and soon leave
 	emptied      = 0.15  // of the jobs usual in the fleet: an engine that holds fewer is taken for just started
 	coldSafety   = 0.6   // of the budget that a cold engine stands
@@ -572,7 +572,11 @@
 		} else if c.now-e.reported >= reportFresh {
 			part = blindPart
 		}
-		return e.threads+e.others+half <= 2*part*e.cores*c.warmth(e) && (e.memory == 0 || c.held(e)+need <= part*e.memory)
+		fill := part
+		if c.swaps {
+			fill *= 0.8
+		}
+		return e.threads+e.others+half <= 2*part*e.cores*c.warmth(e) && (e.memory == 0 || c.held(e)+need <= fill*e.memory)
 	}
 	return e.threads+half <= most && (e.memory == 0 || e.grants+need <= memory)
 }
@@ -857,14 +861,14 @@
 	}
 }
 
-// lost tells that a dispatch has run far over its expected time, or that its notes stopped. It counts against
-// its engine like an error: one that loses a part is chosen less, a silent one set aside after three.
+// lost tells that a dispatch has run far over its expected time, or that its notes stopped. It counts against its engine like an error: one that loses a part is chosen less, a silent one set aside.
 func (c *Controller) lost(f *flight) bool {
-	period := 5 * c.period / 2
-	return float64(c.now-f.sent-f.still) > max(overdueTimes*f.expect, float64(f.job.typ.aim)/2) ||
-		(period > 0 && c.now-f.noted > period)
+	return c.silent(f) || float64(c.now-f.sent-f.still) > max(overdueTimes*f.expect, float64(f.job.typ.aim)/2)
 }
 
+// silent tells that a dispatch's notes stopped, though they should come.
+func (c *Controller) silent(f *flight) bool { return c.period > 0 && c.now-f.noted > 5*c.period/2 }
+
 // again tells whether a job may be called back to be sent again: restartable ones, keyed ones well inside
 // their window.
 func (c *Controller) again(j *job) bool {
@@ -1001,7 +1005,11 @@
 		case j.over || j.streaming:
 		case c.late(j) || (f == nil && c.notWorth(j)):
 			c.giveUp(j)
-		case f != nil && !f.called && !j.typ.holds && c.lost(f): // loads may rightly stand still
+		case f != nil && !f.called && j.typ.holds: // loads may rightly stand still
+			if c.silent(f) && !j.typ.keyed && !j.typ.repeatable {
+				c.giveUp(j) // its answer will not come, and its key's next jobs wait for it
+			}
+		case f != nil && !f.called && c.lost(f):
 			if !f.blamed {
 				f.blamed = true
 				c.judge(f.engine, TimedOut)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -349,7 +349,7 @@
 	e.others, e.reported, s.c.outThreads, s.c.outGrants = 8, s.now, 1, 3000
 	want(t, len(s.sentTo(s.arrive(1, 0, 1))) == 0, "siblings hold all its memory")
 	s.pass(15 * second)
-	want(t, len(e.flights) > 0, "an old report fades: %v", e.others)
+	want(t, len(s.sentTo(s.arrive(1, 0, 1))) == 1, "an old report fades: %v", e.others)
 }
 
 // The failure: after a slowdown the price took seconds to fall while engines stood idle.
@@ -493,3 +493,19 @@
 	want(t, s.c.warmth(empty) < 1, "empty in a busy fleet")
 	want(t, strings.Count(s.texts, "taken for just started") == 1, "%v", s.texts)
 }
+
+// The failure: a run-once load whose answer was lost held its key until its job timeout.
+func TestARunOnceLoadWhoseNotesStoppedFreesItsKey(t *testing.T) {
+	s := newStage(t, plainFacts().set("domain.note_period_ns", 5e8), 2)
+	a, b := s.arrive(2, 5, 1), s.arrive(2, 5, 2)
+	for range 10 {
+		s.pass(400 * ms)
+		s.tell(Event{Kind: Noted, Job: a, Note: Waiting, Amount: 2})
+	}
+	want(t, !s.jobs[a].ended, "ended though it stands still with notes")
+	s.pass(2 * second)
+	want(t, s.jobs[a].by == CancelForGood && s.jobs[a].sends[0].called, "by %v", s.jobs[a].by)
+	s.finish(a, Retracted)
+	s.pass(400 * ms)
+	want(t, len(s.sentTo(b)) == 1, "its key is free")
+}
