--- a/choice/choice.go
+++ b/choice/choice.go
@@ -62,7 +62,10 @@
 	blindPart    = 0.6   // of an engine that is filled without a fresh report
 	quickPart    = 1.25  // and by quick types, who need little and soon leave
 	emptied      = 0.15  // of the jobs usual in the fleet: an engine that holds fewer is taken for just started
-	coldSafety   = 0.6   // of the budget that a cold engine stands
+	emptiedOut   = 0.5   // the same while engines refuse connections
+	outageLasts  = 5 * second
+	restartTakes = second // an engine heard of within it has not restarted
+	coldSafety   = 0.6    // of the budget that a cold engine stands
 )
 
 // jobType is what is known of a reservation type: its settings, and what answers taught.
@@ -143,6 +146,7 @@
 	cores, memory, threads, grants, others float64 // threads, grants: ours; others: siblings' threads
 	bound, slow, bad                       float64 // slow: latency over best; bad: part lost or failed
 	flights                                []*flight
+	heard                                  Nanos // of it, by any answer or note
 	back                                   Nanos // it is thought to have started, untold
 	down                                   bool  // refused connections when last tried
 	pressed, asked                         bool  // asked: a probe is out
@@ -190,6 +194,7 @@
 	zone                       ZoneID
 	probes, cancels, swaps     bool
 	reportedLast, swept        Nanos
+	outage, refused            Nanos   // engines refuse connections since, and last did
 	step, period               Nanos   // between batches, between notes
 	grantMost                  float64 // part of an engine's memory that a job gets at most
 	slowMean, badMean          float64 // over open engines: latency over best, part of dispatches lost or failed
@@ -267,7 +272,7 @@
 		t.usual = math.Max(float64(t.aim)*t.threads/2, float64(ms)) // until jobs tell better
 		c.types = append(c.types, t)
 	}
-	c.swept = c.now
+	c.swept, c.refused = c.now, c.now-outageLasts
 	c.arm()
 }
 
@@ -593,9 +598,27 @@
 	return min(j.memory*math.Exp(j.typ.memBias), e.memory*c.grantMost)
 }
 
+// started is when an engine last started, as far as is known or must be feared: one that came back untold, and while
+// engines refuse connections any that was not heard of since they began to, as it may have restarted with them.
+func (c *Controller) started(e *engine) Nanos {
+	if c.now-c.refused < outageLasts && e.heard < c.outage {
+		return max(e.StartedAt, e.back, c.outage)
+	}
+	return max(e.StartedAt, e.back)
+}
+
+// refuses notes that an engine refused a connection.
+func (c *Controller) refuses(e *engine) {
+	if c.now-c.refused >= outageLasts {
+		c.outage = c.now
+		c.log("outage: engine %d refused a connection", e.Engine)
+	}
+	c.refused, e.down = c.now, true
+}
+
 // warmth is the part of its capacity that a started engine is sure to have.
 func (c *Controller) warmth(e *engine) float64 {
-	started := max(e.StartedAt, e.back)
+	started := c.started(e)
 	if started == 0 {
 		return 1
 	}
@@ -714,7 +737,7 @@
 	}
 	controllers := int(1/c.even + 0.5)
 	if turns := max(1, int(budget/longest)); turns < controllers && window > 0 {
-		slot := int((c.now-max(e.StartedAt, e.back))/window) + int(e.Engine)
+		slot := int((c.now-c.started(e))/window) + int(e.Engine)
 		if me := int(c.facts.num("me", 0)); (me+controllers-slot*turns%controllers)%controllers >= turns {
 			return false
 		}
@@ -849,6 +872,7 @@
 		return
 	}
 	f, took := j.flight, float64(c.now-j.flight.sent-j.flight.still)
+	f.engine.heard = c.now
 	if f.noted = c.now; ev.Note == Progress {
 		if ahead := ev.Amount - f.share; f.share > 0 && ahead > 0 { // long jobs tell late how slow an engine is
 			pace := float64(c.now-f.paced) / (ahead * j.work / j.typ.threads)
@@ -977,7 +1001,11 @@
 func (c *Controller) report(e *engine, load []float64) {
 	if at := c.concurrentAt; at >= 0 && at < len(load) && load[at] >= 0 {
 		c.reportedLast = c.now
-		if jobs := c.crowd * e.cores / c.threadsEach(); load[at] < emptied*jobs && jobs > e.cores/4 && e.mode == open {
+		part := emptied
+		if c.now-c.refused < outageLasts && c.now-e.heard >= restartTakes {
+			part = emptiedOut
+		}
+		if jobs := c.crowd * e.cores / c.threadsEach(); load[at] < part*jobs && jobs > e.cores/4 && e.mode == open {
 			c.fresh(e, fmt.Sprintf("holds %.0f jobs where %.0f are usual", load[at], jobs))
 		}
 		e.reported, e.others = c.now, max(0, min(load[at], 1e6)-float64(len(e.flights)))*c.threadsEach()
@@ -1120,7 +1148,7 @@
 func (c *Controller) judge(e *engine, r Result) {
 	switch r {
 	case Done:
-		if e.down {
+		if e.heard = c.now; e.down {
 			c.fresh(e, "answers after it refused connections")
 		}
 		e.strikes, e.bad = 0, e.bad*(1-badStep)
@@ -1131,7 +1159,9 @@
 		e.fullUntil = c.now + second/5
 		c.pressure(e)
 	case Failed, Reset, Unreachable, TimedOut:
-		e.down = e.down || r == Unreachable
+		if r == Unreachable {
+			c.refuses(e)
+		}
 		e.bad += badStep * (1 - e.bad)
 		// Where all engines lose a part (the way to them does, say), a few in a row are chance and no silence.
 		out := max(strikesOut, math.Log(0.001)/math.Log(min(0.9, c.badMean)))
@@ -1195,12 +1225,13 @@
 	for _, e := range c.engines {
 		if e.Engine == ev.Engine {
 			e.asked = false
+			c.report(e, ev.Load)
 			if e.passed++; ev.Result != Done {
-				e.passed, e.fullUntil, e.down = 0, c.now+second, e.down || ev.Result == Unreachable
-			} else if e.down {
+				e.passed, e.fullUntil = 0, c.now+second
+				c.judge(e, ev.Result)
+			} else if e.heard = c.now; e.down {
 				c.fresh(e, "answers after it refused connections")
 			}
-			c.report(e, ev.Load)
 		}
 	}
 }
