Trim: records move to types.go, single rule for turns, no engines kept for one controller's loads

Record types stand with the other types now, sums over the fleet are taken where the list changes, the gate is one switch. The rank that gave each controller its own engines for a group's loads is removed: it means nothing where controllers outnumber engines and no longer earns its lines.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -20,108 +20,49 @@
 
 // Tuned values; one set for every deployment.
 const (
-	stoodStill   = 100 * ms // a sweep that comes so late shows that we stood still
 	sweepEvery   = 20 * ms  // drops what has given up, watches engines, moves the price
+	stoodStill   = 100 * ms // a sweep that comes so late shows that we stood still
 	tenantMemory = 10 * second
 	quotaSaved   = 4.0 // jobs of a tenant's share, beside two seconds' worth
 	bucketDepth  = 96  // parked jobs a bucket
 	typeCeiling  = 400 // parked jobs a reservation type, over all its buckets
 
-	nearBest   = 1.5  // latency over best below which an engine's bound widens by a thread
-	wellAbove  = 2.0  // from here an engine is under pressure and its bound binds
-	grown      = 3.0  // from here its bound halves
-	crowded    = 1.75 // threads a core in a load report that also count as pressure
-	relaxed    = 1.4  // and below which it no longer does
-	widenEvery = 250 * ms
-	halveEvery = 2 * second
+	// Latency over best: up to which a bound widens by a thread; from which it binds; from which it halves.
+	nearBest, wellAbove, grown = 1.5, 2.0, 3.0
+	crowded, relaxed           = 1.75, 1.4 // threads a core that also count as pressure; under which it ends
+	widenEvery, halveEvery     = 250 * ms, 2 * second
 
 	waitShare = 0.15 // of the SLA time, waited by a head: from here the price of a thread rises
-	priceUp   = 0.5  // a second, in units of the mean billed value for a second of work
-	priceDown = 0.5
+	priceStep = 0.5  // a second, up or down, in units of the mean billed value for a second of work
 	priceMost = 2.0
 
-	overdueTimes = 4.0  // times its expected time: a dispatch that ran so long is called back
-	badPlanTimes = 3.0  // the same, when its own notes project it
-	badStep      = 0.05 // of the part of an engine's dispatches that are lost or fail
-	spareShare   = 0.2  // further dispatches of what may have run, for each job taken
-	spareMost    = 10.0 // and at once
-	strikesOut   = 3.0  // failures in a row that set an engine aside
-	restFirst    = second
-	restMost     = 8 * second
-	probesBack   = 2
-	outStep      = 0.005     // of the means of what is out, a sweep
-	reportFresh  = 1500 * ms // a load report younger than this shows what siblings leave free
-	probeEvery   = 400 * ms
-	lookAgain    = 300 * ms // a parked head looks at other engines
-	lookWait     = 60 * ms  // and waits so long for the probes of a look
-	looksLeast   = 4        // engines that a job looks at, at the least
-	probesMost   = 12.0
-	probeBears   = 0.05  // of a job's billed value that the probes of a look may cost
-	probePoints  = 0.008 // points of service that probes may cost, for each job taken
-	turnPart     = 0.75  // of it where controllers take turns
-	blindPart    = 0.6   // of an engine that is filled without a fresh report
-	quickPart    = 1.25  // and by quick types, who need little and soon leave
-	emptied      = 0.15  // of the jobs usual in the fleet: an engine that holds fewer is taken for just started
-	emptiedOut   = 0.5   // the same while engines refuse connections
-	outageLasts  = 5 * second
-	restartTakes = second // an engine heard of within it has not restarted
-	coldSafety   = 0.6    // of the budget that a cold engine stands
+	overdueTimes, badPlanTimes = 4.0, 3.0  // times its expected time: overdue, or projected so by its notes
+	badStep                    = 0.05      // of the part of an engine's dispatches that are lost or fail
+	spareShare, spareMost      = 0.2, 10.0 // further dispatches of what may have run, a job taken; at once
+	strikesOut                 = 3.0       // failures in a row that set an engine aside
+	restFirst, restMost        = second, 8 * second
+	probesBack                 = 2
+
+	looksLeast              = 4                   // engines that a job looks at, at the least
+	lookAgain, lookWait     = 300 * ms, 60 * ms   // a parked head looks anew; it waits so long for a look's probes
+	probeEvery, reportFresh = 400 * ms, 1500 * ms // of an engine; how long a report shows what siblings leave free
+	probeBears, probePoints = 0.05, 0.008         // of a job's billed value a look may cost; points of service a job may
+	probesMost              = 12.0
+	outStep                 = 0.005     // of the means of what is out, a sweep
+	blindPart, quickPart    = 0.6, 1.25 // of an engine that is filled without a fresh report; by quick types
+	swapPart                = 0.8       // of its memory, where too much in use slows all
+
+	coldSafety, turnPart      = 0.6, 0.75 // of the budget that a cold engine stands; of that, where controllers take turns
+	emptied, emptiedOut       = 0.15, 0.5 // of the jobs usual: under it, just started; the same during an outage
+	outageLasts, restartTakes = 5 * second, second
 )
 
-// jobType is what is known of a reservation type: its settings, and what answers taught.
-type jobType struct {
-	threads               float64
-	aim, window           Nanos
-	stretch, worth, late  float64
-	repeatable, keyed     bool
-	scope                 string
-	ordered, holds, waits bool
-	zones, kinds          []any
-	parked                int
-	usual, usualN         float64 // mean work of a job, ns
-	costBias, costN       float64 // log of true work over estimate
-	memBias, memDev, memN float64 // log of true memory over estimate, its mean deviation
-	best, slow            float64 // latency over (work / threads): the best seen, and lately
-}
-
 // meanOf moves the usual work: a plain mean at first, which a fresh controller needs, then a moving one.
 func (t *jobType) meanOf(work float64) {
 	t.usualN = min(t.usualN+1, 50)
 	t.usual += (work - t.usual) / (t.usualN + 1)
 }
 
-type job struct {
-	id                        JobID
-	typ                       *jobType
-	bucket                    *bucket
-	key                       Key
-	tables                    TableSet
-	arrived, ready, due, lost Nanos // ready: its key lets it go; due: the SLA time ends; lost: the job timeout
-	work, memory, worth       float64
-	dispatches                int
-	looks                     []*engine // engines that it may go to, drawn at looked
-	homes                     [2]*engine
-	looked                    Nanos
-	flight                    *flight // the dispatch that is out: at most one
-	firstAt                   Nanos   // when the first dispatch that may have run was sent, and to whom
-	first, last               *engine
-	mayHaveRun                bool // some dispatch is not proved never to have run
-	parked, over, streaming   bool
-}
-
-// flight is a dispatch whose outcome has not come.
-type flight struct {
-	job            *job
-	engine         *engine
-	seq            Seq
-	sent           Nanos
-	noted, paced   Nanos // the last note on it came, the last that told progress
-	still          Nanos // of its time that this controller itself stood still
-	expect, memory float64
-	share          float64 // of the work done, by the last note
-	called, blamed bool    // retracted; counted as lost
-}
-
 // bucket is one reservation type of one tenant. Emptied by completions; dropped by the sweep once idle.
 type bucket struct {
 	typ    *jobType
@@ -137,32 +78,6 @@
 	rest Nanos
 }
 
-type mode string
-
-const open, aside, trial mode = "open", "aside", "on trial"
-
-type engine struct {
-	Line
-	cores, memory, threads, grants, others float64 // threads, grants: ours; others: siblings' threads
-	bound, slow, bad                       float64 // slow: latency over best; bad: part lost or failed
-	flights                                []*flight
-	heard                                  Nanos // of it, by any answer or note
-	back                                   Nanos // it is thought to have started, untold
-	down                                   bool  // refused connections when last tried
-	pressed, asked                         bool  // asked: a probe is out
-	mode                                   mode
-	fullUntil, stepped, halved, since      Nanos
-	rest, probed, reported                 Nanos
-	strikes, passed                        int
-	sent                                   []sentWork
-}
-
-// sentWork is usual work sent to a cold engine; forgotten after the window of the rule.
-type sentWork struct {
-	at   Nanos
-	work float64
-}
-
 // tenantSeen is a tenant's share of late; dropped by the sweep after tenantMemory.
 type tenantSeen struct {
 	at     Nanos
@@ -195,8 +110,8 @@
 	probes, cancels, swaps     bool
 	reportedLast, swept        Nanos
 	outage, refused            Nanos   // engines refuse connections since, and last did
-	step, period               Nanos   // between batches, between notes
-	grantMost                  float64 // part of an engine's memory that a job gets at most
+	step, period, retryAfter   Nanos   // between batches, between notes; told with a throttling reply
+	cores, grantMost           float64 // of all ready engines; part of an engine's memory that a job gets at most
 	slowMean, badMean          float64 // over open engines: latency over best, part of dispatches lost or failed
 	priced, pressed, tracked   bool
 	spare                      float64 // further dispatches of what may have run that are left
@@ -256,6 +171,9 @@
 			c.concurrentAt = i
 		}
 	}
+	if f.flag("limits.retry_after") {
+		c.retryAfter = f.span("limits.max_retry_after_ns")
+	}
 	c.jobs, c.lines, c.tenants = map[JobID]*job{}, map[Key]*keyLine{}, map[TenantID]*tenantSeen{}
 	for i := range f.list("classes") {
 		at := func(name string) string { return fmt.Sprintf("classes.%d.%s", i, name) }
@@ -312,13 +230,13 @@
 			e.bound = e.cores * c.share
 		}
 	}
-	sum := 0.0
+	c.cores = 0
 	for _, e := range c.engines {
 		if e.State == Ready {
-			sum += e.cores
+			c.cores += e.cores
 		}
 	}
-	c.reach = max(looksLeast, int(math.Ceil(sum*c.even)))
+	c.reach = max(looksLeast, int(math.Ceil(c.cores*c.even)))
 }
 
 // arrive takes a job: it is priced, sent, parked in its bucket or throttled at once.
@@ -414,13 +332,7 @@
 
 // limit is every bucket's limit in threads, read anew at each use.
 func (c *Controller) limit() float64 {
-	sum := 0.0
-	for _, e := range c.engines {
-		if e.State == Ready {
-			sum += e.cores * 2 * c.share
-		}
-	}
-	return sum / float64(max(1, len(c.tenants)))
+	return c.cores * 2 * c.share / float64(max(1, len(c.tenants)))
 }
 
 // drain sends what is parked: the freed bucket first, then the earliest-due head that fits anywhere.
@@ -541,12 +453,13 @@
 
 // quick tells the types whose jobs are short beside the longest: they go at the highest priority, and over
 // an engine's bound by half its start, so that long jobs cannot keep them from every thread.
-func (c *Controller) quick(t *jobType) bool {
-	longest := 0.0
-	for _, o := range c.types {
-		longest = max(longest, o.usual)
+func (c *Controller) quick(t *jobType) bool { return t.usual*4 <= c.longest() }
+
+func (c *Controller) longest() (most float64) {
+	for _, t := range c.types {
+		most = max(most, t.usual)
 	}
-	return t.usual*4 <= longest
+	return most
 }
 
 // room tells whether an engine takes a job. Its bound binds under pressure, and always a borrower; else
@@ -571,17 +484,17 @@
 	// Where none of ours runs, or a share is too small for one job, all controllers' jobs as known count instead.
 	need, half := c.need(j, e), j.typ.threads/2
 	if len(e.flights) == 0 || most < half {
-		part := 1.0
+		part, fill := 1.0, 1.0
 		if c.quick(j.typ) {
 			part = quickPart
 		} else if c.now-e.reported >= reportFresh {
 			part = blindPart
 		}
-		fill := part
 		if c.swaps {
-			fill *= 0.8
+			fill = swapPart
 		}
-		return e.threads+e.others+half <= 2*part*e.cores*c.warmth(e) && (e.memory == 0 || c.held(e)+need <= fill*e.memory)
+		return e.threads+e.others+half <= 2*part*e.cores*c.warmth(e) &&
+			(e.memory == 0 || c.held(e)+need <= fill*part*e.memory)
 	}
 	return e.threads+half <= most && (e.memory == 0 || e.grants+need <= memory)
 }
@@ -607,15 +520,6 @@
 	return max(e.StartedAt, e.back)
 }
 
-// refuses notes that an engine refused a connection.
-func (c *Controller) refuses(e *engine) {
-	if c.now-c.refused >= outageLasts {
-		c.outage = c.now
-		c.log("outage: engine %d refused a connection", e.Engine)
-	}
-	c.refused, e.down = c.now, true
-}
-
 // warmth is the part of its capacity that a started engine is sure to have.
 func (c *Controller) warmth(e *engine) float64 {
 	started := c.started(e)
@@ -653,9 +557,6 @@
 		if !j.typ.holds && c.now-e.reported < reportFresh && (e == j.homes[0] || e == j.homes[1]) {
 			load -= 0.25 // they keep its tables warm
 		}
-		if j.typ.holds && c.foreign(e, j.tables) {
-			load += 3
-		}
 		if load += 0.02 * c.chance.unit(); load < least {
 			best, least = e, load
 		}
@@ -663,21 +564,6 @@
 	return best
 }
 
-// foreign tells whether an engine is another controller's for a group's loads, which stand still behind each other:
-// its rank by a hash that all compute alike says whose. With more controllers than engines there is none for each.
-func (c *Controller) foreign(e *engine, tables TableSet) bool {
-	rank, mine, controllers := 0, mix(e.Engine, tables), int(1/c.even+0.5)
-	if controllers > len(c.engines) {
-		return false
-	}
-	for _, o := range c.engines {
-		if o.State == Ready && o != e && mix(o.Engine, tables) > mine {
-			rank++
-		}
-	}
-	return rank%controllers != int(c.facts.num("me", 0))
-}
-
 func (c *Controller) heldBy(e *engine, tables TableSet) bool {
 	return slices.ContainsFunc(e.flights, func(f *flight) bool {
 		return f.job.typ.holds && f.job.tables == tables
@@ -688,18 +574,13 @@
 func (c *Controller) allowed(j *job, e *engine) bool {
 	t := j.typ
 	switch {
-	case j.over || j.flight != nil || j.dispatches >= c.mostTries || c.now >= j.lost: // rule 1
-		return false
-	case j.mayHaveRun && !c.mayRepeat(j, e): // rule 2
-		return false
-	case e.State != Ready: // rule 3, with no use of the grace
-		return false
-	case !c.coldRoom(j, e): // rule 4
-		return false
-	case !c.turn(j): // rule 5
-		return false
-	case t.zones != nil && !slices.Contains(t.zones, any(float64(e.Zone))),
-		t.kinds != nil && !slices.Contains(t.kinds, any(float64(e.Kind))): // rule 6
+	case j.over || j.flight != nil || j.dispatches >= c.mostTries || c.now >= j.lost, // rule 1
+		j.mayHaveRun && !c.mayRepeat(j, e), // rule 2
+		e.State != Ready,                   // rule 3, with no use of the grace
+		!c.coldRoom(j, e),                  // rule 4
+		!c.turn(j),                         // rule 5
+		t.zones != nil && !slices.Contains(t.zones, any(float64(e.Zone))), // rule 6
+		t.kinds != nil && !slices.Contains(t.kinds, any(float64(e.Kind))):
 		return false
 	}
 	return j.dispatches == 0 || c.rationed() // rule 7
@@ -728,22 +609,18 @@
 	window := c.facts.span("invariants.fall_ns")
 	budget := coldSafety * c.facts.num("invariants.fall_multiple", 1) * c.facts.num("invariants.start_capacity", 0) *
 		0.85 * e.cores * float64(window)
-	sum, longest := max(j.work, j.typ.usual), 1.0
-	for _, t := range c.types {
-		longest = max(longest, t.usual)
-	}
+	sum := max(j.work, j.typ.usual)
 	for _, s := range e.sent {
 		sum += s.work
 	}
-	controllers := int(1/c.even + 0.5)
-	if turns := max(1, int(budget/longest)); turns < controllers && window > 0 {
-		slot := int((c.now-c.started(e))/window) + int(e.Engine)
-		if me := int(c.facts.num("me", 0)); (me+controllers-slot*turns%controllers)%controllers >= turns {
-			return false
-		}
-		return c.now-c.booted >= window && sum <= turnPart*budget/float64(turns) // two turns may meet in a window
+	controllers, me := int(1/c.even+0.5), int(c.facts.num("me", 0))
+	turns, ours := max(1, int(budget/max(1, c.longest()))), true
+	if turns < controllers {
+		slot := int((c.now-c.started(e))/max(window, 1)) + int(e.Engine)
+		ours = (me+controllers-slot*turns%controllers)%controllers < turns
+		budget *= turnPart // two turns may meet in a window
 	}
-	return c.now-c.booted >= window && sum <= budget/float64(controllers)
+	return ours && c.now-c.booted >= window && sum <= budget/float64(min(turns, controllers))
 }
 
 // rationed is rule 7: whether one more dispatch beyond a job's first keeps within the stated budget.
@@ -825,11 +702,7 @@
 	}
 	t, unsure := j.typ, j.mayHaveRun || j.flight != nil
 	if !unsure || t.repeatable || (t.keyed && t.scope == "all" && c.now < j.firstAt+t.window) {
-		wait := Nanos(0)
-		if c.facts.flag("limits.retry_after") {
-			wait = c.facts.span("limits.max_retry_after_ns")
-		}
-		c.do(Action{Kind: Throttle, Job: j.id, Span: wait})
+		c.do(Action{Kind: Throttle, Job: j.id, Span: c.retryAfter})
 	} else {
 		c.do(Action{Kind: CancelForGood, Job: j.id})
 	}
@@ -885,7 +758,8 @@
 	}
 }
 
-// lost tells that a dispatch has run far over its expected time, or that its notes stopped. It counts against its engine like an error: one that loses a part is chosen less, a silent one set aside.
+// lost tells that a dispatch has run far over its expected time, or that its notes stopped. It counts against its
+// engine like an error: one that loses a part is chosen less, a silent one set aside.
 func (c *Controller) lost(f *flight) bool {
 	return c.silent(f) || float64(c.now-f.sent-f.still) > max(overdueTimes*f.expect, float64(f.job.typ.aim)/2)
 }
@@ -999,18 +873,19 @@
 
 // report reads an engine's load report: jobs in hand beyond ours, in threads by our own mean.
 func (c *Controller) report(e *engine, load []float64) {
-	if at := c.concurrentAt; at >= 0 && at < len(load) && load[at] >= 0 {
-		c.reportedLast = c.now
-		part := emptied
-		if c.now-c.refused < outageLasts && c.now-e.heard >= restartTakes {
-			part = emptiedOut
-		}
-		if jobs := c.crowd * e.cores / c.threadsEach(); load[at] < part*jobs && jobs > e.cores/4 && e.mode == open {
-			c.fresh(e, fmt.Sprintf("holds %.0f jobs where %.0f are usual", load[at], jobs))
-		}
-		e.reported, e.others = c.now, max(0, min(load[at], 1e6)-float64(len(e.flights)))*c.threadsEach()
-		c.crowd += 0.1 * ((e.threads+e.others)/e.cores - c.crowd)
+	if c.concurrentAt < 0 || c.concurrentAt >= len(load) || !(load[c.concurrentAt] >= 0) {
+		return
 	}
+	holds, usual, part := min(load[c.concurrentAt], 1e6), c.crowd*e.cores/c.threadsEach(), emptied
+	if c.now-c.refused < outageLasts && c.now-e.heard >= restartTakes {
+		part = emptiedOut
+	}
+	if holds < part*usual && usual > e.cores/4 && e.mode == open {
+		c.fresh(e, fmt.Sprintf("holds %.0f jobs where %.0f are usual", holds, usual))
+	}
+	c.reportedLast, e.reported = c.now, c.now
+	e.others = max(0, holds-float64(len(e.flights))) * c.threadsEach()
+	c.crowd += 0.1 * ((e.threads+e.others)/e.cores - c.crowd)
 }
 
 // fresh takes an engine for just started though the list does not say so (it is late, or out of reach): it refused
@@ -1053,7 +928,7 @@
 			waited = max(waited, float64(c.now-j.ready)/float64(max(b.typ.aim, ms)))
 		}
 	}
-	jobs, threads, grants, cores, slow, bad, n, pressed := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0
+	jobs, threads, grants, slow, bad, n, pressed := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0
 	for _, e := range c.engines {
 		jobs, threads, grants = jobs+float64(len(e.flights)), threads+e.threads, grants+e.grants
 		if c.now-e.reported >= reportFresh { // what is not known is thought like the rest of the fleet, not empty
@@ -1062,9 +937,6 @@
 		e.slow, e.bad = e.slow+0.002*(1-e.slow), 0.999*e.bad
 		c.pressure(e)
 		c.watch(e)
-		if e.State == Ready {
-			cores += e.cores
-		}
 		if e.State == Ready && e.mode == open {
 			slow, bad, n = slow+e.slow, bad+e.bad, n+1
 		}
@@ -1082,10 +954,10 @@
 	}
 	// A front that is uneven, or siblings gone, leave one controller more than its even share of the work.
 	if c.now-c.reportedLast >= reportFresh { // no word from any engine: siblings are thought to hold what we hold
-		c.crowd += outStep * (c.outThreads/max(1, c.even*cores) - c.crowd)
+		c.crowd += outStep * (c.outThreads/max(1, c.even*c.cores) - c.crowd)
 	}
 	if c.crowd > 0 {
-		c.share += 0.02 * (min(1, max(c.even, c.outThreads/max(1, c.crowd*cores))) - c.share)
+		c.share += 0.02 * (min(1, max(c.even, c.outThreads/max(1, c.crowd*c.cores))) - c.share)
 	}
 	c.reprice(waited, c.crowd < 1)
 	c.tidy()
@@ -1112,12 +984,12 @@
 func (c *Controller) reprice(waited float64, idle bool) {
 	step := float64(sweepEvery) / float64(second)
 	if waited > waitShare {
-		c.price = min(priceMost, c.price+priceUp*step)
+		c.price = min(priceMost, c.price+priceStep*step)
 	} else if waited < waitShare/3 {
 		if idle {
 			step *= 4
 		}
-		c.price = max(0, c.price-priceDown*step)
+		c.price = max(0, c.price-priceStep*step)
 	}
 	if on := c.price > 0; on != c.priced {
 		c.priced = on
@@ -1160,7 +1032,11 @@
 		c.pressure(e)
 	case Failed, Reset, Unreachable, TimedOut:
 		if r == Unreachable {
-			c.refuses(e)
+			if c.now-c.refused >= outageLasts {
+				c.outage = c.now
+				c.log("outage: engine %d refused a connection", e.Engine)
+			}
+			c.refused, e.down = c.now, true
 		}
 		e.bad += badStep * (1 - e.bad)
 		// Where all engines lose a part (the way to them does, say), a few in a row are chance and no silence.
--- a/choice/types.go
+++ b/choice/types.go
@@ -174,6 +174,82 @@
 	Text     string // Log, Fault, and what Tell says
 }
 
+// jobType is what is known of a reservation type: its settings, and what answers taught.
+type jobType struct {
+	threads               float64
+	aim, window           Nanos
+	stretch, worth, late  float64
+	repeatable, keyed     bool
+	scope                 string
+	ordered, holds, waits bool
+	zones, kinds          []any
+	parked                int
+	usual, usualN         float64 // mean work of a job, ns
+	costBias, costN       float64 // log of true work over estimate
+	memBias, memDev, memN float64 // log of true memory over estimate, its mean deviation
+	best, slow            float64 // latency over (work / threads): the best seen, and lately
+}
+
+// job is a job taken that is not over, or has a dispatch out.
+type job struct {
+	id                        JobID
+	typ                       *jobType
+	bucket                    *bucket
+	key                       Key
+	tables                    TableSet
+	arrived, ready, due, lost Nanos // ready: its key lets it go; due: the SLA time ends; lost: the job timeout
+	work, memory, worth       float64
+	dispatches                int
+	looks                     []*engine // engines that it may go to, drawn at looked
+	homes                     [2]*engine
+	looked                    Nanos
+	flight                    *flight // the dispatch that is out: at most one
+	firstAt                   Nanos   // when the first dispatch that may have run was sent, and to whom
+	first, last               *engine
+	mayHaveRun                bool // some dispatch is not proved never to have run
+	parked, over, streaming   bool
+}
+
+// flight is a dispatch whose outcome has not come.
+type flight struct {
+	job            *job
+	engine         *engine
+	seq            Seq
+	sent           Nanos
+	noted, paced   Nanos // the last note on it came, the last that told progress
+	still          Nanos // of its time that this controller itself stood still
+	expect, memory float64
+	share          float64 // of the work done, by the last note
+	called, blamed bool    // retracted; counted as lost
+}
+
+type mode string
+
+const open, aside, trial mode = "open", "aside", "on trial"
+
+// engine is what is known of an engine.
+type engine struct {
+	Line
+	cores, memory, threads, grants, others float64 // threads, grants: ours; others: siblings' threads
+	bound, slow, bad                       float64 // slow: latency over best; bad: part lost or failed
+	flights                                []*flight
+	heard                                  Nanos // of it, by any answer or note
+	back                                   Nanos // it is thought to have started, untold
+	down                                   bool  // refused connections when last tried
+	pressed, asked                         bool  // asked: a probe is out
+	mode                                   mode
+	fullUntil, stepped, halved, since      Nanos
+	rest, probed, reported                 Nanos
+	strikes, passed                        int
+	sent                                   []sentWork
+}
+
+// sentWork is usual work sent to a cold engine; forgotten after the window of the rule.
+type sentWork struct {
+	at   Nanos
+	work float64
+}
+
 // Facts are the settings handed over at the start: a plain map of names to values, read by dotted
 // path ("limits.probes", "classes.2.gain"). What is absent, or of another sort, gives the caller's value.
 type Facts map[string]any
