--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,17 +44,17 @@
 	probesBack                 = 2
 
 	looksLeast              = 4                   // engines that a job looks at, at the least
-	lookAgain, lookWait     = 300 * ms, 60 * ms   // a parked head looks anew; it waits so long for a look's probes
-	probeEvery, reportFresh = 400 * ms, 1500 * ms // of an engine; how long a report shows what siblings leave free
-	probeBears, probePoints = 0.05, 0.008         // of a job's billed value a look may cost; points of service a job may
+	lookAgain, lookWait     = 300 * ms, 60 * ms   // a parked head looks anew; it waits so long for its probes
+	probeEvery, reportFresh = 400 * ms, 1500 * ms // an engine; a report so young shows what siblings hold
+	probeBears, probePoints = 0.05, 0.008         // of billed value for a look's probes; points for a job's
 	probesMost              = 12.0
 	outStep                 = 0.005     // of the means of what is out, a sweep
 	blindPart, quickPart    = 0.6, 1.25 // of an engine that is filled without a fresh report; by quick types
 	swapPart                = 0.8       // of its memory, where too much in use slows all
 
-	coldSafety, turnPart      = 0.6, 0.75 // of the budget that a cold engine stands; of that, where controllers take turns
-	emptied, emptiedOut       = 0.15, 0.5 // of the jobs usual: under it, just started; the same during an outage
-	outageLasts, restartTakes = 5 * second, second
+	coldSafety, turnPart = 0.6, 0.75  // of what a cold engine stands; of that, where controllers take turns
+	emptied              = 0.15       // of the jobs usual: an engine that holds fewer is taken for just started
+	outageLasts          = 5 * second // after the last refused connection
 )
 
 // meanOf moves the usual work: a plain mean at first, which a fresh controller needs, then a moving one.
@@ -63,27 +63,6 @@
 	t.usual += (work - t.usual) / (t.usualN + 1)
 }
 
-// bucket is one reservation type of one tenant. Emptied by completions; dropped by the sweep once idle.
-type bucket struct {
-	typ    *jobType
-	tenant TenantID
-	used   float64 // threads out
-	fifo   []*job
-	seen   Nanos
-}
-
-// keyLine is the order of one key. Dropped by the sweep when empty and rested.
-type keyLine struct {
-	jobs []*job
-	rest Nanos
-}
-
-// tenantSeen is a tenant's share of late; dropped by the sweep after tenantMemory.
-type tenantSeen struct {
-	at     Nanos
-	credit float64 // jobs it may still send inside its share
-}
-
 // Controller decides for one instance.
 type Controller struct {
 	now, booted, asked         Nanos
@@ -94,24 +73,25 @@
 	types                      []*jobType
 	even, share                float64 // 1/controllers, and what we carry by the load reports where that is more
 	mostTries                  int
-	engines                    []*engine      // by id; a gone engine leaves once its dispatches are over
-	jobs                       map[JobID]*job // until over and nothing is out
-	live                       []*job         // the same, in order of arrival
-	buckets                    []*bucket
-	lines                      map[Key]*keyLine
-	tenants                    map[TenantID]*tenantSeen
-	arrivals                   float64 // up to a hundred
-	price, worthMean, workMean float64 // price: in mean billed value for a second of work
-	outJobs, outThreads        float64 // ours out, over some seconds, and what they were granted
-	outGrants, crowd           float64 // crowd: threads a core over the fleet, by load reports
-	probesLeft, crossing       float64 // probes that jobs taken have paid for; the price of crossing zones
-	reach, concurrentAt        int     // engines looked at for a job; place of the jobs in hand in a report
+	engines                    []*engine                // by id; a gone one leaves once its dispatches are over
+	jobs                       map[JobID]*job           // until over and nothing is out
+	live                       []*job                   // the same, in order of arrival
+	buckets                    []*bucket                // emptied by completions, dropped once idle
+	lines                      map[Key]*keyLine         // dropped when empty and rested
+	tenants                    map[TenantID]*tenantSeen // dropped after tenantMemory
+	arrivals                   float64                  // up to a hundred
+	price, worthMean, workMean float64                  // price: in mean billed value for a second of work
+	outJobs, outThreads        float64                  // ours out of late, and what they were granted
+	outGrants, crowd           float64                  // crowd: threads a core over the fleet, by load reports
+	probesLeft, crossing       float64                  // probes that jobs paid for; price of crossing zones
+	reach, concurrentAt        int                      // engines looked at; place of jobs in hand in a report
 	zone                       ZoneID
 	probes, cancels, swaps     bool
 	reportedLast, swept        Nanos
-	outage, refused            Nanos   // engines refuse connections since, and last did
+	outage, refused            Nanos // engines refuse connections since, and last did
+	warmWithin                 Nanos
 	step, period, retryAfter   Nanos   // between batches, between notes; told with a throttling reply
-	cores, grantMost           float64 // of all ready engines; part of an engine's memory that a job gets at most
+	cores, grantMost           float64 // of ready engines; part of an engine's memory a job gets at most
 	slowMean, badMean          float64 // over open engines: latency over best, part of dispatches lost or failed
 	priced, pressed, tracked   bool
 	spare                      float64 // further dispatches of what may have run that are left
@@ -163,6 +143,7 @@
 	c.share, c.mostTries = c.even, max(1, int(f.num("limits.most_tries", 1)))
 	c.zone, c.crossing = ZoneID(f.num("locality", 0)), f.num("tariffs.cross_zone", 0)
 	c.probes, c.cancels = f.flag("limits.probes"), f.flag("limits.cancel")
+	c.warmWithin = f.span("invariants.warm_within_ns")
 	c.swaps, c.step = f.text("domain.memory_short") == "swap", f.span("step_ns")
 	c.period, c.grantMost = f.span("domain.note_period_ns"), f.num("domain.max_grant_share", 1)
 	c.concurrentAt, c.probesLeft, c.reach = -1, probesMost, looksLeast
@@ -216,19 +197,16 @@
 			return cmp.Compare(e.Engine, id)
 		})
 		if !known {
-			c.engines = slices.Insert(c.engines, i, &engine{slow: 1, mode: open, Line: l})
+			c.engines = slices.Insert(c.engines, i, &engine{slow: 1, Line: l})
 		}
 		e := c.engines[i]
 		restarted := !known || e.StartedAt != l.StartedAt
 		e.Line, e.cores = l, math.Max(1, c.facts.num(fmt.Sprintf("domain.cpu_of_kind.%d", l.Kind), 1))
+		e.memory = c.facts.num(fmt.Sprintf("domain.size_mb.%d", l.Kind), 0)
 		if restarted {
-			e.slow, e.bad, e.pressed, e.mode, e.strikes, e.bound = 1, 0, false, open, 0, 0
+			e.slow, e.bad, e.pressed, e.aside, e.strikes, e.bound = 1, 0, false, false, 0, e.cores*c.share
 			e.others = c.crowd * e.cores * c.warmth(e)
 		}
-		e.memory = c.facts.num(fmt.Sprintf("domain.size_mb.%d", l.Kind), 0)
-		if e.bound == 0 {
-			e.bound = e.cores * c.share
-		}
 	}
 	c.cores = 0
 	for _, e := range c.engines {
@@ -257,12 +235,10 @@
 	j.due = min(c.now+t.aim+Nanos(t.stretch*j.work/t.threads), j.lost)
 	c.jobs[j.id], c.live = j, append(c.live, j)
 	if t.ordered && j.key != 0 {
-		l := c.lines[j.key]
-		if l == nil {
-			l = &keyLine{}
-			c.lines[j.key] = l
+		if c.lines[j.key] == nil {
+			c.lines[j.key] = &keyLine{}
 		}
-		l.jobs = append(l.jobs, j)
+		c.lines[j.key].jobs = append(c.lines[j.key].jobs, j)
 	}
 	if c.facts.num("invariants.further_ratio", -1) >= 0 {
 		c.taken = append(c.taken, c.now)
@@ -276,19 +252,19 @@
 		j.worth *= c.facts.num("over_share_worth", 1)
 	}
 	j.bucket = c.bucketOf(t, ev.Tenant)
-	switch full := len(j.bucket.fifo) >= bucketDepth || t.parked >= typeCeiling; {
-	case c.notWorth(j):
+	if c.notWorth(j) {
 		c.giveUp(j)
-	case len(j.bucket.fifo) == 0 && c.send(j):
-	case full:
-		c.giveUp(j)
-	default:
-		c.park(j, len(j.bucket.fifo))
+	} else if len(j.bucket.fifo) > 0 || !c.send(j) {
+		if len(j.bucket.fifo) >= bucketDepth || t.parked >= typeCeiling {
+			c.giveUp(j)
+		} else {
+			c.park(j, len(j.bucket.fifo))
+		}
 	}
 }
 
-// withinShare counts a tenant's jobs against this controller's even part of its quota. Some jobs are always saved up:
-// of hundreds of controllers each has less than a job a second, and traffic is uneven among them.
+// withinShare counts a tenant's jobs against this controller's part of its quota. Some are always saved up:
+// of hundreds of controllers each has less than a job a second.
 func (c *Controller) withinShare(id TenantID) bool {
 	s, quota := c.tenants[id], c.facts.num(fmt.Sprintf("tenants.%d.quota_per_s", id), 1e9)*c.share
 	saved := 2*quota + quotaSaved
@@ -296,13 +272,12 @@
 		s = &tenantSeen{at: c.now, credit: saved}
 		c.tenants[id] = s
 	}
-	s.credit = min(s.credit+quota*float64(c.now-s.at)/float64(second), saved)
-	s.at = c.now
-	within := s.credit >= 1
-	if within {
-		s.credit--
+	s.credit, s.at = min(s.credit+quota*float64(c.now-s.at)/float64(second), saved), c.now
+	if s.credit < 1 {
+		return false
 	}
-	return within
+	s.credit--
+	return true
 }
 
 // notWorth tells whether a job has become not worth its threads: it cannot end before its job timeout, or
@@ -358,15 +333,14 @@
 	if b == nil {
 		return nil
 	}
-	for _, j := range b.fifo {
-		if c.turn(j) {
-			if j.ready == 0 {
-				j.ready = c.now
-			}
-			return j
-		}
+	i := slices.IndexFunc(b.fifo, c.turn)
+	if i < 0 {
+		return nil
 	}
-	return nil
+	if b.fifo[i].ready == 0 {
+		b.fifo[i].ready = c.now
+	}
+	return b.fifo[i]
 }
 
 // turn tells whether a job's key lets it go: all earlier ones are over with every outcome in, and it rested.
@@ -387,48 +361,33 @@
 	}
 	c.look(j)
 	if c.now-j.looked < lookWait && slices.ContainsFunc(j.looks, func(e *engine) bool {
-		return e.asked && e.mode == open && c.now-e.reported >= reportFresh
+		return e.asked && !e.aside && c.now-e.reported >= reportFresh
 	}) {
 		return false
 	}
-	e := c.pick(j, c.borrows(j))
+	e := c.pick(j)
 	return e != nil && c.dispatch(j, e)
 }
 
-// look draws the engines that a job may go to. A controller whose share is many threads looks at all; one whose
-// share is few at as many as it has use for: the two homes of the job's tables and others drawn at random, so that
-// controllers by the hundred with reports alike do not all choose the same engine. Those without a fresh report
-// are probed where the job's billed value bears it; where probing is barred, those whose answers just told go first.
+// look draws the engines that a job may go to. A controller whose share is many threads looks at all, one
+// whose share is few at a few drawn at random, so that hundreds with reports alike do not all choose the
+// same. Those without a fresh report are probed where the job's billed value bears it; where probing is
+// barred, those just heard go first.
 func (c *Controller) look(j *job) {
 	if j.looks != nil && c.now-j.looked < lookAgain {
 		return
 	}
-	j.looked, j.looks, j.homes = c.now, j.looks[:0], [2]*engine{}
-	var first, second uint32
-	for _, e := range c.engines {
-		if m := mix(e.Engine, j.tables); e.State != Ready {
-			continue
-		} else if j.homes[0] == nil || m > first {
-			j.homes[1], second, j.homes[0], first = j.homes[0], first, e, m
-		} else if j.homes[1] == nil || m > second {
-			j.homes[1], second = e, m
-		}
-	}
+	j.looked, j.looks = c.now, j.looks[:0]
 	bears := c.probes && c.concurrentAt >= 0 && float64(min(c.reach, len(c.engines)))*
 		c.facts.num("tariffs.probe", 0)*c.worthMean <= probeBears*j.typ.worth
 	add := func(e *engine) {
-		if e.State == Ready && e.mode != aside && !slices.Contains(j.looks, e) {
+		if e.State == Ready && !e.aside && !slices.Contains(j.looks, e) {
 			j.looks = append(j.looks, e)
 		}
 	}
 	if c.reach >= len(c.engines) {
 		j.looks = append(j.looks, c.engines...)
 	} else {
-		for _, e := range j.homes { // unseen, a hot group's homes would get its jobs from everywhere
-			if e != nil && !j.typ.holds && (bears || c.now-e.reported < reportFresh) {
-				add(e)
-			}
-		}
 		for _, e := range c.engines {
 			if !c.probes && c.now-e.reported < reportFresh {
 				add(e)
@@ -439,7 +398,8 @@
 		}
 	}
 	for _, e := range j.looks {
-		if bears && e.State == Ready && !e.asked && c.now-max(e.reported, e.probed) >= probeEvery && c.probesLeft >= 1 {
+		old := c.now-max(e.reported, e.probed) >= probeEvery
+		if bears && old && e.State == Ready && !e.asked && c.probesLeft >= 1 {
 			c.probesLeft--
 			c.probe(e)
 		}
@@ -464,8 +424,8 @@
 
 // room tells whether an engine takes a job. Its bound binds under pressure, and always a borrower; else
 // twice its start does. Memory counts like threads, so that nothing waits, spills or pages there.
-func (c *Controller) room(j *job, e *engine, borrows bool) bool {
-	if e.mode == aside || (e.mode == trial && len(e.flights) > 0) || c.now < e.fullUntil {
+func (c *Controller) room(j *job, e *engine) bool {
+	if e.aside || c.now < e.fullUntil {
 		return false
 	}
 	start, memory := e.cores*c.share, e.memory*c.share*1.3
@@ -473,7 +433,7 @@
 	if c.now-e.reported < reportFresh {
 		memory = max(e.memory*c.share, e.memory-e.others*c.grantEach())
 	}
-	if e.pressed || borrows {
+	if e.pressed || c.borrows(j) {
 		most, memory = e.bound, e.memory*c.share
 	}
 	if c.quick(j.typ) {
@@ -481,7 +441,7 @@
 	}
 	most *= c.warmth(e)
 	// A job fits if half of it does: small shares of small engines would else shut out jobs of many threads.
-	// Where none of ours runs, or a share is too small for one job, all controllers' jobs as known count instead.
+	// Where none of ours runs, or a share holds no job, what all controllers are known to hold counts instead.
 	need, half := c.need(j, e), j.typ.threads/2
 	if len(e.flights) == 0 || most < half {
 		part, fill := 1.0, 1.0
@@ -502,7 +462,8 @@
 // held is the memory of an engine that all controllers' jobs hold, as far as is known.
 func (c *Controller) held(e *engine) float64 { return e.grants + e.others*c.grantEach() }
 
-// threadsEach and grantEach are our own mean of threads a job and of memory a thread, which stand for siblings' too.
+// threadsEach and grantEach are our own means of threads a job and memory a thread; they stand for siblings'
+// too.
 func (c *Controller) threadsEach() float64 { return (c.outThreads + 0.1) / (c.outJobs + 0.1) }
 func (c *Controller) grantEach() float64   { return c.outGrants / (c.outThreads + 0.1) }
 
@@ -511,8 +472,8 @@
 	return min(j.memory*math.Exp(j.typ.memBias), e.memory*c.grantMost)
 }
 
-// started is when an engine last started, as far as is known or must be feared: one that came back untold, and while
-// engines refuse connections any that was not heard of since they began to, as it may have restarted with them.
+// started is when an engine last started, as far as is known or feared: one that came back untold, and in an
+// outage any not heard of since it began, as it may have restarted too.
 func (c *Controller) started(e *engine) Nanos {
 	if c.now-c.refused < outageLasts && e.heard < c.outage {
 		return max(e.StartedAt, e.back, c.outage)
@@ -523,23 +484,20 @@
 // warmth is the part of its capacity that a started engine is sure to have.
 func (c *Controller) warmth(e *engine) float64 {
 	started := c.started(e)
-	if started == 0 {
-		return 1
-	}
-	within, from := c.facts.span("invariants.warm_within_ns"), c.facts.num("invariants.start_capacity", 1)
-	if c.now-started >= within {
+	if started == 0 || c.now-started >= c.warmWithin {
 		return 1
 	}
-	return from + (1-from)*float64(max(0, c.now-started))/float64(within)
+	from := c.facts.num("invariants.start_capacity", 1)
+	return from + (1-from)*float64(max(0, c.now-started))/float64(c.warmWithin)
 }
 
 // pick is the engine with most room: fewest threads for its cores, all controllers' as far as reports tell,
 // weighed by how slow it answers beside the others.
-func (c *Controller) pick(j *job, borrows bool) *engine {
+func (c *Controller) pick(j *job) *engine {
 	var best *engine
 	least := math.Inf(1)
 	for _, e := range j.looks {
-		if !c.allowed(j, e) || !c.room(j, e, borrows) {
+		if !c.allowed(j, e) || !c.room(j, e) {
 			continue
 		}
 		if (j.typ.holds || j.typ.waits) && c.heldBy(e, j.tables) {
@@ -554,9 +512,6 @@
 		if e == j.last {
 			load += 4
 		}
-		if !j.typ.holds && c.now-e.reported < reportFresh && (e == j.homes[0] || e == j.homes[1]) {
-			load -= 0.25 // they keep its tables warm
-		}
 		if load += 0.02 * c.chance.unit(); load < least {
 			best, least = e, load
 		}
@@ -589,26 +544,21 @@
 // mayRepeat is rule 2 for a job that may have run.
 func (c *Controller) mayRepeat(j *job, e *engine) bool {
 	t := j.typ
-	if t.repeatable {
-		return true
-	}
-	if !t.keyed || c.now >= j.firstAt+t.window-2*c.facts.span("step_ns") {
-		return false
-	}
-	return t.scope == "all" || (t.scope == "zone" && e.Zone == j.first.Zone) ||
+	inGroup := t.scope == "all" || (t.scope == "zone" && e.Zone == j.first.Zone) ||
 		(t.scope == "cell" && e.Cell == j.first.Cell)
+	return t.repeatable || (t.keyed && inGroup && c.now < j.firstAt+t.window-2*c.step)
 }
 
-// coldRoom is rule 4: this controller's part of what a just-started engine stands in any window, an even one where that
-// holds a job, else one given in turn, window by window since the start, to as many controllers as there are jobs in it.
-// A controller that has itself just started waits a window, as it does not know what it sent before.
+// coldRoom is rule 4: our part of what a just-started engine stands in any window. It is even where that
+// holds a job; else as many controllers as the budget holds long jobs have turns, by number, window by
+// window. A controller that has itself just started waits a window, as it does not know what it sent before.
 func (c *Controller) coldRoom(j *job, e *engine) bool {
 	if c.warmth(e) >= 1 {
 		return true
 	}
 	window := c.facts.span("invariants.fall_ns")
-	budget := coldSafety * c.facts.num("invariants.fall_multiple", 1) * c.facts.num("invariants.start_capacity", 0) *
-		0.85 * e.cores * float64(window)
+	stands := c.facts.num("invariants.fall_multiple", 1) * c.facts.num("invariants.start_capacity", 0)
+	budget := coldSafety * stands * 0.85 * e.cores * float64(window)
 	sum := max(j.work, j.typ.usual)
 	for _, s := range e.sent {
 		sum += s.work
@@ -758,7 +708,7 @@
 	}
 }
 
-// lost tells that a dispatch has run far over its expected time, or that its notes stopped. It counts against its
+// lost tells that a dispatch ran far over its expected time, or that its notes stopped. It counts against its
 // engine like an error: one that loses a part is chosen less, a silent one set aside.
 func (c *Controller) lost(f *flight) bool {
 	return c.silent(f) || float64(c.now-f.sent-f.still) > max(overdueTimes*f.expect, float64(f.job.typ.aim)/2)
@@ -816,9 +766,9 @@
 	}
 	if !again || j.dispatches >= c.mostTries || c.notWorth(j) {
 		c.giveUp(j)
-		return j.bucket
+	} else {
+		c.park(j, 0)
 	}
-	c.park(j, 0)
 	return j.bucket
 }
 
@@ -876,11 +826,8 @@
 	if c.concurrentAt < 0 || c.concurrentAt >= len(load) || !(load[c.concurrentAt] >= 0) {
 		return
 	}
-	holds, usual, part := min(load[c.concurrentAt], 1e6), c.crowd*e.cores/c.threadsEach(), emptied
-	if c.now-c.refused < outageLasts && c.now-e.heard >= restartTakes {
-		part = emptiedOut
-	}
-	if holds < part*usual && usual > e.cores/4 && e.mode == open {
+	holds, usual := min(load[c.concurrentAt], 1e6), c.crowd*e.cores/c.threadsEach()
+	if holds < emptied*usual && usual > e.cores/4 && !e.aside {
 		c.fresh(e, fmt.Sprintf("holds %.0f jobs where %.0f are usual", holds, usual))
 	}
 	c.reportedLast, e.reported = c.now, c.now
@@ -888,9 +835,10 @@
 	c.crowd += 0.1 * ((e.threads+e.others)/e.cores - c.crowd)
 }
 
-// fresh takes an engine for just started though the list does not say so (it is late, or out of reach): it refused
-// connections and now answers, or is all but empty in a busy fleet. Everybody would fill it up while it is cold. Also
-// for one that comes back from a hang. It may slow the use of an engine that is empty by chance, for the warm-up.
+// fresh takes an engine for just started though the list, late or out of reach, does not say so: it refused
+// connections and now answers, or is all but empty in a busy fleet, and everybody would fill it while it is
+// cold. Also for one back from a hang. It may slow the use of an engine that is empty by chance, for the
+// warm-up.
 func (c *Controller) fresh(e *engine, why string) {
 	if e.down = false; c.warmth(e) >= 1 {
 		e.back = c.now
@@ -898,6 +846,13 @@
 	}
 }
 
+// heard notes that an engine answered.
+func (c *Controller) heard(e *engine) {
+	if e.heard = c.now; e.down {
+		c.fresh(e, "answers after it refused connections")
+	}
+}
+
 // sweep drops what has given up, calls back what is overdue, moves the price and watches the engines.
 func (c *Controller) sweep() {
 	c.arm()
@@ -923,7 +878,7 @@
 	waited := 0.0
 	for _, b := range c.buckets {
 		if j := c.head(b); j != nil && !slices.ContainsFunc(j.looks, func(e *engine) bool {
-			return c.allowed(j, e) && c.room(j, e, c.borrows(j))
+			return c.allowed(j, e) && c.room(j, e)
 		}) { // what has room but waits for a load on its tables is no sign of overload
 			waited = max(waited, float64(c.now-j.ready)/float64(max(b.typ.aim, ms)))
 		}
@@ -937,7 +892,7 @@
 		e.slow, e.bad = e.slow+0.002*(1-e.slow), 0.999*e.bad
 		c.pressure(e)
 		c.watch(e)
-		if e.State == Ready && e.mode == open {
+		if e.State == Ready && !e.aside {
 			slow, bad, n = slow+e.slow, bad+e.bad, n+1
 		}
 		if e.pressed {
@@ -953,7 +908,7 @@
 		c.log("pressure=%v on %d of %d engines, latency/best=%.2f", on, pressed, len(c.engines), c.slowMean)
 	}
 	// A front that is uneven, or siblings gone, leave one controller more than its even share of the work.
-	if c.now-c.reportedLast >= reportFresh { // no word from any engine: siblings are thought to hold what we hold
+	if c.now-c.reportedLast >= reportFresh { // no word: siblings are thought to hold what we hold
 		c.crowd += outStep * (c.outThreads/max(1, c.even*c.cores) - c.crowd)
 	}
 	if c.crowd > 0 {
@@ -963,8 +918,8 @@
 	c.tidy()
 }
 
-// stood excuses the time that this controller itself stood still, which shows in its own timer: it says nothing
-// about engines or queues, and answers may lie behind the timer. Should also catch a machine short of CPU.
+// stood excuses the time that this controller stood still, seen from its own timer: it says nothing of
+// engines or queues, and answers may lie behind the timer. Should also catch a machine short of CPU.
 func (c *Controller) stood(still Nanos) {
 	c.swept = c.now
 	if still < stoodStill {
@@ -1020,13 +975,8 @@
 func (c *Controller) judge(e *engine, r Result) {
 	switch r {
 	case Done:
-		if e.heard = c.now; e.down {
-			c.fresh(e, "answers after it refused connections")
-		}
-		e.strikes, e.bad = 0, e.bad*(1-badStep)
-		if e.mode == trial {
-			c.setMode(e, open, "a job was done")
-		}
+		c.heard(e)
+		e.strikes, e.rest, e.bad = 0, 0, e.bad*(1-badStep)
 	case Full:
 		e.fullUntil = c.now + second/5
 		c.pressure(e)
@@ -1041,11 +991,8 @@
 		e.bad += badStep * (1 - e.bad)
 		// Where all engines lose a part (the way to them does, say), a few in a row are chance and no silence.
 		out := max(strikesOut, math.Log(0.001)/math.Log(min(0.9, c.badMean)))
-		if e.mode == trial {
-			out -= strikesOut - 1
-		}
-		if e.strikes++; e.mode != aside && float64(e.strikes) >= out {
-			c.setAside(e, r == Unreachable, fmt.Sprintf("%d failed or lost in a row", e.strikes))
+		if e.strikes++; !e.aside && float64(e.strikes) >= out {
+			c.setAside(e, r == Unreachable)
 		}
 	}
 }
@@ -1053,23 +1000,23 @@
 // setAside takes an engine out until it answered probes; never more than a third of the fleet, since what
 // strikes most engines at once is no fault of theirs. Only one that refuses connections goes whatever the
 // others do: it fails so fast that it looks emptiest, and a job sent there is sure to be wasted.
-func (c *Controller) setAside(e *engine, down bool, why string) {
+func (c *Controller) setAside(e *engine, down bool) {
 	out, ready := 1, 0
 	for _, o := range c.engines {
 		if o.State == Ready {
 			ready++
-			if o != e && o.mode != open {
+			if o.aside {
 				out++
 			}
 		}
 	}
-	if e.mode == open && !down && out > max(1, ready/3) {
+	if !down && out > max(1, ready/3) {
 		return
 	}
-	if e.rest = min(restMost, 2*e.rest); e.mode == open {
-		e.rest = restFirst
-	}
-	c.setMode(e, aside, why)
+	e.rest = min(restMost, max(restFirst, 2*e.rest))
+	e.aside, e.since, e.passed = true, c.now, 0
+	c.log("engine %d aside: %d failed or lost in a row, latency/best=%.2f out=%d", e.Engine, e.strikes, e.slow,
+		len(e.flights))
 	for _, f := range slices.Clone(e.flights) {
 		if c.again(f.job) {
 			c.retract(f)
@@ -1077,37 +1024,32 @@
 	}
 }
 
-func (c *Controller) setMode(e *engine, m mode, why string) {
-	e.mode, e.since, e.passed = m, c.now, 0
-	c.log("engine %d %s: %s, latency/best=%.2f out=%d", e.Engine, m, why, e.slow, len(e.flights))
-}
-
-// watch leads back an engine that was set aside: probes answered (or, where probing is barred, its rest
-// over), then one job at a time until one is done.
+// watch leads back an engine that was set aside once it answered probes (where probing is barred, after its
+// rest). One failure more in a row sets it aside again, for twice as long.
 func (c *Controller) watch(e *engine) {
-	if e.State != Ready {
+	if e.State != Ready || !e.aside {
 		return
 	}
-	if e.mode == aside && c.now-e.since >= e.rest && (e.passed >= probesBack || !c.probes) {
-		e.strikes = 0
-		c.setMode(e, trial, fmt.Sprintf("%d probes answered", e.passed))
-	}
-	if c.probes && e.mode == aside && c.now-e.probed >= max(probeEvery, e.rest/2) {
+	if c.now-e.since >= e.rest && (e.passed >= probesBack || !c.probes) {
+		e.aside, e.strikes = false, int(strikesOut)-1
+		c.log("engine %d open: %d probes answered after %.1f s", e.Engine, e.passed, float64(c.now-e.since)/1e9)
+	} else if c.probes && c.now-e.probed >= max(probeEvery, e.rest/2) {
 		c.probe(e)
 	}
 }
 
 func (c *Controller) probed(ev Event) {
-	for _, e := range c.engines {
-		if e.Engine == ev.Engine {
-			e.asked = false
-			c.report(e, ev.Load)
-			if e.passed++; ev.Result != Done {
-				e.passed, e.fullUntil = 0, c.now+second
-				c.judge(e, ev.Result)
-			} else if e.heard = c.now; e.down {
-				c.fresh(e, "answers after it refused connections")
-			}
-		}
+	i := slices.IndexFunc(c.engines, func(e *engine) bool { return e.Engine == ev.Engine })
+	if i < 0 {
+		return
+	}
+	e := c.engines[i]
+	e.asked = false
+	c.report(e, ev.Load)
+	if e.passed++; ev.Result == Done {
+		c.heard(e)
+	} else {
+		e.passed, e.fullUntil = 0, c.now+second
+		c.judge(e, ev.Result)
 	}
 }
--- a/choice/types.go
+++ b/choice/types.go
@@ -201,7 +201,6 @@
 	work, memory, worth       float64
 	dispatches                int
 	looks                     []*engine // engines that it may go to, drawn at looked
-	homes                     [2]*engine
 	looked                    Nanos
 	flight                    *flight // the dispatch that is out: at most one
 	firstAt                   Nanos   // when the first dispatch that may have run was sent, and to whom
@@ -223,10 +222,6 @@
 	called, blamed bool    // retracted; counted as lost
 }
 
-type mode string
-
-const open, aside, trial mode = "open", "aside", "on trial"
-
 // engine is what is known of an engine.
 type engine struct {
 	Line
@@ -236,8 +231,7 @@
 	heard                                  Nanos // of it, by any answer or note
 	back                                   Nanos // it is thought to have started, untold
 	down                                   bool  // refused connections when last tried
-	pressed, asked                         bool  // asked: a probe is out
-	mode                                   mode
+	pressed, aside, asked                  bool  // asked: a probe is out
 	fullUntil, stepped, halved, since      Nanos
 	rest, probed, reported                 Nanos
 	strikes, passed                        int
@@ -250,6 +244,27 @@
 	work float64
 }
 
+// bucket is one reservation type of one tenant.
+type bucket struct {
+	typ    *jobType
+	tenant TenantID
+	used   float64 // threads out
+	fifo   []*job
+	seen   Nanos
+}
+
+// keyLine is the order of one key.
+type keyLine struct {
+	jobs []*job
+	rest Nanos
+}
+
+// tenantSeen is a tenant's share of late.
+type tenantSeen struct {
+	at     Nanos
+	credit float64 // jobs it may still send inside its share
+}
+
 // Facts are the settings handed over at the start: a plain map of names to values, read by dotted
 // path ("limits.probes", "classes.2.gain"). What is absent, or of another sort, gives the caller's value.
 type Facts map[string]any
