--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,11 +1,11 @@
 // Package choice holds every decision of a swiftreel controller.
 //
-// How it is invoked: one Controller for each instance; Decide is told each event in the order in which they
-// came, with the clock, and returns the actions to carry out in order (valid until its next call). The first
-// event is Started, with the settings. The interface - ids, events, actions - is defined in types.go.
+// How it is invoked: one Controller for each instance; Decide is told each event in order, with the clock,
+// and returns the actions to carry out in order (valid until its next call). The first event is Started, with
+// the settings. The interface - ids, events, actions - and the records kept are defined in types.go.
 //
-// The file follows a job: start, list of engines, arrival, bucket and queue, engine bound and choice of
-// engine, the gate for dispatches and replies, notes, answer, sweep, health. docs/design.md says why.
+// The file follows a job: start, list of engines, arrival, bucket and queue, look, engine bound and choice,
+// the gates for dispatches and replies, notes, answer, reports, sweep, health. docs/design.md says why.
 package choice
 
 import (
@@ -20,41 +20,33 @@
 
 // Tuned values; one set for every deployment.
 const (
-	sweepEvery   = 20 * ms  // drops what has given up, watches engines, moves the price
-	stoodStill   = 100 * ms // a sweep that comes so late shows that we stood still
-	tenantMemory = 10 * second
-	quotaSaved   = 4.0 // jobs of a tenant's share, beside two seconds' worth
-	bucketDepth  = 96  // parked jobs a bucket
-	typeCeiling  = 400 // parked jobs a reservation type, over all its buckets
+	sweepEvery, stoodStill   = 20 * ms, 100 * ms // a sweep that comes so late shows that we stood still
+	tenantMemory, quotaSaved = 10 * second, 4.0  // jobs of a tenant's share, beside two seconds' worth
+	bucketDepth, typeCeiling = 96, 400           // parked jobs a bucket; a reservation type over all
 
 	// Latency over best: up to which a bound widens by a thread; from which it binds; from which it halves.
 	nearBest, wellAbove, grown = 1.5, 2.0, 3.0
 	crowded, relaxed           = 1.75, 1.4 // threads a core that also count as pressure; under which it ends
 	widenEvery, halveEvery     = 250 * ms, 2 * second
 
-	waitShare = 0.15 // of the SLA time, waited by a head: from here the price of a thread rises
-	priceStep = 0.5  // a second, up or down, in units of the mean billed value for a second of work
-	priceMost = 2.0
+	waitShare            = 0.15     // of the SLA time, waited by a head: from here the price of a thread rises
+	priceStep, priceMost = 0.5, 2.0 // a second, up or down, in mean billed values for a second of work
 
 	overdueTimes, badPlanTimes = 4.0, 3.0  // times its expected time: overdue, or projected so by its notes
 	badStep                    = 0.05      // of the part of an engine's dispatches that are lost or fail
 	spareShare, spareMost      = 0.2, 10.0 // further dispatches of what may have run, a job taken; at once
-	strikesOut                 = 3.0       // failures in a row that set an engine aside
+	strikesOut, probesBack     = 3.0, 2    // failures in a row that set an engine aside; probes that lead back
 	restFirst, restMost        = second, 8 * second
-	probesBack                 = 2
 
-	looksLeast              = 4                   // engines that a job looks at, at the least
+	looksLeast, probesMost  = 4, 12.0             // engines that a job looks at, at the least; probes saved up
 	lookAgain, lookWait     = 300 * ms, 60 * ms   // a parked head looks anew; it waits so long for its probes
 	probeEvery, reportFresh = 400 * ms, 1500 * ms // an engine; a report so young shows what siblings hold
 	probeBears, probePoints = 0.05, 0.008         // of billed value for a look's probes; points for a job's
-	probesMost              = 12.0
-	outStep                 = 0.005     // of the means of what is out, a sweep
-	blindPart, quickPart    = 0.6, 1.25 // of an engine that is filled without a fresh report; by quick types
-	swapPart                = 0.8       // of its memory, where too much in use slows all
-
-	coldSafety, turnPart = 0.6, 0.75  // of what a cold engine stands; of that, where controllers take turns
-	emptied              = 0.15       // of the jobs usual: an engine that holds fewer is taken for just started
-	outageLasts          = 5 * second // after the last refused connection
+	blindPart, quickPart    = 0.6, 1.25           // of an engine filled without a fresh report; by quick types
+	outStep, swapPart       = 0.005, 0.8          // of means, a sweep; of memory where too much slows all
+
+	coldSafety, turnPart = 0.6, 0.75        // of what a cold engine stands; of that, in turns
+	emptied, outageLasts = 0.15, 5 * second // of the jobs usual: fewer, it just started; after the last refusal
 )
 
 // meanOf moves the usual work: a plain mean at first, which a fresh controller needs, then a moving one.
@@ -65,37 +57,33 @@
 
 // Controller decides for one instance.
 type Controller struct {
-	now, booted, asked         Nanos
-	tick                       Mark // of the last timer set
-	acts                       []Action
-	facts                      Facts
-	chance                     pcg
-	types                      []*jobType
-	even, share                float64 // 1/controllers, and what we carry by the load reports where that is more
-	mostTries                  int
-	engines                    []*engine                // by id; a gone one leaves once its dispatches are over
-	jobs                       map[JobID]*job           // until over and nothing is out
-	live                       []*job                   // the same, in order of arrival
-	buckets                    []*bucket                // emptied by completions, dropped once idle
-	lines                      map[Key]*keyLine         // dropped when empty and rested
-	tenants                    map[TenantID]*tenantSeen // dropped after tenantMemory
-	arrivals                   float64                  // up to a hundred
-	price, worthMean, workMean float64                  // price: in mean billed value for a second of work
-	outJobs, outThreads        float64                  // ours out of late, and what they were granted
-	outGrants, crowd           float64                  // crowd: threads a core over the fleet, by load reports
-	probesLeft, crossing       float64                  // probes that jobs paid for; price of crossing zones
-	reach, concurrentAt        int                      // engines looked at; place of jobs in hand in a report
-	zone                       ZoneID
-	probes, cancels, swaps     bool
-	reportedLast, swept        Nanos
-	outage, refused            Nanos // engines refuse connections since, and last did
-	warmWithin                 Nanos
-	step, period, retryAfter   Nanos   // between batches, between notes; told with a throttling reply
-	cores, grantMost           float64 // of ready engines; part of an engine's memory a job gets at most
-	slowMean, badMean          float64 // over open engines: latency over best, part of dispatches lost or failed
-	priced, pressed, tracked   bool
-	spare                      float64 // further dispatches of what may have run that are left
-	taken, further             []Nanos // arrivals and further dispatches inside the rationing window
+	facts                                Facts
+	chance                               pcg
+	acts                                 []Action
+	tick                                 Mark  // of the last timer set
+	now, booted, swept, asked            Nanos // asked: for changes of the list
+	outage, refused, reportedLast        Nanos // engines refuse since, and last did; last report
+	warmWithin, step, period, retryAfter Nanos // step: between batches; period: between notes
+	zone                                 ZoneID
+	probes, cancels, swaps               bool
+	priced, pressed, tracked             bool
+	even, share                          float64 // 1/controllers, and what we carry by the reports where more
+	mostTries, controllers, me           int
+	reach, concurrentAt                  int     // engines looked at; place of jobs in hand in a report
+	crossing, grantMost                  float64 // price of crossing; part of a memory that a job gets at most
+	cores, crowd                         float64 // of ready engines; threads a core over the fleet, by reports
+	outJobs, outThreads, outGrants       float64 // ours out of late
+	slowMean, badMean                    float64 // of engines not aside: latency over best, part lost or failed
+	arrivals, price, worthMean, workMean float64 // price: in mean billed values for a second of work
+	probesLeft, spare                    float64 // probes, and further dispatches of what may have run, paid for
+	types                                []*jobType
+	engines                              []*engine                // by id; a gone one leaves once nothing is out
+	jobs                                 map[JobID]*job           // until over and nothing is out
+	live                                 []*job                   // the same, in order of arrival
+	buckets                              []*bucket                // emptied by completions, dropped once idle
+	lines                                map[Key]*keyLine         // dropped when empty and rested
+	tenants                              map[TenantID]*tenantSeen // dropped after tenantMemory
+	taken, further                       []Nanos                  // inside the rationing window
 }
 
 // Decide is told what happened and returns what to do.
@@ -138,20 +126,18 @@
 
 func (c *Controller) start(ev Event) {
 	f := ev.Facts
-	c.facts, c.booted, c.chance = f, c.now, pcg(ev.Seed)
-	c.even, c.slowMean = 1/math.Max(1, f.num("balancers", 1)), 1
+	c.facts, c.chance = f, pcg(ev.Seed)
+	c.booted, c.swept, c.refused = c.now, c.now, c.now-outageLasts
+	c.controllers, c.me = max(1, int(f.num("balancers", 1))), int(f.num("me", 0))
+	c.even, c.slowMean = 1/float64(c.controllers), 1
 	c.share, c.mostTries = c.even, max(1, int(f.num("limits.most_tries", 1)))
 	c.zone, c.crossing = ZoneID(f.num("locality", 0)), f.num("tariffs.cross_zone", 0)
 	c.probes, c.cancels = f.flag("limits.probes"), f.flag("limits.cancel")
 	c.warmWithin = f.span("invariants.warm_within_ns")
 	c.swaps, c.step = f.text("domain.memory_short") == "swap", f.span("step_ns")
 	c.period, c.grantMost = f.span("domain.note_period_ns"), f.num("domain.max_grant_share", 1)
-	c.concurrentAt, c.probesLeft, c.reach = -1, probesMost, looksLeast
-	for i := range f.list("telemetry.fields") {
-		if f.text(fmt.Sprintf("telemetry.fields.%d", i)) == "concurrent" {
-			c.concurrentAt = i
-		}
-	}
+	c.concurrentAt = slices.Index(f.list("telemetry.fields"), any("concurrent"))
+	c.probesLeft, c.reach = probesMost, looksLeast
 	if f.flag("limits.retry_after") {
 		c.retryAfter = f.span("limits.max_retry_after_ns")
 	}
@@ -171,11 +157,9 @@
 		t.usual = math.Max(float64(t.aim)*t.threads/2, float64(ms)) // until jobs tell better
 		c.types = append(c.types, t)
 	}
-	c.swept, c.refused = c.now, c.now-outageLasts
 	c.arm()
 }
 
-// arm sets the timer of the next sweep.
 func (c *Controller) arm() {
 	c.tick++
 	c.do(Action{Kind: Timer, Span: sweepEvery, Mark: c.tick})
@@ -240,9 +224,7 @@
 		}
 		c.lines[j.key].jobs = append(c.lines[j.key].jobs, j)
 	}
-	if c.facts.num("invariants.further_ratio", -1) >= 0 {
-		c.taken = append(c.taken, c.now)
-	}
+	c.taken = append(c.taken, c.now)
 	c.spare = min(spareMost, c.spare+spareShare)
 	c.probesLeft = min(probesMost, c.probesLeft+min(2, probePoints/max(1e-9, c.facts.num("tariffs.probe", 0))))
 	c.arrivals = min(100, c.arrivals+1)
@@ -280,9 +262,9 @@
 	return true
 }
 
-// notWorth tells whether a job has become not worth its threads: it cannot end before its job timeout, or
-// in an overload its billed value for the work (the late one, once its SLA time cannot be met) is under the
-// price. One rule for bursts, floods of a tenant, costly jobs and a slow fleet alike.
+// notWorth tells whether a job cannot end before its job timeout, or its billed value for the work (late,
+// once past its SLA time) is under the price of an overload: one rule for bursts, floods, costly jobs and
+// slowness.
 func (c *Controller) notWorth(j *job) bool {
 	t, left, worth := j.typ, j.work/j.typ.threads, j.worth
 	if c.late(j) || c.now+Nanos(0.8*left) > j.lost {
@@ -369,10 +351,9 @@
 	return e != nil && c.dispatch(j, e)
 }
 
-// look draws the engines that a job may go to. A controller whose share is many threads looks at all, one
-// whose share is few at a few drawn at random, so that hundreds with reports alike do not all choose the
-// same. Those without a fresh report are probed where the job's billed value bears it; where probing is
-// barred, those just heard go first.
+// look draws the engines that a job may go to: all where our share is many threads, else a few at random, so
+// that hundreds with reports alike do not all choose the same. Those without a fresh report are probed where
+// the job's billed value bears it; where probing is barred, those just heard go first.
 func (c *Controller) look(j *job) {
 	if j.looks != nil && c.now-j.looked < lookAgain {
 		return
@@ -385,21 +366,16 @@
 			j.looks = append(j.looks, e)
 		}
 	}
-	if c.reach >= len(c.engines) {
-		j.looks = append(j.looks, c.engines...)
-	} else {
-		for _, e := range c.engines {
-			if !c.probes && c.now-e.reported < reportFresh {
-				add(e)
-			}
-		}
-		for tries := 2 * c.reach; tries > 0 && len(j.looks) < c.reach; tries-- {
-			add(c.engines[int(c.chance.unit()*float64(len(c.engines)))])
+	for _, e := range c.engines {
+		if c.reach >= len(c.engines) || (!c.probes && c.now-e.reported < reportFresh) {
+			add(e)
 		}
 	}
+	for tries := 2 * c.reach; tries > 0 && len(j.looks) < min(c.reach, len(c.engines)); tries-- {
+		add(c.engines[int(c.chance.unit()*float64(len(c.engines)))])
+	}
 	for _, e := range j.looks {
-		old := c.now-max(e.reported, e.probed) >= probeEvery
-		if bears && old && e.State == Ready && !e.asked && c.probesLeft >= 1 {
+		if old := c.now-max(e.reported, e.probed) >= probeEvery; bears && old && !e.asked && c.probesLeft >= 1 {
 			c.probesLeft--
 			c.probe(e)
 		}
@@ -428,11 +404,8 @@
 	if e.aside || c.now < e.fullUntil {
 		return false
 	}
-	start, memory := e.cores*c.share, e.memory*c.share*1.3
+	start, memory := e.cores*c.share, max(e.memory*c.share, e.memory-e.others*c.grantEach())
 	most := 2 * start
-	if c.now-e.reported < reportFresh {
-		memory = max(e.memory*c.share, e.memory-e.others*c.grantEach())
-	}
 	if e.pressed || c.borrows(j) {
 		most, memory = e.bound, e.memory*c.share
 	}
@@ -462,8 +435,7 @@
 // held is the memory of an engine that all controllers' jobs hold, as far as is known.
 func (c *Controller) held(e *engine) float64 { return e.grants + e.others*c.grantEach() }
 
-// threadsEach and grantEach are our own means of threads a job and memory a thread; they stand for siblings'
-// too.
+// threadsEach and grantEach are our own means of threads a job and memory a thread, taken for siblings' too.
 func (c *Controller) threadsEach() float64 { return (c.outThreads + 0.1) / (c.outJobs + 0.1) }
 func (c *Controller) grantEach() float64   { return c.outGrants / (c.outThreads + 0.1) }
 
@@ -500,7 +472,9 @@
 		if !c.allowed(j, e) || !c.room(j, e) {
 			continue
 		}
-		if (j.typ.holds || j.typ.waits) && c.heldBy(e, j.tables) {
+		if (j.typ.holds || j.typ.waits) && slices.ContainsFunc(e.flights, func(f *flight) bool {
+			return f.job.typ.holds && f.job.tables == j.tables
+		}) {
 			continue // it would stand still behind the load, and hold its memory
 		}
 		load := (e.threads + e.others + j.typ.threads) / (e.cores * c.warmth(e))
@@ -512,6 +486,9 @@
 		if e == j.last {
 			load += 4
 		}
+		if j.typ.holds && mix(e.Engine, j.tables)%c.controllers != c.me {
+			load += 3 // each controller has engines of its own for a group's loads, as they stand still behind others
+		}
 		if load += 0.02 * c.chance.unit(); load < least {
 			best, least = e, load
 		}
@@ -519,12 +496,6 @@
 	return best
 }
 
-func (c *Controller) heldBy(e *engine, tables TableSet) bool {
-	return slices.ContainsFunc(e.flights, func(f *flight) bool {
-		return f.job.typ.holds && f.job.tables == tables
-	})
-}
-
 // allowed is the gate of the rules for a dispatch; nothing is sent past it.
 func (c *Controller) allowed(j *job, e *engine) bool {
 	t := j.typ
@@ -563,25 +534,22 @@
 	for _, s := range e.sent {
 		sum += s.work
 	}
-	controllers, me := int(1/c.even+0.5), int(c.facts.num("me", 0))
 	turns, ours := max(1, int(budget/max(1, c.longest()))), true
-	if turns < controllers {
+	if turns < c.controllers {
 		slot := int((c.now-c.started(e))/max(window, 1)) + int(e.Engine)
-		ours = (me+controllers-slot*turns%controllers)%controllers < turns
+		ours = (c.me+c.controllers-slot*turns%c.controllers)%c.controllers < turns
 		budget *= turnPart // two turns may meet in a window
 	}
-	return ours && c.now-c.booted >= window && sum <= budget/float64(min(turns, controllers))
+	return ours && c.now-c.booted >= window && sum <= budget/float64(min(turns, c.controllers))
 }
 
 // rationed is rule 7: whether one more dispatch beyond a job's first keeps within the stated budget.
 func (c *Controller) rationed() bool {
-	ratio := c.facts.num("invariants.further_ratio", -1)
-	if ratio < 0 {
-		return true
-	}
 	past := func(at Nanos) bool { return at <= c.now-c.facts.span("invariants.extra_window_ns") }
 	c.taken, c.further = slices.DeleteFunc(c.taken, past), slices.DeleteFunc(c.further, past)
-	return float64(len(c.further)+1) <= c.facts.num("invariants.budget_free", 0)+ratio*float64(len(c.taken))
+	ratio := c.facts.num("invariants.further_ratio", math.Inf(1))
+	return math.IsInf(ratio, 1) ||
+		float64(len(c.further)+1) <= c.facts.num("invariants.budget_free", 0)+ratio*float64(len(c.taken))
 }
 
 // dispatch sends a job, with its memory grant and priority where they are heeded.
@@ -602,10 +570,9 @@
 		// Spare memory buys safety from a low estimate; where only what is used counts, safety is free.
 		safety := min(2.2, max(0.6, 2.5*(1-max(c.held(e), e.grants/c.share)/max(1, e.memory))))
 		if c.swaps {
-			safety = 2.5
-		}
-		grant = min(held*math.Exp(safety*t.memDev), e.memory*c.grantMost)
-		if !c.swaps {
+			grant = min(held*math.Exp(2.5*t.memDev), e.memory*c.grantMost)
+		} else {
+			grant = min(held*math.Exp(safety*t.memDev), e.memory*c.grantMost)
 			held = grant
 		}
 	}
@@ -615,7 +582,7 @@
 	c.do(Action{Kind: Dispatch, Job: j.id, Engine: e.Engine})
 	f := &flight{job: j, engine: e, seq: Seq(j.dispatches), sent: c.now, noted: c.now, memory: held,
 		expect: j.work / t.threads * t.slow}
-	if j.dispatches > 0 && c.facts.num("invariants.further_ratio", -1) >= 0 {
+	if j.dispatches > 0 {
 		c.further = append(c.further, c.now)
 	}
 	if c.warmth(e) < 1 {
@@ -663,14 +630,12 @@
 func (c *Controller) end(j *job) {
 	c.unpark(j)
 	j.over = true
-	if j.flight != nil {
-		c.retract(j.flight)
-	}
+	c.retract(j.flight)
 	c.forget(j)
 }
 
 func (c *Controller) retract(f *flight) {
-	if !f.called && c.cancels {
+	if f != nil && !f.called && c.cancels {
 		f.called = true
 		c.do(Action{Kind: Retract, Job: f.job.id, Seq: f.seq})
 	}
@@ -697,12 +662,7 @@
 	f, took := j.flight, float64(c.now-j.flight.sent-j.flight.still)
 	f.engine.heard = c.now
 	if f.noted = c.now; ev.Note == Progress {
-		if ahead := ev.Amount - f.share; f.share > 0 && ahead > 0 { // long jobs tell late how slow an engine is
-			pace := float64(c.now-f.paced) / (ahead * j.work / j.typ.threads)
-			f.engine.slow += 0.1 * (min(pace/j.typ.best, 10) - f.engine.slow)
-		}
-		f.share, f.paced = max(f.share, ev.Amount), c.now
-		if whole := took / max(f.share, 0.01); whole > badPlanTimes*f.expect && whole-took > 1.5*f.expect {
+		if whole := took / max(ev.Amount, 0.01); whole > badPlanTimes*f.expect && whole-took > 1.5*f.expect {
 			c.callBack(f)
 		}
 	}
@@ -717,8 +677,7 @@
 // silent tells that a dispatch's notes stopped, though they should come.
 func (c *Controller) silent(f *flight) bool { return c.period > 0 && c.now-f.noted > 5*c.period/2 }
 
-// again tells whether a job may be called back to be sent again: restartable ones, keyed ones well inside
-// their window.
+// again tells whether a job may be called back to be sent again: keyed ones well inside their window.
 func (c *Controller) again(j *job) bool {
 	t := j.typ
 	return !j.over && !j.streaming && j.dispatches < c.mostTries && c.cancels &&
@@ -727,8 +686,7 @@
 
 // callBack retracts a dispatch to send its job again, within the spare dispatches.
 func (c *Controller) callBack(f *flight) {
-	j := f.job
-	ends := c.now + Nanos(f.expect)
+	j, ends := f.job, c.now+Nanos(f.expect)
 	if j.typ.repeatable && !f.called && c.again(j) && c.spare >= 1 && ends <= j.lost && c.rationed() {
 		c.spare--
 		c.retract(f)
@@ -791,11 +749,11 @@
 		return // its latency tells of us, not of the engine
 	}
 	took := float64(ev.Latency) / (work / t.threads)
+	rate := 0.0005
 	if took < t.best {
-		t.best += 0.1 * (took - t.best)
-	} else {
-		t.best += 0.0005 * (min(took, 2*t.best) - t.best)
+		rate = 0.1
 	}
+	t.best += rate * (min(took, 2*t.best) - t.best)
 	t.slow += 0.05 * (min(took, 10) - t.slow)
 	ratio := min(took/t.best, 10)
 	e.slow += min(0.25, max(0.02, work/float64(4*second))) * (ratio - e.slow)
@@ -805,9 +763,8 @@
 	c.pressure(e)
 }
 
-// pressure sets whether an engine's bound binds, and halves it when latency has grown, to its start at the
-// least. Latency that grew with fewer threads there than cores is no crowding (something that all depend on
-// is slow, say): fewer threads would only cost more.
+// pressure sets whether an engine's bound binds, and halves it, to its start at the least, when latency has
+// grown. With fewer threads there than cores that is no crowding: fewer threads would only cost more.
 func (c *Controller) pressure(e *engine) {
 	busy, full := (e.threads+e.others)/e.cores, c.now < e.fullUntil
 	if full || busy > crowded || (busy > 1 && e.slow > wellAbove) {
@@ -835,10 +792,9 @@
 	c.crowd += 0.1 * ((e.threads+e.others)/e.cores - c.crowd)
 }
 
-// fresh takes an engine for just started though the list, late or out of reach, does not say so: it refused
-// connections and now answers, or is all but empty in a busy fleet, and everybody would fill it while it is
-// cold. Also for one back from a hang. It may slow the use of an engine that is empty by chance, for the
-// warm-up.
+// fresh takes an engine for just started though the list does not say so: it refused connections and now
+// answers, or is all but empty in a busy fleet, and everybody would fill it while it is cold. Also for one
+// back from a hang. It may slow the use of an engine that is empty by chance, for the warm-up.
 func (c *Controller) fresh(e *engine, why string) {
 	if e.down = false; c.warmth(e) >= 1 {
 		e.back = c.now
@@ -846,7 +802,6 @@
 	}
 }
 
-// heard notes that an engine answered.
 func (c *Controller) heard(e *engine) {
 	if e.heard = c.now; e.down {
 		c.fresh(e, "answers after it refused connections")
@@ -863,7 +818,7 @@
 		case j.over || j.streaming:
 		case c.late(j) || (f == nil && c.notWorth(j)):
 			c.giveUp(j)
-		case f != nil && !f.called && j.typ.holds: // loads may rightly stand still
+		case f != nil && j.typ.holds: // loads may rightly stand still
 			if c.silent(f) && !j.typ.keyed && !j.typ.repeatable {
 				c.giveUp(j) // its answer will not come, and its key's next jobs wait for it
 			}
@@ -914,7 +869,7 @@
 	if c.crowd > 0 {
 		c.share += 0.02 * (min(1, max(c.even, c.outThreads/max(1, c.crowd*c.cores))) - c.share)
 	}
-	c.reprice(waited, c.crowd < 1)
+	c.reprice(waited)
 	c.tidy()
 }
 
@@ -935,15 +890,12 @@
 // late tells that a job's final answer is due: the next sweep would come after its job timeout.
 func (c *Controller) late(j *job) bool { return c.now+sweepEvery+2*c.step >= j.lost }
 
-// reprice moves the price of a second of work by how long heads wait; with idle cores it falls fast.
-func (c *Controller) reprice(waited float64, idle bool) {
+// reprice moves the price of a second of work by how long heads wait.
+func (c *Controller) reprice(waited float64) {
 	step := float64(sweepEvery) / float64(second)
 	if waited > waitShare {
 		c.price = min(priceMost, c.price+priceStep*step)
 	} else if waited < waitShare/3 {
-		if idle {
-			step *= 4
-		}
 		c.price = max(0, c.price-priceStep*step)
 	}
 	if on := c.price > 0; on != c.priced {
@@ -954,9 +906,9 @@
 
 // tidy empties the tables of what is past.
 func (c *Controller) tidy() {
-	past := c.now - c.facts.span("invariants.fall_ns")
+	window := c.facts.span("invariants.fall_ns")
 	c.engines = slices.DeleteFunc(c.engines, func(e *engine) bool { // one that flaps keeps its cold budget
-		e.sent = slices.DeleteFunc(e.sent, func(s sentWork) bool { return s.at < past })
+		e.sent = slices.DeleteFunc(e.sent, func(s sentWork) bool { return s.at < c.now-window })
 		return e.State == Gone && len(e.flights) == 0 && len(e.sent) == 0
 	})
 	c.buckets = slices.DeleteFunc(c.buckets, func(b *bucket) bool {
@@ -997,9 +949,8 @@
 	}
 }
 
-// setAside takes an engine out until it answered probes; never more than a third of the fleet, since what
-// strikes most engines at once is no fault of theirs. Only one that refuses connections goes whatever the
-// others do: it fails so fast that it looks emptiest, and a job sent there is sure to be wasted.
+// setAside takes an engine out; never more than a third of the fleet, since what strikes most is no fault of
+// theirs, but for one that refuses connections: it fails so fast that it looks emptiest.
 func (c *Controller) setAside(e *engine, down bool) {
 	out, ready := 1, 0
 	for _, o := range c.engines {
@@ -1024,8 +975,8 @@
 	}
 }
 
-// watch leads back an engine that was set aside once it answered probes (where probing is barred, after its
-// rest). One failure more in a row sets it aside again, for twice as long.
+// watch leads back an engine that answered probes (where probing is barred, after its rest). One failure more
+// in a row sets it aside again, for twice as long.
 func (c *Controller) watch(e *engine) {
 	if e.State != Ready || !e.aside {
 		return
--- a/choice/types.go
+++ b/choice/types.go
@@ -215,11 +215,10 @@
 	engine         *engine
 	seq            Seq
 	sent           Nanos
-	noted, paced   Nanos // the last note on it came, the last that told progress
+	noted          Nanos // the last note on it came
 	still          Nanos // of its time that this controller itself stood still
 	expect, memory float64
-	share          float64 // of the work done, by the last note
-	called, blamed bool    // retracted; counted as lost
+	called, blamed bool // retracted; counted as lost
 }
 
 // engine is what is known of an engine.
