--- a/choice/choice.go
+++ b/choice/choice.go
@@ -789,7 +789,7 @@
 	}
 	c.reportedLast, e.reported = c.now, c.now
 	e.others = max(0, holds-float64(len(e.flights))) * c.threadsEach()
-	c.crowd += 0.1 * ((e.threads+e.others)/e.cores - c.crowd)
+	c.crowd += 0.2 * ((e.threads+e.others)/e.cores - c.crowd)
 }
 
 // fresh takes an engine for just started though the list does not say so: it refused connections and now
