An engine that is just warm again is not taken for emptied

Told from others by the log: 26 times 'holds 0 jobs', always after a warm-up. A second restart within two warm-ups is not seen by this sign.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -784,7 +784,8 @@
 		return
 	}
 	holds, usual := min(load[c.concurrentAt], 1e6), c.crowd*e.cores/c.threadsEach()
-	if holds < emptied*usual && usual > e.cores/4 && !e.aside {
+	long := c.started(e) == 0 || c.now-c.started(e) >= 2*c.warmWithin // one just warm is empty by our restraint
+	if holds < emptied*usual && usual > e.cores/4 && !e.aside && long {
 		c.fresh(e, fmt.Sprintf("holds %.0f jobs where %.0f are usual", holds, usual))
 	}
 	c.reportedLast, e.reported = c.now, c.now
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -426,3 +426,13 @@
 	s.c.judge(e, TimedOut)
 	want(t, e.aside && e.rest == 2*restFirst, "one failure more sets it aside for twice as long")
 }
+
+// The failure: an engine that had been cold was empty for our own restraint, and taken for just started for ever.
+func TestAnEngineJustWarmAgainIsNotTakenForJustStarted(t *testing.T) {
+	s := newStage(t, plainFacts(), 1)
+	s.list(ListChanges, Line{Engine: 100, State: Ready, StartedAt: s.now})
+	s.now += s.c.warmWithin + second
+	s.c.now, s.c.crowd = s.now, 1
+	s.c.report(s.c.engines[0], []float64{0})
+	want(t, s.c.warmth(s.c.engines[0]) == 1, "cold again")
+}
