--- a/choice/choice.go
+++ b/choice/choice.go
@@ -905,7 +905,6 @@
 	}
 }
 
-// tidy empties the tables of what is past.
 func (c *Controller) tidy() {
 	window := c.facts.span("invariants.fall_ns")
 	c.engines = slices.DeleteFunc(c.engines, func(e *engine) bool { // one that flaps keeps its cold budget
@@ -929,7 +928,9 @@
 	switch r {
 	case Done:
 		c.heard(e)
-		e.strikes, e.rest, e.bad = 0, 0, e.bad*(1-badStep)
+		if e.bad *= 1 - badStep; !e.aside { // what was out when it was set aside does not lead it back
+			e.strikes, e.rest = 0, 0
+		}
 	case Full:
 		e.fullUntil = c.now + second/5
 		c.pressure(e)
