Engines for a group's loads are divided evenly among controllers, by place in the list and group

The place in the sorted list, alike at all, plus the group divides them evenly in one line. Lists that differ for seconds blur it.

--- a/choice/chance.go
+++ b/choice/chance.go
@@ -11,10 +11,3 @@
 }
 
 func (p *pcg) unit() float64 { return float64(p.next()) / (1 << 32) }
-
-// mix hashes an engine and a group of tables, alike at every controller.
-func mix(id EngineID, tables TableSet) int {
-	p := pcg(uint64(id)<<32 ^ uint64(tables)*0x9e3779b97f4a7c15)
-	p.next()
-	return int(p.next())
-}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -193,8 +193,8 @@
 		}
 	}
 	c.cores = 0
-	for _, e := range c.engines {
-		if e.State == Ready {
+	for i, e := range c.engines {
+		if e.place = i; e.State == Ready {
 			c.cores += e.cores
 		}
 	}
@@ -486,7 +486,7 @@
 		if e == j.last {
 			load += 4
 		}
-		if j.typ.holds && mix(e.Engine, j.tables)%c.controllers != c.me {
+		if j.typ.holds && (e.place+int(j.tables))%c.controllers != c.me {
 			load += 3 // each controller has engines of its own for a group's loads, as they stand still behind others
 		}
 		if load += 0.02 * c.chance.unit(); load < least {
--- a/choice/types.go
+++ b/choice/types.go
@@ -233,7 +233,7 @@
 	pressed, aside, asked                  bool  // asked: a probe is out
 	fullUntil, stepped, halved, since      Nanos
 	rest, probed, reported                 Nanos
-	strikes, passed                        int
+	strikes, passed, place                 int
 	sent                                   []sentWork
 }
 
