SIGHUP reads the configuration anew and follows the feed where it moved

At fault: cmd/swiftreel/main.go registered SIGTERM and SIGINT only, and feed.Follower knew one address for good.

Now the signal is caught before anything else; the file is read anew, one that cannot be used is logged and the old stays. The follower calls the feed at its new address from the last number; the old connection stays until the new place speaks or it ends; one lock over telling, so two connections tell each event once and in order. What a file knows beyond the last event is told too. What is not taken over is logged by name.

--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -28,6 +28,8 @@
 func main() {
 	trace := flag.Bool("trace", false, "log every event and action of the module")
 	flag.Parse()
+	reload := make(chan os.Signal, 1) // caught before anything else: the signal never ends the program
+	signal.Notify(reload, syscall.SIGHUP)
 	log.SetFlags(log.Ldate | log.Ltime | log.Lmicroseconds | log.LUTC)
 	file, err := config.Load(os.Getenv)
 	var listener net.Listener
@@ -37,7 +39,7 @@
 	if err == nil {
 		stop := make(chan os.Signal, 1)
 		signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-		err = run(file, listener, *trace, stop)
+		err = run(file, listener, *trace, stop, reload)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "swiftreel:", err)
@@ -45,24 +47,21 @@
 	}
 }
 
-// run serves until it is told to stop and nothing is owed.
-func run(file config.File, listener net.Listener, trace bool, stop <-chan os.Signal) error {
-	parts := limits.Apply(file.Limits)
-	known := make([]feed.Event, len(file.Known.Events))
-	for i, text := range file.Known.Events {
-		var err error
-		if known[i], err = feed.Parse(text); err != nil {
-			return fmt.Errorf("known event %d: %w", i, err)
-		}
+// run serves until it is told to stop and nothing is owed. At a reload the file is read anew.
+func run(file config.File, listener net.Listener, trace bool, stop, reload <-chan os.Signal) error {
+	known, err := events(file)
+	if err != nil {
+		return err
 	}
+	parts := limits.Apply(file.Limits)
 	gate := gateway.New(choice.Facts(file.Facts), file.Seed, parts, trace)
 	for _, ev := range known {
 		gate.List(ev, true)
 	}
-	done := make(chan struct{})
-	follower := feed.Follower{Address: file.Feed, Last: file.Known.N, Done: done,
-		Tell: func(ev feed.Event) { gate.List(ev, false) }}
-	go follower.Run()
+	follower := feed.Follow(file.Feed, file.Known.N, func(ev feed.Event) { gate.List(ev, false) })
+	reloads := reloader{file: file, follower: follower, load: func() (config.File, error) { return config.Load(os.Getenv) },
+		done: make(chan struct{}), ended: make(chan struct{})}
+	go reloads.run(reload)
 	front := client.NewFront(gate, parts.ClientConns, parts.Bytes)
 	go front.Serve(listener)
 	gate.SetReady(true)
@@ -77,7 +76,8 @@
 	}
 	listener.Close()
 	front.Close()
-	close(done)
+	reloads.close()
+	follower.Close()
 	gate.Close()
 	log.Printf("stopped after_ms=%d %s", time.Since(at).Milliseconds(), check.Told())
 	return nil
--- a/cmd/swiftreel/main_test.go
+++ b/cmd/swiftreel/main_test.go
@@ -7,12 +7,15 @@
 	"log"
 	"net"
 	"os"
+	"path/filepath"
 	"runtime"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"swiftreel/internal/check"
 	"swiftreel/internal/client"
 	"swiftreel/internal/config"
 	"swiftreel/internal/engine"
@@ -41,7 +44,9 @@
 	engines  map[string]*toy.Engine
 	commands chan command
 	address  string
+	config   string // the file's path
 	stop     chan os.Signal
+	reload   chan os.Signal
 	ended    chan error
 	caller   *toy.Caller
 }
@@ -72,7 +77,7 @@
 	runtime.GC()
 	goroutines, files := runtime.NumGoroutine(), descriptors()
 	w := &town{t: t, engines: map[string]*toy.Engine{}, commands: make(chan command, 1000), stop: make(chan os.Signal, 1),
-		ended: make(chan error, 1)}
+		reload: make(chan os.Signal, 1), config: filepath.Join(t.TempDir(), "config.json"), ended: make(chan error, 1)}
 	var err error
 	if w.feed, err = toy.StartFeed("127.0.0.1:0", 1); err != nil {
 		t.Fatal(err)
@@ -82,8 +87,9 @@
 		hosts = append(hosts, w.engine(name))
 	}
 	known := w.feed.Add(true, "["+strings.Join(hosts, ",")+"]")
-	file, err := config.Parse([]byte(fmt.Sprintf(`{"name":"n0","listen":"-","seed":"1","limits":{"cores":1,"memory_mb":192,"sockets":1024},
-		"feed":%q,"known":{"n":1,"events":[%s]},"settings":%s}`, w.feed.Address(), known, facts)))
+	t.Setenv("ROUTER_CONFIG", w.config)
+	w.write(w.feed.Address(), known)
+	file, err := config.Load(os.Getenv)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -92,7 +98,7 @@
 		t.Fatal(err)
 	}
 	w.address = l.Addr().String()
-	go func() { w.ended <- run(file, l, false, w.stop) }()
+	go func() { w.ended <- run(file, l, false, w.stop, w.reload) }()
 	w.caller = w.dial()
 	settle(t, "not ready", func() bool { ready, err := w.caller.Ready(); return ready && err == nil })
 	t.Cleanup(func() {
@@ -108,6 +114,15 @@
 	return w
 }
 
+// write writes the configuration file.
+func (w *town) write(feed, known string) {
+	text := fmt.Sprintf(`{"name":"n0","listen":"-","seed":"1","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+		"feed":%q,"known":{"n":1,"events":[%s]},"settings":%s}`, feed, known, facts)
+	if err := os.WriteFile(w.config, []byte(text), 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
 // finish stops the controller, which owes nothing.
 func (w *town) finish() {
 	if w.caller != nil {
@@ -340,6 +355,49 @@
 	}
 }
 
+// Under load: a job is out when the feed moves, and again when the file cannot be used.
+func TestAtSIGHUPTheFeedIsFollowedWhereItMoved(t *testing.T) {
+	w := newTown(t, "e1")
+	out := w.job("lookup", "20000")
+	c := w.got("fetch")
+	moved, err := toy.StartFeed("127.0.0.1:0", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer moved.Close()
+	known := moved.Add(true, "["+entry("e1", w.engines["e1"].Address(), "ready")+"]")
+	moved.Add(false, "["+w.engine("e2")+"]")
+	w.write(moved.Address(), known)
+	w.reload <- syscall.SIGHUP
+	w.feed.Close()
+	settle(t, "the new place is not asked", func() bool { return len(moved.Told()) == 1 })
+	for _, text := range []string{"{", strings.Replace(good(w.config), moved.Address(), "nowhere", 1)} {
+		os.WriteFile(w.config, []byte(text), 0o600)
+		failed := check.Of("reloads_failed")
+		w.reload <- syscall.SIGHUP
+		settle(t, "no failed reload", func() bool { return check.Of("reloads_failed") == failed+1 })
+	}
+	moved.Add(false, "["+entry("e1", w.engines["e1"].Address(), "draining")+"]")
+	for host := ""; host != "e2"; { // told of in a moment
+		id := w.job("lookup", "20000")
+		d := w.got("fetch")
+		host = d.host
+		d.from.Answer(d.ID, "data", "sheets=1", "a\tb\tc\n")
+		w.answer(id, "")
+	}
+	c.from.Answer(c.ID, "data", "sheets=1", "a\tb\tc\n")
+	w.answer(out, "")
+	if told := moved.Told(); !slices.Equal(told, []int{1}) {
+		t.Errorf("the new place was asked from %v", told)
+	}
+}
+
+// good is the text of a file.
+func good(path string) string {
+	b, _ := os.ReadFile(path)
+	return string(b)
+}
+
 func TestCallsComeInAnyPiecesAndAClientMayReadSlowlyOrGo(t *testing.T) {
 	w := newTown(t, "e1")
 	w.feed.Close() // out of reach: the list stays as it is
--- /dev/null
+++ b/cmd/swiftreel/reload.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"fmt"
+	"log"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+
+	"swiftreel/internal/check"
+	"swiftreel/internal/config"
+	"swiftreel/internal/feed"
+)
+
+// reloader takes over what it can of a configuration file that is read anew.
+type reloader struct {
+	file     config.File // as last taken over
+	load     func() (config.File, error)
+	follower *feed.Follower
+
+	done, ended chan struct{}
+}
+
+// run reads the file anew at each signal, until it is closed. Signals that come meanwhile are one.
+func (r *reloader) run(signals <-chan os.Signal) {
+	defer close(r.ended)
+	for {
+		select {
+		case <-r.done:
+			return
+		case <-signals:
+			r.reload()
+		}
+	}
+}
+
+func (r *reloader) close() {
+	close(r.done)
+	<-r.ended
+}
+
+// reload takes a file over, or leaves all as it was.
+func (r *reloader) reload() {
+	file, err := r.load()
+	var known []feed.Event
+	if err == nil {
+		known, err = events(file)
+	}
+	if err != nil {
+		check.Count("reloads_failed")
+		log.Printf("reload_failed reason=%q", err)
+		return
+	}
+	check.Count("reloads")
+	moved := r.follower.Move(file.Feed, known)
+	last, _ := r.follower.Last()
+	log.Printf("reloaded feed=%s feed_moved=%v events=%d needs_restart=%q", file.Feed, moved, last, strings.Join(r.kept(file), ","))
+	r.file.Feed, r.file.Known = file.Feed, file.Known
+}
+
+// kept names what differs and is not taken over before the next start. The seed is new with each.
+func (r *reloader) kept(file config.File) (names []string) {
+	for name, differs := range map[string]bool{"name": file.Name != r.file.Name, "listen": file.Listen != r.file.Listen,
+		"limits": file.Limits != r.file.Limits} {
+		if differs {
+			names = append(names, name)
+		}
+	}
+	for name := range file.Facts {
+		if !reflect.DeepEqual(file.Facts[name], r.file.Facts[name]) {
+			names = append(names, "settings."+name)
+		}
+	}
+	for name := range r.file.Facts {
+		if _, is := file.Facts[name]; !is {
+			names = append(names, "settings."+name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// events reads what a file knows of the feed.
+func events(file config.File) ([]feed.Event, error) {
+	known := make([]feed.Event, len(file.Known.Events))
+	for i, text := range file.Known.Events {
+		var err error
+		if known[i], err = feed.Parse(text); err != nil {
+			return nil, fmt.Errorf("known event %d: %w", i, err)
+		}
+	}
+	return known, nil
+}
--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -29,6 +29,13 @@
 	mu.Unlock()
 }
 
+// Of gives one counter.
+func Of(what string) uint64 {
+	mu.Lock()
+	defer mu.Unlock()
+	return counts[what]
+}
+
 // Told gives the counters as key=value text.
 func Told() string {
 	mu.Lock()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"net"
 	"os"
 	"strconv"
 )
@@ -84,6 +85,9 @@
 	if err != nil {
 		return File{}, fmt.Errorf("seed %q is not of hex digits", raw.Seed)
 	}
+	if _, _, err := net.SplitHostPort(raw.Feed); err != nil {
+		return File{}, fmt.Errorf("feed: %w", err)
+	}
 	l := raw.Limits
 	if !(l.Cores > 0 && l.Cores < 1024 && l.MemoryMB >= 16 && l.MemoryMB < 1<<24 && l.Sockets >= 64) {
 		return File{}, fmt.Errorf("limits cores=%v memory_mb=%v sockets=%d cannot be kept to", l.Cores, l.MemoryMB, l.Sockets)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -29,7 +29,7 @@
 func TestWhatIsLackingIsSaid(t *testing.T) {
 	for name, change := range map[string][2]string{
 		"no JSON": {"{", ""}, "no seed": {"8c1f30d27a5be964", "zz"}, "no settings": {"settings", "other"},
-		"no classes": {`[{"name":"a"}]`, "[]"}, "no memory": {"192", "0"}, "few sockets": {"1024", "8"}, "no cores": {"1.0", "0"},
+		"no classes": {`[{"name":"a"}]`, "[]"}, "no memory": {"192", "0"}, "few sockets": {"1024", "8"}, "no cores": {"1.0", "0"}, "no feed": {"127.0.0.1:1", ""},
 	} {
 		if _, err := Parse([]byte(strings.Replace(good, change[0], change[1], 1))); err == nil {
 			t.Errorf("%s: read", name)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -21,15 +21,11 @@
 		t.Fatal(err)
 	}
 	defer source.Close()
-	told, done, ended := make(chan feed.Event, 100), make(chan struct{}), make(chan struct{})
+	told := make(chan feed.Event, 100)
 	for range 4 {
 		source.Add(false, hosts)
 	}
-	f := feed.Follower{Address: source.Address(), Last: 2, Done: done, Tell: func(ev feed.Event) { told <- ev }}
-	go func() {
-		f.Run()
-		close(ended)
-	}()
+	f := feed.Follow(source.Address(), 2, func(ev feed.Event) { told <- ev })
 	next := func(n uint64) {
 		t.Helper()
 		select {
@@ -53,8 +49,37 @@
 	source.Cut()
 	source.Add(false, hosts)
 	next(8)
-	close(done)
-	<-ended
+	moved, err := toy.StartFeed("127.0.0.1:0", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer moved.Close()
+	for range 9 {
+		moved.Add(false, hosts)
+	}
+	if again, err := feed.Parse([]byte(event(8))); err != nil || !f.Move(moved.Address(), []feed.Event{again}) {
+		t.Fatal("not moved", err)
+	}
+	next(9)
+	source.Add(false, hosts) // where it was: told before, if it still speaks
+	moved.Cut()              // and it is called anew where it is
+	moved.Add(false, hosts)
+	next(10)
+	if f.Move(moved.Address(), nil) {
+		t.Error("moved to where it is")
+	}
+	f.Move("127.0.0.1:1", nil) // out of reach: the old place is kept while it speaks
+	moved.Add(false, hosts)
+	next(11)
+	f.Move(source.Address(), nil) // and back
+	source.Add(false, hosts)      // 10
+	source.Add(false, hosts)      // 11
+	source.Add(false, hosts)
+	next(12)
+	f.Close()
+	if subs := moved.Cut(); subs[0] != 8 || subs[1] != 9 {
+		t.Errorf("the new place was asked from %v", subs)
+	}
 	if subs := source.Cut(); subs[0] != 2 || !slices.IsSorted(subs) || subs[len(subs)-1] < 7 || len(told) > 0 {
 		t.Errorf("resumed from %v, %d events told again", subs, len(told))
 	}
--- a/internal/toy/feed.go
+++ b/internal/toy/feed.go
@@ -104,6 +104,13 @@
 	return append([]int{}, f.told...)
 }
 
+// Told gives the number of every SUB so far.
+func (f *Feed) Told() []int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]int{}, f.told...)
+}
+
 // Write writes bytes as they are to every connection.
 func (f *Feed) Write(text string) {
 	f.mu.Lock()
