--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -62,7 +62,7 @@
 	reloads := reloader{file: file, follower: follower, load: func() (config.File, error) { return config.Load(os.Getenv) },
 		done: make(chan struct{}), ended: make(chan struct{})}
 	go reloads.run(reload)
-	front := client.NewFront(gate, parts.ClientConns, parts.Bytes)
+	front := client.NewFront(gate, parts)
 	go front.Serve(listener)
 	gate.SetReady(true)
 	log.Printf("serving name=%s address=%s events_known=%d", file.Name, listener.Addr(), file.Known.N)
--- a/cmd/swiftreel/main_test.go
+++ b/cmd/swiftreel/main_test.go
@@ -205,9 +205,9 @@
 	w := newTown(t, "e1")
 	id := w.job("lookup", "20000")
 	c := w.got("fetch")
-	c.from.Answer(c.ID, "data", "sheets=2,toil=35,room=76", "one\n")
-	c.from.Answer(c.ID, "page", "sheet=1", "two\n")
-	if a := w.answer(id, ""); string(a.Body) != "one\ntwo\n" {
+	c.from.Answer(c.ID, "data", "sheets=2,toil=35,room=76", "one\tb\tc\n")
+	c.from.Answer(c.ID, "page", "sheet=1", "two\tb\tc\n")
+	if a := w.answer(id, ""); string(a.Body) != "one\tb\tc\ntwo\tb\tc\n" {
 		t.Fatalf("%q", a.Body)
 	}
 	w.got("more")
@@ -229,7 +229,7 @@
 		select {
 		case c := <-w.commands:
 			sent = true
-			c.from.Answer(c.ID, "data", "sheets=1", "one\n")
+			c.from.Answer(c.ID, "data", "sheets=1", "one\tb\tc\n")
 		case a := <-answers:
 			if a.ID != id || !sent && (a.Error != "Overloaded" || a.Fields["pushback"] != "1000") {
 				w.t.Fatalf("%+v instead of id %d", a, id)
@@ -244,7 +244,7 @@
 	for range n {
 		id := w.job("lookup", "20000")
 		c := w.got("fetch")
-		c.from.Answer(c.ID, "data", "sheets=1", "one\n")
+		c.from.Answer(c.ID, "data", "sheets=1", "one\tb\tc\n")
 		w.answer(id, "")
 	}
 }
@@ -255,10 +255,10 @@
 	c := w.got("fetch")
 	w.caller.Revoke(id)
 	w.aborted(c)
-	c.from.Answer(c.ID, "data", "sheets=1", "late\n")
+	c.from.Answer(c.ID, "data", "sheets=1", "late\tb\tc\n")
 	id = w.job("lookup", "20000")
 	c = w.got("fetch")
-	c.from.Answer(c.ID, "data", "sheets=1", "one\n")
+	c.from.Answer(c.ID, "data", "sheets=1", "one\tb\tc\n")
 	w.answer(id, "") // and not what was revoked
 }
 
@@ -274,13 +274,13 @@
 	id = w.job("lookup", "20000")
 	w.got("fetch").from.Reset()
 	c = w.got("fetch") // restartable
-	c.from.Answer(c.ID, "data", "sheets=1", "one\n")
+	c.from.Answer(c.ID, "data", "sheets=1", "one\tb\tc\n")
 	w.answer(id, "")
 	w.engines["e1"].Close() // refuses: what goes there never ran
 	for range 4 {
 		id = w.job("import", "20000", "row", "k2")
 		c = w.got("fetch")
-		c.from.Answer(c.ID, "data", "sheets=1", "one\n")
+		c.from.Answer(c.ID, "data", "sheets=1", "one\tb\tc\n")
 		w.answer(id, "")
 	}
 }
@@ -316,7 +316,7 @@
 	if c.ID != first.ID || time.Since(aborted) < step/2 {
 		t.Fatalf("sent again %v after the abort", time.Since(aborted))
 	}
-	c.from.Answer(c.ID, "data", "sheets=1", "one\n")
+	c.from.Answer(c.ID, "data", "sheets=1", "one\tb\tc\n")
 	w.answer(id, "")
 }
 
@@ -413,14 +413,14 @@
 	}
 	for range 3 {
 		c := w.got("fetch")
-		c.from.Answer(c.ID, "data", "sheets=1", "one\n")
+		c.from.Answer(c.ID, "data", "sheets=1", "one\tb\tc\n")
 		if a, err := w.caller.Read(20 * time.Second); err != nil || fmt.Sprintf("%016x", 1<<40+uint64(a.ID)-1000) != c.ID {
 			t.Fatal(a, err)
 		}
 	}
 	mute := w.dial() // takes no byte of 32 results, then goes
 	mute.Conn.(*net.TCPConn).SetReadBuffer(1 << 12)
-	page := strings.Repeat("a\tb\n", 1200)
+	page := strings.Repeat("a\tb\tc\n", 900)
 	for i := range 32 {
 		mute.Send("lookup", "SELECT 1 FROM a_1.b", "call", fmt.Sprintf("%016x", 1<<41+uint64(i)), "ttl", "20000", "org", "acme", "work", "50")
 		c := w.got("fetch")
@@ -435,26 +435,88 @@
 	mute.Conn.Close()
 }
 
+// The table of docs/protocol.md, "What bad input gets", for clients: each is answered or closed, and none is served.
 func TestBadInputFromClients(t *testing.T) {
 	w := newTown(t, "e1")
-	for _, bad := range []string{"GET / HTTP/1.1\r\n\r\n", "\x94\x00\x01\xa6lookup\xdd\xff\xff\xff\xff", "\x91\x91\x91\x91\x91\x91\x91\x91\x91"} {
-		c := w.dial()
-		c.Conn.Write([]byte(bad))
-		if _, err := c.Read(20 * time.Second); err != io.EOF && !strings.Contains(err.Error(), "reset") {
-			t.Errorf("%q: %v", bad, err)
+	open := w.job("lookup", "20000")
+	c := w.got("fetch")
+	good := []string{"call", "00000000000000aa", "ttl", "2000", "org", "acme", "work", "50"}
+	call := func(id uint32, method string, fields ...string) string {
+		return string(client.AppendCall(nil, id, method, fields, []byte("SELECT 1 FROM a_1.b")))
+	}
+	with := func(name, value string) []string {
+		fields := slices.Clone(good)
+		for i := 0; i < len(fields); i += 2 {
+			if fields[i] == name {
+				fields[i+1] = value
+				return fields
+			}
+		}
+		return append(fields, name, value)
+	}
+	var many []byte
+	for id := range uint32(300) {
+		many = client.AppendCall(many, id, "lookup", []string{"call", fmt.Sprintf("%016x", 1<<20+id), "ttl", "2000", "org", "acme"}, nil)
+		many = client.AppendRevoke(many, id)
+	}
+	const closed, answered, both = 1, 2, 3
+	type bad struct {
+		name, text string
+		gets       int
+		conn       *toy.Caller
+	}
+	cases := []bad{
+		{"nothing said", "", closed, nil},
+		{"another protocol", "GET / HTTP/1.1\r\n\r\n", closed, nil},
+		{"a count without end", "\x94\x00\x01\xa6lookup\xdd\xff\xff\xff\xff", both, nil},
+		{"too deep", "\x91\x91\x91\x91\x91\x91\x91\x91\x91", closed, nil},
+		{"a length past the bound", "\x94\x00\x01\xa6lookup\x92\x80\xc6\xff\xff\xff\xff", both, nil},
+		{"half a call", call(1, "lookup", good...)[:30], both, nil},
+		{"60 MB", "\x94\x00\x01\xa6lookup\x92\x80\xc6\x03\x93\x87\x00" + strings.Repeat("x", 60<<20), both, nil},
+		{"an unknown type", call(1, "nothing", good...), answered, nil},
+		{"an unknown tenant", call(1, "lookup", with("org", "nobody")...), answered, nil},
+		{"no tenant", call(1, "lookup", good[:4]...), answered, nil},
+		{"no id", call(1, "lookup", good[2:]...), answered, nil},
+		{"an id of other letters", call(1, "lookup", with("call", "00000000000000a\n")...), answered, nil},
+		{"no job timeout", call(1, "lookup", append(good[:2:2], good[4:]...)...), answered, nil},
+		{"a job timeout of no number", call(1, "lookup", with("ttl", "soon")...), answered, nil},
+		{"a job timeout of weeks", call(1, "lookup", with("ttl", "2000000000")...), answered, nil},
+		{"a job timeout below 0", call(1, "lookup", with("ttl", "-1")...), answered, nil},
+		{"work out of range", call(1, "lookup", with("work", "1e300")...), answered, nil},
+		{"memory of no number", call(1, "lookup", with("est_mb", "NaN")...), answered, nil},
+		{"memory past every engine", call(1, "lookup", with("est_mb", "900000000")...), answered, nil},
+		{"a field twice", call(1, "lookup", append(slices.Clone(good), "ttl", "3000")...), answered, nil},
+		{"no group of tables", string(client.AppendCall(nil, 1, "import", good, []byte("SELECT 1"))), answered, nil},
+		{"the id of an open call", call(1, "lookup", with("call", c.ID)...), answered, nil},
+		{"one number twice", call(1, "lookup", with("call", "00000000000000ab")...) + call(1, "lookup", with("call", "00000000000000ac")...), both, nil},
+		{"hundreds taken back at once", string(many) + call(400, "nothing"), answered, nil},
+	}
+	for i := range cases { // side by side
+		cases[i].conn = w.dial()
+		defer cases[i].conn.Conn.Close()
+		go cases[i].conn.Conn.Write([]byte(cases[i].text))
+	}
+	came := time.Now()
+	for _, bad := range cases {
+		a, err := bad.conn.Read(20 * time.Second)
+		if word := a.Error; bad.gets&answered != 0 && (err != nil || word != "Internal" && word != "Overloaded") {
+			t.Errorf("%s: %+v %v", bad.name, a, err)
+		}
+		if bad.gets == both {
+			_, err = bad.conn.Read(20 * time.Second)
+		}
+		if bad.gets&closed != 0 && err != io.EOF && !strings.Contains(fmt.Sprint(err), "reset") {
+			t.Errorf("%s: not closed: %v", bad.name, err)
 		}
-		c.Conn.Close()
 	}
-	w.answer(w.job("nothing", "20000"), "Internal")
-	w.answer(w.job("lookup", "soon"), "Internal")
-	w.answer(w.job("lookup", "20000", "org", "nobody"), "Internal")
-	id, _ := w.caller.Send("import", "SELECT 1", "call", "00000000000000aa", "ttl", "20000", "org", "acme")
-	w.answer(id, "Internal") // its group of tables bears on where it runs
-	w.caller.Revoke(id)
-	id = w.job("lookup", "20000")
-	c := w.got("fetch")
-	c.from.Answer(c.ID, "data", "sheets=1", "one\n")
-	w.answer(id, "")
+	if late := time.Since(came); late > 3*time.Second {
+		t.Errorf("the last was answered after %v", late)
+	}
+	c.from.Answer(c.ID, "data", "sheets=1", "one\tb\tc\n")
+	w.answer(open, "")                // its connection was silent meanwhile, and is kept
+	if n := len(w.commands); n > 60 { // some reads end between a call and its revoke: fetch, abort, more
+		t.Errorf("%d commands to the engine for 300 calls that were taken back", n)
+	}
 }
 
 func TestAfterSIGTERMWhatComesIsServedAndThenItEnds(t *testing.T) {
@@ -466,8 +528,8 @@
 	late := w.dial()
 	late.Send("lookup", "SELECT 1 FROM a_1.b", "call", "00000000000000bb", "ttl", "20000", "org", "acme")
 	d := w.got("fetch")
-	d.from.Answer(d.ID, "data", "sheets=1", "late\n")
-	if a, err := late.Read(20 * time.Second); err != nil || string(a.Body) != "late\n" {
+	d.from.Answer(d.ID, "data", "sheets=1", "late\tb\tc\n")
+	if a, err := late.Read(20 * time.Second); err != nil || string(a.Body) != "late\tb\tc\n" {
 		t.Fatal(a, err)
 	}
 	select {
@@ -475,7 +537,7 @@
 		t.Fatal("ended with an answer owed")
 	case <-time.After(lateArrivals + 100*time.Millisecond):
 	}
-	c.from.Answer(c.ID, "data", "sheets=1", "one\n")
+	c.from.Answer(c.ID, "data", "sheets=1", "one\tb\tc\n")
 	w.answer(id, "")
 	if err := <-w.ended; err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/client/call.go
@@ -0,0 +1,85 @@
+package client
+
+import (
+	"net"
+	"strconv"
+	"time"
+
+	"swiftreel/internal/gateway"
+)
+
+// call is one job asked for and not answered.
+type call struct {
+	conn *conn
+	id   uint32
+	held int    // bytes of the statement
+	left func() // told once, if the client leaves before the answer
+	gone bool
+}
+
+// newAsk copies what must outlive the buffer, in one piece.
+func newAsk(from *call, m message, r request, at time.Time) gateway.Ask {
+	b := make([]byte, 0, len(m.method)+len(r.call)+len(r.tenant)+len(r.key)+len(r.body))
+	keep := func(part []byte) []byte {
+		from := len(b)
+		b = append(b, part...)
+		return b[from:len(b):len(b)]
+	}
+	return gateway.Ask{Type: keep(m.method), ID: keep(r.call), Tenant: keep(r.tenant), Key: keep(r.key),
+		Statement: keep(r.body), Left: r.left, At: at, Repeat: r.repeat, Work: r.work, MemoryMB: r.memoryMB, From: from}
+}
+
+// OnLeave sets what is told if the client leaves, at once if it has.
+func (l *call) OnLeave(left func()) {
+	l.conn.mu.Lock()
+	l.left = left
+	gone := l.gone
+	l.conn.mu.Unlock()
+	if gone {
+		left()
+	}
+}
+
+func (l *call) leave() {
+	l.conn.mu.Lock()
+	l.gone = true
+	left := l.left
+	l.conn.mu.Unlock()
+	if left != nil {
+		left()
+	}
+}
+
+// Done answers with all rows of the result, in order.
+func (l *call) Done(pages [][]byte) {
+	rows := 0
+	for _, p := range pages {
+		rows += len(p)
+	}
+	parts := append(net.Buffers{appendDoneHead(nil, l.id, rows)}, pages...)
+	l.answer(append(parts, appendDoneTail(nil)))
+}
+
+// Throttled answers that trying again is harmless, after the wait if there is one.
+func (l *call) Throttled(wait time.Duration) {
+	field, value := "", ""
+	if wait > 0 {
+		field, value = fieldWait, strconv.FormatInt(max(1, wait.Milliseconds()), 10)
+	}
+	l.conn.pace.refused()
+	l.answer(net.Buffers{appendError(nil, l.id, wordThrottle, field, value)})
+}
+
+// Failed answers that the job is cancelled for good, which promises nothing.
+func (l *call) Failed(reason string) {
+	l.conn.pace.refused()
+	l.answer(net.Buffers{appendError(nil, l.id, wordFailed, "reason", reason)})
+}
+
+// answer writes the one answer of a call, unless the client left before.
+func (l *call) answer(parts net.Buffers) {
+	if l.conn.settle(l) {
+		l.conn.writeAll(parts)
+		l.conn.front.owed.Add(-1)
+	}
+}
--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -2,11 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
-	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"swiftreel/internal/check"
@@ -15,100 +16,184 @@
 
 const (
 	firstBuffer  = 8 << 10
-	mostOpen     = 32               // calls on a connection, as the protocol states
-	writeTimeout = 3 * time.Second  // a client that takes no byte for so long is gone
-	writeMost    = 30 * time.Second // and one that takes so long for an answer
+	mostOpen     = 32                     // calls on a connection, as the protocol states
+	firstWithin  = 2 * time.Second        // a connection on which no whole message came by then is closed
+	wholeWithin  = 2 * time.Second        // and one whose message, once begun, is not whole by then
+	lastLook     = 20 * time.Millisecond  // after a time limit, for what came while the program stood still
+	writeTimeout = 3 * time.Second        // a client that takes no byte for so long is gone
+	writeMost    = 30 * time.Second       // and one that takes so long for an answer
+	lingerFor    = 300 * time.Millisecond // for a client to read the last word, and so many bytes that it still sends
+	lingerMost   = 512 << 10
+)
+
+var (
+	errSilent = errors.New("no whole message in time")
+	errMemory = errors.New("no memory left for a message so long")
 )
 
 // conn is one client's connection: a goroutine reads, answers are written by whoever has them.
 type conn struct {
-	front *Front
-	nc    net.Conn
-	buf   []byte
-	from  int // buf[from:to] is read and not yet used
-	to    int
+	front   *Front
+	nc      *net.TCPConn
+	came    time.Time
+	buf     []byte // nil while nothing is there to be read
+	from    int    // buf[from:to] is read and not yet used
+	to      int
+	limited bool // a time limit for reading is set
+	begun   bool // the message in the buffer has its limit
+	late    bool // the limit has passed, and what lay unread is being read
+	pace    pace
+	pending []pending // read and not taken yet; empty between reads
 
 	writing sync.Mutex
 
 	mu   sync.Mutex
+	said bool             // some whole message
 	open map[uint32]*call // until answered or revoked
 	used time.Time
 }
 
-// call is one job asked for and not answered.
-type call struct {
-	conn *conn
-	id   uint32
-	held int    // bytes of the statement
-	left func() // told once, if the client leaves before the answer
-	gone bool
+// pending is a call that was read; if it is revoked in the same breath it is never taken.
+type pending struct {
+	call *call
+	ask  gateway.Ask
 }
 
 // serve reads calls until the connection ends.
 func (c *conn) serve() {
 	defer c.close()
+	c.begun = true
+	c.limit(c.came.Add(firstWithin))
 	for {
-		if err := c.fill(); err != nil {
-			if errors.Is(err, errBad) {
-				c.front.bad.note("address=%s reason=%q", c.nc.RemoteAddr(), err)
+		err := c.fill()
+		if err == nil {
+			err = c.use(c.front.pulse.sent(time.Now()))
+		}
+		if err != nil {
+			if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, syscall.ECONNRESET) {
+				c.front.bad.Note("clients_bad", "client_bad address=%s reason=%q", c.nc.RemoteAddr(), err)
+				c.lastWord(err)
 			}
 			return
 		}
-		at := c.front.pulse.sent(time.Now())
-		for {
-			n, err := size(c.buf[c.from:c.to])
-			if errors.Is(err, errShort) {
-				break
-			}
-			if err == nil {
-				err = c.handle(c.buf[c.from:c.from+n], at)
-			}
-			if err != nil {
-				c.front.bad.note("address=%s reason=%q", c.nc.RemoteAddr(), err)
-				return
-			}
-			c.from += n
+		c.bound()
+		c.pace.rest(time.Now())
+	}
+}
+
+// use handles all whole messages read.
+func (c *conn) use(at time.Time) error {
+	defer c.take()
+	for {
+		n, err := size(c.buf[c.from:c.to])
+		if errors.Is(err, errShort) {
+			return nil
+		}
+		if err == nil {
+			c.pace.message()
+			err = c.handle(c.buf[c.from:c.from+n], at)
 		}
+		if err != nil {
+			return err
+		}
+		c.from += n
+		c.begun, c.late = false, false
 	}
 }
 
-// fill reads more, in a larger buffer where a message does not fit.
-func (c *conn) fill() error {
+// bound sets the time limit for what comes next: none while nothing has begun.
+func (c *conn) bound() {
+	switch {
+	case c.begun: // by its limit
+	case c.from < c.to:
+		c.begun = true
+		c.limit(time.Now().Add(wholeWithin))
+	case c.limited:
+		c.limit(time.Time{})
+	}
 	if c.from == c.to {
 		c.from, c.to = 0, 0
-		if len(c.buf) > firstBuffer {
-			c.front.bytes.Give(len(c.buf) - firstBuffer)
-			c.buf = make([]byte, firstBuffer)
+		c.giveBuffer()
+	}
+}
+
+func (c *conn) limit(at time.Time) {
+	c.limited = !at.IsZero()
+	c.nc.SetReadDeadline(at)
+}
+
+// fill reads more, in a larger buffer where a message does not fit.
+func (c *conn) fill() error {
+	if c.buf == nil {
+		if err := c.wait(); err != nil {
+			return err
 		}
+		c.buf = c.front.buffers.Get().([]byte)
+	} else if c.to == len(c.buf) && c.from > 0 {
+		c.to, c.from = copy(c.buf, c.buf[c.from:c.to]), 0
 	} else if c.to == len(c.buf) {
-		if c.from == 0 {
-			if len(c.buf) >= maxFrame || !c.front.bytes.Take(len(c.buf)) {
-				return errBad
-			}
-			larger := make([]byte, 2*len(c.buf))
-			copy(larger, c.buf)
-			c.buf = larger
-		} else {
-			c.to, c.from = copy(c.buf, c.buf[c.from:c.to]), 0
+		if len(c.buf) >= maxFrame {
+			return errBad
 		}
+		if !c.front.reads.Take(len(c.buf)) {
+			return errMemory
+		}
+		larger := make([]byte, 2*len(c.buf))
+		copy(larger, c.buf)
+		c.buf = larger
 	}
 	n, err := c.nc.Read(c.buf[c.to:])
-	c.to += n
-	if n == 0 && err == nil {
-		err = io.ErrNoProgress
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.late { // what came while we stood still is there to be read
+		c.late = true
+		c.nc.SetReadDeadline(time.Now().Add(lastLook))
+		n, err = c.nc.Read(c.buf[c.to:])
 	}
-	if n > 0 {
+	c.to += n
+	switch {
+	case n > 0:
 		return nil
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return errSilent
+	case err == nil:
+		return io.ErrNoProgress
 	}
 	return err
 }
 
+// wait waits until something can be read, and needs no buffer for that: clients may keep connections for good.
+func (c *conn) wait() error {
+	raw, err := c.nc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	err = raw.Read(func(fd uintptr) bool { return unread(fd) != nothing })
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		if err = nil; !c.hasUnread() {
+			err = errSilent
+		}
+	}
+	return err
+}
+
+// giveBuffer gives the buffer back while nothing is in it.
+func (c *conn) giveBuffer() {
+	if len(c.buf) > firstBuffer {
+		c.front.reads.Give(len(c.buf) - firstBuffer)
+	} else if c.buf != nil {
+		c.front.buffers.Put(c.buf)
+	}
+	c.buf = nil
+}
+
 // handle acts on one whole message. An error ends the connection.
 func (c *conn) handle(b []byte, at time.Time) error {
 	m, err := parseMessage(b)
 	if err != nil {
 		return err
 	}
+	c.mu.Lock()
+	c.said = true
+	c.mu.Unlock()
 	if m.notice {
 		if string(m.method) == methodRevoke && m.count >= 1 {
 			if id, _ := m.params.next(); id.kind == kindInt {
@@ -123,12 +208,12 @@
 	}
 	r, err := parseRequest(m)
 	if err != nil {
-		c.front.unusable.note("address=%s reason=%q", c.nc.RemoteAddr(), err)
-		c.write(appendError(nil, m.id, wordFailed, "reason", err.Error()))
+		c.front.unusable.Note("calls_unusable", "call_unusable address=%s reason=%q", c.nc.RemoteAddr(), err)
+		c.refuse(m.id, wordFailed, "reason", err.Error())
 		return nil
 	}
 	if !c.front.bytes.Take(len(r.body)) {
-		c.write(appendError(nil, m.id, wordThrottle, "", ""))
+		c.refuse(m.id, wordThrottle, "", "")
 		return nil
 	}
 	call := &call{conn: c, id: m.id, held: len(r.body)}
@@ -142,47 +227,37 @@
 	c.mu.Unlock()
 	switch {
 	case twice:
-		return errors.New("an id that is still open was used again")
+		c.front.bytes.Give(call.held)
+		return fmt.Errorf("id %d is still open and was used again", m.id)
 	case many: // it never ran
 		c.front.bytes.Give(call.held)
-		c.write(appendError(nil, m.id, wordThrottle, "", ""))
+		c.refuse(m.id, wordThrottle, "", "")
 	default:
-		c.front.taker.Take(newAsk(call, m, r, at))
+		c.pending = append(c.pending, pending{call, newAsk(call, m, r, at)})
 	}
 	return nil
 }
 
-// newAsk copies what must outlive the buffer, in one piece.
-func newAsk(from *call, m message, r request, at time.Time) gateway.Ask {
-	b := make([]byte, 0, len(m.method)+len(r.call)+len(r.tenant)+len(r.key)+len(r.body))
-	keep := func(part []byte) []byte {
-		from := len(b)
-		b = append(b, part...)
-		return b[from:len(b):len(b)]
-	}
-	return gateway.Ask{Type: keep(m.method), ID: keep(r.call), Tenant: keep(r.tenant), Key: keep(r.key),
-		Statement: keep(r.body), Left: r.left, At: at, Repeat: r.repeat, Work: r.work, MemoryMB: r.memoryMB, From: from}
-}
-
-// OnLeave sets what is told if the client leaves, at once if it has.
-func (l *call) OnLeave(left func()) {
-	l.conn.mu.Lock()
-	l.left = left
-	gone := l.gone
-	l.conn.mu.Unlock()
-	if gone {
-		left()
+// take hands on what was read and not revoked.
+func (c *conn) take() {
+	for _, p := range c.pending {
+		c.mu.Lock()
+		is := c.open[p.call.id] == p.call
+		c.mu.Unlock()
+		if is {
+			c.front.taker.Take(p.ask)
+		} else {
+			check.Count("calls_revoked_at_once")
+		}
 	}
+	clear(c.pending)
+	c.pending = c.pending[:0]
 }
 
-func (c *conn) revoke(id uint32) {
-	c.mu.Lock()
-	call := c.open[id]
-	c.mu.Unlock()
-	if call != nil && c.settle(call) {
-		c.front.owed.Add(-1)
-		call.leave()
-	}
+// refuse answers a call that was not taken.
+func (c *conn) refuse(id uint32, word, field, value string) {
+	c.pace.refused()
+	c.write(appendError(nil, id, word, field, value))
 }
 
 // settle ends a call once; the second to try is told no.
@@ -198,45 +273,13 @@
 	return true
 }
 
-func (l *call) leave() {
-	l.conn.mu.Lock()
-	l.gone = true
-	left := l.left
-	l.conn.mu.Unlock()
-	if left != nil {
-		left()
-	}
-}
-
-// Done answers with all rows of the result, in order.
-func (l *call) Done(pages [][]byte) {
-	rows := 0
-	for _, p := range pages {
-		rows += len(p)
-	}
-	parts := append(net.Buffers{appendDoneHead(nil, l.id, rows)}, pages...)
-	l.answer(append(parts, appendDoneTail(nil)))
-}
-
-// Throttled answers that trying again is harmless, after the wait if there is one.
-func (l *call) Throttled(wait time.Duration) {
-	field, value := "", ""
-	if wait > 0 {
-		field, value = fieldWait, strconv.FormatInt(max(1, wait.Milliseconds()), 10)
-	}
-	l.answer(net.Buffers{appendError(nil, l.id, wordThrottle, field, value)})
-}
-
-// Failed answers that the job is cancelled for good, which promises nothing.
-func (l *call) Failed(reason string) {
-	l.answer(net.Buffers{appendError(nil, l.id, wordFailed, "reason", reason)})
-}
-
-// answer writes the one answer of a call, unless the client left before.
-func (l *call) answer(parts net.Buffers) {
-	if l.conn.settle(l) {
-		l.conn.writeAll(parts)
-		l.conn.front.owed.Add(-1)
+func (c *conn) revoke(id uint32) {
+	c.mu.Lock()
+	call := c.open[id]
+	c.mu.Unlock()
+	if call != nil && c.settle(call) {
+		c.front.owed.Add(-1)
+		call.leave()
 	}
 }
 
@@ -258,13 +301,39 @@
 	}
 }
 
+// lastWord tells a client why its connection ends, if it can be told under a number of its own, and leaves it a moment
+// to read that: a close over unread bytes is a reset, which may take with it what was written before.
+func (c *conn) lastWord(why error) {
+	c.leave()
+	if id, is := numberOf(c.buf[c.from:c.to]); is && c.writing.TryLock() {
+		c.nc.SetWriteDeadline(time.Now().Add(lingerFor))
+		c.nc.Write(appendError(nil, id, wordFailed, "reason", why.Error()))
+		c.writing.Unlock()
+	}
+	c.nc.CloseWrite()
+	c.nc.SetReadDeadline(time.Now().Add(lingerFor))
+	if c.buf == nil {
+		return
+	}
+	for left := lingerMost; left > 0; {
+		n, err := c.nc.Read(c.buf)
+		if err != nil {
+			return
+		}
+		left -= n
+	}
+}
+
 // close ends the connection; the clients of what is open on it have left.
 func (c *conn) close() {
 	c.nc.Close()
+	c.leave()
+	c.giveBuffer()
 	c.front.drop(c)
-	if len(c.buf) > firstBuffer {
-		c.front.bytes.Give(len(c.buf) - firstBuffer)
-	}
+}
+
+// leave tells of everything open here that its client has left.
+func (c *conn) leave() {
 	c.mu.Lock()
 	var open []*call
 	for _, call := range c.open {
@@ -279,9 +348,9 @@
 	}
 }
 
-// idle tells whether nothing is open, and since when.
-func (c *conn) idle() (time.Time, bool) {
+// idle tells whether nothing is open, since when, and whether anything was ever said.
+func (c *conn) idle() (since time.Time, said, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.used, len(c.open) == 0
+	return c.used, c.said, len(c.open) == 0
 }
--- a/internal/client/front.go
+++ b/internal/client/front.go
@@ -3,7 +3,6 @@
 
 import (
 	"errors"
-	"log"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -20,13 +19,18 @@
 	Take(gateway.Ask) // does not wait; those of one connection come in their order
 }
 
+// silentLeast is how long a connection may say nothing where others wait for its place.
+const silentLeast = 50 * time.Millisecond
+
 // Front is all client connections.
 type Front struct {
-	taker Taker
-	bytes *limits.Bytes
-	most  int
+	taker   Taker
+	bytes   *limits.Bytes // of statements
+	reads   *limits.Bytes // of messages over the usual size that are being read
+	most    int
+	buffers sync.Pool
 
-	bad, unusable grumble
+	bad, unusable check.Grumble
 	pulse         *pulse
 	owed          atomic.Int64 // answers owed or being written
 	done          chan struct{}
@@ -37,11 +41,11 @@
 	ended bool
 }
 
-// NewFront serves a taker over at most so many connections.
-func NewFront(taker Taker, most int, bytes *limits.Bytes) *Front {
-	f := &Front{taker: taker, bytes: bytes, most: most, conns: map[*conn]struct{}{},
-		bad: grumble{what: "client_bad"}, unusable: grumble{what: "call_unusable"},
-		pulse: newPulse(time.Now()), done: make(chan struct{})}
+// NewFront serves a taker within its part of the limits.
+func NewFront(taker Taker, parts limits.Parts) *Front {
+	f := &Front{taker: taker, bytes: parts.Bytes, reads: parts.Reads, most: parts.ClientConns, conns: map[*conn]struct{}{},
+		buffers: sync.Pool{New: func() any { return make([]byte, firstBuffer) }},
+		pulse:   newPulse(time.Now()), done: make(chan struct{})}
 	go f.pulse.run(f.done)
 	f.room = sync.NewCond(&f.mu)
 	return f
@@ -55,12 +59,14 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
-		if err != nil { // out of descriptors, say: what is open goes on, and this passes
+		tcp, is := nc.(*net.TCPConn)
+		if err != nil || !is { // out of descriptors, say: what is open goes on, and this passes
 			check.Count("accepts_failed")
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
-		c := &conn{front: f, nc: nc, buf: make([]byte, firstBuffer), open: map[uint32]*call{}, used: time.Now()}
+		now := time.Now()
+		c := &conn{front: f, nc: tcp, came: now, used: now, open: map[uint32]*call{}}
 		f.mu.Lock()
 		f.conns[c] = struct{}{}
 		ended := f.ended
@@ -72,25 +78,33 @@
 	}
 }
 
-// makeRoom waits until one more connection may be held. The one idle longest makes way.
+// makeRoom waits until one more connection may be held. One that never said anything makes way first, else the one
+// idle longest; never one with something to be read, which may be a call.
 func (f *Front) makeRoom() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for len(f.conns) >= f.most && !f.ended {
-		var oldest *conn
+		check.Count("client_conns_full")
+		var best *conn
+		var silent bool
 		var since time.Time
 		for c := range f.conns {
-			if used, idle := c.idle(); idle && (oldest == nil || used.Before(since)) {
-				oldest, since = c, used
+			used, said, idle := c.idle()
+			if !said && time.Since(c.came) < silentLeast || !idle || best != nil && (silent && said || silent == !said && !used.Before(since)) {
+				continue
+			}
+			if !c.hasUnread() {
+				best, silent, since = c, !said, used
 			}
 		}
-		check.Count("client_conns_full")
-		if oldest != nil {
-			oldest.nc.Close()
-			delete(f.conns, oldest)
+		if best != nil {
+			best.nc.Close()
+			delete(f.conns, best)
 			return
 		}
+		wake := time.AfterFunc(silentLeast/4, f.room.Signal)
 		f.room.Wait()
+		wake.Stop()
 	}
 }
 
@@ -115,25 +129,3 @@
 	}
 	f.room.Broadcast()
 }
-
-// grumble logs a repeated fault at most once a second, with how many there were.
-type grumble struct {
-	what string
-	mu   sync.Mutex
-	at   time.Time
-	n    int
-}
-
-func (g *grumble) note(text string, v ...any) {
-	check.Count(g.what)
-	g.mu.Lock()
-	g.n++
-	n, quiet := g.n, time.Since(g.at) < time.Second
-	if !quiet {
-		g.at, g.n = time.Now(), 0
-	}
-	g.mu.Unlock()
-	if !quiet {
-		log.Printf(g.what+" count=%d "+text, append([]any{n}, v...)...)
-	}
-}
--- a/internal/client/message.go
+++ b/internal/client/message.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -61,6 +62,16 @@
 	return m, nil
 }
 
+// numberOf reads the number of a call that may not be whole, or is no call in what follows.
+func numberOf(b []byte) (id uint32, is bool) {
+	c := cursor{b}
+	h, _ := c.next()
+	sort, _ := c.next()
+	n, _ := c.next()
+	is = h.kind == kindArray && h.n == 4 && sort.kind == kindInt && sort.n == typeRequest && n.kind == kindInt && n.n <= math.MaxUint32
+	return uint32(n.n), is
+}
+
 // request is what a call asks for, in slices of the buffer.
 type request struct {
 	call, tenant, key, body []byte
@@ -70,6 +81,9 @@
 	memoryMB                float64
 }
 
+// known are the fields that mean something here; the others are passed over.
+var known = [...]string{"call", "ttl", "org", "rep", "work", "est_mb", "row"}
+
 // parseRequest reads fields and body of a call; the error goes to the client.
 func parseRequest(m message) (r request, err error) {
 	c := m.params
@@ -77,12 +91,19 @@
 	if m.count != 2 || fields.kind != kindMap {
 		return r, errors.New("params are not fields and a body")
 	}
+	var given uint // fields known here that came, a bit each
 	for range fields.n {
 		name, named := c.text()
 		value, is := c.text()
 		if !named {
 			return r, errors.New("a field's name is no string")
 		}
+		if i := slices.Index(known[:], string(name)); i >= 0 {
+			if given&(1<<i) != 0 {
+				return r, errors.New("field " + known[i] + " came twice")
+			}
+			given |= 1 << i
+		}
 		bad := !is
 		switch string(name) {
 		case "call":
--- a/internal/client/msgpack.go
+++ b/internal/client/msgpack.go
@@ -8,6 +8,7 @@
 const (
 	maxFrame = 256 << 10 // a message
 	maxDepth = 8         // of arrays and maps in one another
+	maxItems = 256       // of a message: what comes byte by byte is looked through again and again
 )
 
 var (
@@ -109,7 +110,7 @@
 // size is the length of the first value, with all that it holds.
 func size(b []byte) (int, error) {
 	var left [maxDepth]uint64 // values still to come at each depth
-	at, depth := 0, 0
+	at, depth, items := 0, 0, uint64(0)
 	left[0] = 1
 	for {
 		for left[depth] == 0 {
@@ -132,9 +133,10 @@
 			if h.kind == kindMap {
 				n *= 2
 			}
-			if depth++; depth == maxDepth || n > maxFrame {
+			if depth++; depth == maxDepth || n > maxItems || items+n > maxItems {
 				return 0, errBad
 			}
+			items += n
 			left[depth] = n
 		}
 	}
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -4,8 +4,10 @@
 	"errors"
 	"maps"
 	"net"
+	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"swiftreel/internal/check"
@@ -13,7 +15,7 @@
 
 const (
 	writeTimeout = time.Second // an engine that takes no byte for so long is cut off
-	carriedMost  = 64          // ids given up that are remembered on a connection
+	carriedMost  = 64          // ids that ended without a result and are remembered on a connection
 )
 
 // conn is one connection to an engine. All but writing is guarded by the pool's lock.
@@ -23,10 +25,11 @@
 	lane          Lane
 	nc            net.Conn // nil until made
 	closed        bool
+	cut           bool // closed by us, with dispatches out: the engine learns of it a moment later
 	doubted       bool // a probe was lost, or an abort not read in time, with nothing heard since
 	open          map[string]*Dispatch
 	queue         []*Dispatch       // wait for the connection to be made, in turn
-	given         []string          // the last ids given up here, whose answers may still come
+	given         []string          // the last ids that ended here but may be sent anew, whose answers may still come
 	aborts        map[string]func() // not known to have been read; emptied by answers, or the end of the connection
 	idleSince     time.Time
 	heard         time.Time
@@ -47,6 +50,14 @@
 	return false
 }
 
+// remember keeps an id off this connection for a while. The lock is held.
+func (c *conn) remember(id string) {
+	if len(c.given) == carriedMost {
+		c.given = append(c.given[:0], c.given[1:]...)
+	}
+	c.given = append(c.given, id)
+}
+
 // idle tells whether the connection is up with nothing open on it. The lock is held.
 func (c *conn) idle() bool { return c.nc != nil && len(c.open) == 0 && !c.closed }
 
@@ -58,7 +69,11 @@
 		p.mu.Lock()
 		p.shut(c)
 		p.mu.Unlock()
-		c.settle(NotConnected)
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
+			c.settle(Full) // it is us who had none left
+		} else {
+			c.settle(NotConnected)
+		}
 		return
 	}
 	p.mu.Lock()
@@ -77,12 +92,15 @@
 	for _, d := range queue {
 		c.send(d)
 	}
-	r := newLines(nc)
+	r := newLines(nc, p.bounds.half())
 	for {
 		a, err := r.answer()
 		if err != nil {
-			if errors.Is(err, errLine) {
+			if errors.Is(err, errLine) || errors.Is(err, os.ErrDeadlineExceeded) {
 				broken(c, err)
+				p.mu.Lock()
+				c.cut = true
+				p.mu.Unlock()
 			}
 			break
 		}
@@ -90,9 +108,14 @@
 	}
 	p.mu.Lock()
 	p.shut(c)
+	cut := c.cut
 	p.mu.Unlock()
 	nc.Close()
-	c.settle(Reset)
+	if cut { // what is sent again must not overtake the close
+		time.AfterFunc(p.bounds.Step, func() { c.settle(Reset) })
+	} else {
+		c.settle(Reset)
+	}
 }
 
 // settle ends all that is open when the connection has ended. What is being written is its writer's to end.
@@ -129,6 +152,7 @@
 	} else if done != nil {
 		if p.doubt(c.host, since); c.lane == MayRepeat || len(c.open) == 0 {
 			check.Count("engine_conns_silent")
+			c.cut = true
 			p.shut(c) // its reader settles the rest
 		} else {
 			time.AfterFunc(p.bounds.Dial, func() { c.silent(id, since) })
--- a/internal/engine/dispatch.go
+++ b/internal/engine/dispatch.go
@@ -1,7 +1,7 @@
 package engine
 
 import (
-	"log"
+	"bytes"
 	"time"
 
 	"swiftreel/internal/check"
@@ -71,7 +71,7 @@
 		d.conn.send(d)
 	case over:
 		check.Count("engine_conns_full")
-		d.finish(Reply{End: NotConnected})
+		d.finish(Reply{End: Full}) // it never ran, and the engine refused nothing
 	}
 }
 
@@ -93,7 +93,9 @@
 	was := d.state
 	if was != over {
 		d.conn.release(d)
-		d.close(r.End)
+		if d.close(r.End); r.End != Done { // it may be sent anew, and an answer to this come twice
+			d.conn.remember(d.id)
+		}
 	}
 	d.pool.mu.Unlock()
 	if was != over {
@@ -128,24 +130,10 @@
 				d.reply(Reply{Note: note, Amount: v})
 			}
 		}
-	case word == "data" && d.pages == nil:
-		sheets, is := a.number("sheets")
-		if !is || sheets < 1 || sheets > maxPages || sheets != float64(int(sheets)) {
-			d.spoilt("sheets")
-			return
-		}
-		d.pages, d.want = make([][]byte, int(sheets)), int(sheets)
-		d.done = Reply{End: Done, Load: load}
-		d.done.WorkMS, _ = a.number("toil")
-		d.done.RoomMB, _ = a.number("room")
-		d.page(0, a.body)
+	case word == "data":
+		d.first(a, load)
 	case word == "page" && d.pages != nil:
-		n, is := a.number("sheet")
-		if !is || n < 1 || n >= float64(len(d.pages)) || n != float64(int(n)) || d.pages[int(n)] != nil {
-			d.spoilt("sheet")
-			return
-		}
-		d.page(int(n), a.body)
+		d.further(a)
 	case word == "full":
 		d.end(Reply{End: Full, Load: load})
 	case word == "moot":
@@ -157,16 +145,62 @@
 	}
 }
 
+// first takes the answer that says how many pages there are, and holds the first.
+func (d *Dispatch) first(a answer, load string) {
+	sheets, is := a.number("sheets")
+	switch {
+	case !is || sheets < 1 || sheets > maxPages || sheets != float64(int(sheets)):
+		d.spoilt("sheets")
+	case !a.numberOrNone("toil") || !a.numberOrNone("room"):
+		d.spoilt("toil_or_room")
+	case d.pages != nil && len(d.pages) == int(sheets) && bytes.Equal(d.pages[0], a.body):
+		check.Count("answers_again")
+	case d.pages != nil:
+		d.spoilt("data_twice")
+	default:
+		d.pages, d.want = make([][]byte, int(sheets)), int(sheets)
+		d.done = Reply{End: Done, Load: load}
+		d.done.WorkMS, _ = a.number("toil")
+		d.done.RoomMB, _ = a.number("room")
+		d.page(0, a.body)
+	}
+}
+
+// further takes a page that was asked for. The same once more harms nothing.
+func (d *Dispatch) further(a answer) {
+	n, is := a.number("sheet")
+	switch {
+	case !is || n < 1 || n >= float64(len(d.pages)) || n != float64(int(n)):
+		d.spoilt("sheet")
+	case d.pages[int(n)] == nil:
+		d.page(int(n), a.body)
+	case bytes.Equal(d.pages[int(n)], a.body):
+		check.Count("answers_again")
+	default:
+		d.spoilt("page_twice")
+	}
+}
+
 // page takes one page into hand; the first asks for all others at once, the last ends the dispatch.
 func (d *Dispatch) page(n int, body []byte) {
+	if !wholeRows(body) {
+		d.spoilt("rows")
+		return
+	}
 	d.pool.mu.Lock()
-	fits := d.state != over && d.held+len(body) <= maxResult && d.pool.bounds.Bytes.Take(len(body))
+	over, large := d.state == over, d.held+len(body) > maxResult
+	fits := !over && !large && d.pool.bounds.Bytes.Take(len(body))
 	if fits {
 		d.held += len(body)
 	}
 	d.pool.mu.Unlock()
-	if !fits {
+	if large {
 		d.spoilt("result_over_its_size")
+	} else if !fits && !over && d.GiveUp(func() {}) { // no fault of the engine's
+		check.Count("results_without_memory")
+		d.finish(Reply{End: Failed})
+	}
+	if !fits {
 		return
 	}
 	d.pages[n] = append(make([]byte, 0, len(body)), body...)
@@ -187,11 +221,21 @@
 	d.end(d.done)
 }
 
-// spoilt ends a dispatch whose answer cannot be used: it may have run.
+// spoilt ends a dispatch whose answer cannot be used: it may have run. A connection that carried such an answer is
+// of no further use for others either.
 func (d *Dispatch) spoilt(what string) {
-	check.Count("answers_bad")
-	if d.GiveUp(func() {}) {
-		log.Printf("answer_bad engine=%s reason=%s", d.conn.host, what)
+	p := d.pool
+	p.mu.Lock()
+	was := d.state
+	if was != over {
+		d.conn.release(d)
+		d.close(Failed)
+		d.conn.cut = true
+		p.shut(d.conn) // its reader settles the rest
+	}
+	p.mu.Unlock()
+	if was != over {
+		p.bad.Note("answers_bad", "answer_bad engine=%s reason=%s", d.conn.host, what)
 		d.finish(Reply{End: Failed})
 	}
 }
@@ -210,10 +254,7 @@
 	d.close(Open)
 	aborts := was != waiting && !d.probe && !c.closed
 	if aborts {
-		if len(c.given) == carriedMost {
-			c.given = c.given[1:]
-		}
-		c.given = append(c.given, d.id)
+		c.remember(d.id)
 		c.aborts[d.id] = done
 	} else if was != waiting && c.heard.Before(d.wrote) {
 		p.doubt(c.host, d.wrote)
--- a/internal/engine/line.go
+++ b/internal/engine/line.go
@@ -5,15 +5,19 @@
 	"errors"
 	"io"
 	"math"
+	"os"
 	"strconv"
+	"time"
+	"unicode/utf8"
 )
 
 const (
 	maxLine   = 1024
-	maxPage   = 6000  // bytes of a page
-	maxResult = 48000 // bytes of a result
-	maxPages  = 256
-	readSize  = 8 << 10 // holds a line and a page
+	maxPage   = 6000                    // bytes of a page
+	maxResult = 48000                   // bytes of a result
+	maxPages  = 2*maxResult/maxPage + 1 // any two in a row hold more than one page could
+	readSize  = 8 << 10                 // holds a line and a page
+	lastLook  = 20 * time.Millisecond
 )
 
 var (
@@ -26,26 +30,51 @@
 	id, word, fields, body []byte
 }
 
+// source is what answers are read from.
+type source interface {
+	io.Reader
+	SetReadDeadline(time.Time) error
+}
+
 // lines reads answers from a connection, each where it lies in the buffer.
 type lines struct {
-	from     io.Reader
+	from     source
+	half     time.Duration // in which an answer that has begun must be whole
 	buf      []byte
-	next, to int // buf[next:to] is read and not yet used
+	next, to int  // buf[next:to] is read and not yet used
+	begun    bool // the answer in the buffer has its time limit
+	limited  bool // some limit is set
+	late     bool // the limit has passed, and what lay unread is being read
 }
 
-func newLines(from io.Reader) *lines { return &lines{from: from, buf: make([]byte, readSize)} }
+func newLines(from source, half time.Duration) *lines {
+	return &lines{from: from, half: half, buf: make([]byte, readSize)}
+}
 
-// answer reads one answer; it holds until the next call. After errLine framing is lost.
+// answer reads one answer; it holds until the next call. After errLine framing is lost, and so it is after half an
+// answer that did not go on.
 func (l *lines) answer() (answer, error) {
 	for {
 		a, n, err := parseAnswer(l.buf[l.next:l.to])
 		if !errors.Is(err, errShort) {
-			l.next += n
+			l.next, l.begun, l.late = l.next+n, false, false
 			return a, err
 		}
 		l.to, l.next = copy(l.buf, l.buf[l.next:l.to]), 0
-		if n, err := l.from.Read(l.buf[l.to:]); n > 0 {
-			l.to += n
+		if l.to > 0 && !l.begun {
+			l.from.SetReadDeadline(time.Now().Add(l.half))
+			l.begun, l.limited = true, true
+		} else if l.to == 0 && l.limited {
+			l.from.SetReadDeadline(time.Time{})
+			l.limited = false
+		}
+		n, err = l.from.Read(l.buf[l.to:])
+		if l.to += n; n > 0 {
+			continue
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) && !l.late { // what came while we stood still is there to be read
+			l.late = true
+			l.from.SetReadDeadline(time.Now().Add(lastLook))
 		} else if err != nil {
 			return a, err
 		}
@@ -100,6 +129,36 @@
 	return v, is && err == nil && v >= 0 && !math.IsInf(v, 0)
 }
 
+// numberOrNone tells whether a field is absent or such a number.
+func (a answer) numberOrNone(name string) bool {
+	_, is := a.field(name)
+	_, good := a.number(name)
+	return good || !is
+}
+
+// columns of text that a row has.
+const columns = 3
+
+// wholeRows tells whether a page is what an engine makes: whole rows of text, a tab between columns and a line feed
+// after each row.
+func wholeRows(page []byte) bool {
+	tabs := 0
+	for _, b := range page {
+		switch {
+		case b == '\n':
+			if tabs != columns-1 {
+				return false
+			}
+			tabs = 0
+		case b == '\t':
+			tabs++
+		case b < ' ' || b == 0x7f:
+			return false
+		}
+	}
+	return (len(page) == 0 || page[len(page)-1] == '\n') && utf8.Valid(page)
+}
+
 // Request is what a dispatch sends.
 type Request struct {
 	ID, Type, Statement []byte
--- a/internal/engine/line_test.go
+++ b/internal/engine/line_test.go
@@ -7,10 +7,16 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 )
 
+// still is a source that needs no time limits.
+type still struct{ io.Reader }
+
+func (still) SetReadDeadline(time.Time) error { return nil }
+
 func read(r io.Reader) (got []string, err error) {
-	l := newLines(r)
+	l := newLines(still{r}, time.Second)
 	for {
 		a, err := l.answer()
 		if err != nil {
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -2,7 +2,6 @@
 package engine
 
 import (
-	"log"
 	"net"
 	"strconv"
 	"sync"
@@ -20,15 +19,23 @@
 // Bounds are the settings and limits of the connections.
 type Bounds struct {
 	Dial, Idle time.Duration // a connection not made by then has failed; one unused so long is closed
+	Step       time.Duration // from a close of ours until what was out there is told of: what is sent upon that must not overtake it
 	Streams    int           // on one connection
 	Conns      int           // over all engines
 	Bytes      *limits.Bytes // of the results in hand
 }
 
+// half is how long an answer that has begun may take to be whole.
+func (b Bounds) half() time.Duration { return max(2*b.Dial, 500*time.Millisecond) }
+
+// spared is the part of the connections kept for engines that have none: the others share what they have by then.
+const spared = 8
+
 // Pool holds the connections to all engines. No lock of it is held over a read, write or dial.
 type Pool struct {
 	bounds Bounds
 	done   chan struct{}
+	bad    check.Grumble
 
 	mu    sync.Mutex
 	conns map[string][]*conn // by engine; an engine leaves with its last connection
@@ -81,8 +88,17 @@
 }
 
 // assign finds the connection. The lock is held; proceed comes next, without it, with what this returns.
+//
+// One spoilt line, reset or silence loses all that is open on a connection, so each dispatch has one of its own while
+// there are descriptors: an idle one, or a new one. Only then do dispatches of one lane share.
 func (p *Pool) assign(to Host, d *Dispatch) state {
-	c := p.roomy(to, d)
+	c := p.idleTo(to, d)
+	if c == nil && p.count < p.bounds.Conns-p.bounds.Conns/spared {
+		c = p.connect(to, d.lane)
+	}
+	if c == nil {
+		c = p.leastOpen(to, d)
+	}
 	if c == nil {
 		c = p.connect(to, d.lane)
 	}
@@ -90,7 +106,7 @@
 		d.state = over
 		return over
 	}
-	c.open[d.id] = d
+	c.open[d.id], c.lane = d, d.lane
 	c.idleSince = time.Time{}
 	if d.conn, d.state = c, waiting; c.nc != nil {
 		d.state = sending
@@ -100,14 +116,26 @@
 	return d.state
 }
 
-// roomy finds the fullest connection that takes one more: not one that may be cut off, nor one that carried the
-// same id before, whose late answer could be taken for the new one's.
-func (p *Pool) roomy(to Host, d *Dispatch) (best *conn) {
+// usable tells whether a connection may take a dispatch: not one that may be cut off, nor one that carried the same
+// id before, whose late answer could be taken for the new one's.
+func (c *conn) usable(to Host, d *Dispatch) bool {
+	return c.address == to.Address && !c.closed && !c.doubted && !c.carried(d.id)
+}
+
+// idleTo finds the idle connection that was used last: the others grow old and are closed.
+func (p *Pool) idleTo(to Host, d *Dispatch) (best *conn) {
 	for _, c := range p.conns[to.Name] {
-		if c.address != to.Address || c.lane != d.lane || c.closed || c.doubted || len(c.open) >= p.bounds.Streams || c.carried(d.id) {
-			continue
+		if c.idle() && len(c.aborts) == 0 && c.usable(to, d) && (best == nil || c.idleSince.After(best.idleSince)) {
+			best = c
 		}
-		if best == nil || len(c.open) > len(best.open) {
+	}
+	return best
+}
+
+// leastOpen finds the connection of a dispatch's lane that carries least and takes one more.
+func (p *Pool) leastOpen(to Host, d *Dispatch) (best *conn) {
+	for _, c := range p.conns[to.Name] {
+		if c.lane == d.lane && len(c.open) < p.bounds.Streams && c.usable(to, d) && (best == nil || len(c.open) < len(best.open)) {
 			best = c
 		}
 	}
@@ -237,6 +265,5 @@
 }
 
 func broken(c *conn, why error) {
-	check.Count("engine_lines_bad")
-	log.Printf("engine_bad engine=%s reason=%q", c.host, why)
+	c.pool.bad.Note("engine_lines_bad", "engine_bad engine=%s reason=%q", c.host, why)
 }
--- a/internal/engine/pool_test.go
+++ b/internal/engine/pool_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"bytes"
 	"strings"
 	"testing"
 	"time"
@@ -105,14 +106,14 @@
 	if r := b.ends(engine.Open); r.Note != "frac" || r.Amount != 0.5 {
 		t.Fatalf("%+v", r)
 	}
-	c.from.Answer("a", "data", "sheets=3,toil=35,room=76", "one\n")
+	c.from.Answer("a", "data", "sheets=3,toil=35,room=76", "one\tb\tc\n")
 	if b.got("more").N != 1 || b.got("more").N != 2 {
 		t.Fatal("pages asked for out of order")
 	}
-	c.from.Answer("a", "page", "sheet=2", "three\n")
-	c.from.Answer("a", "page", "sheet=1", "two\n")
+	c.from.Answer("a", "page", "sheet=2", "three\tb\tc\n")
+	c.from.Answer("a", "page", "sheet=1", "two\tb\tc\n")
 	r := b.ends(engine.Done)
-	if len(r.Pages) != 3 || string(r.Pages[0])+string(r.Pages[1])+string(r.Pages[2]) != "one\ntwo\nthree\n" || r.WorkMS != 35 || r.RoomMB != 76 {
+	if string(bytes.Join(r.Pages, nil)) != "one\tb\tc\ntwo\tb\tc\nthree\tb\tc\n" || r.WorkMS != 35 || r.RoomMB != 76 {
 		t.Fatalf("%+v", r)
 	}
 	b.got("done")
@@ -123,7 +124,7 @@
 }
 
 func TestWhatNeverRanAndWhatMayHave(t *testing.T) {
-	b := newBench(t, nil)
+	b := newBench(t, func(l *engine.Bounds) { l.Conns = 1 }) // shared
 	for word, end := range map[string]engine.End{"full": engine.Full, "moot": engine.Moot, "failed": engine.Failed} {
 		b.start("a")
 		b.got("fetch").from.Answer("a", word, "", "")
@@ -133,7 +134,7 @@
 	b.start("b")
 	b.got("fetch")
 	c := b.got("fetch")
-	c.from.Answer("b", "data", "sheets=2", "one\n")
+	c.from.Answer("b", "data", "sheets=2", "one\tb\tc\n")
 	b.got("more")
 	c.from.Reset()
 	b.ends(engine.Reset)
@@ -145,51 +146,132 @@
 	b.ends(engine.NotConnected)
 }
 
+const row = "one\ttwo\tthree\n"
+
 func TestBadAnswersFailTheirDispatchAlone(t *testing.T) {
 	b := newBench(t, nil)
 	b.start("other")
 	s := b.got("fetch").from
-	for _, bad := range [][]string{{"data", ""}, {"data", "sheets=0"}, {"data", "sheets=257"}, {"page", "sheet=1"}, {"strange", ""}} {
-		b.start(bad[0] + bad[1])
-		b.got("fetch").from.Answer(bad[0]+bad[1], bad[0], bad[1], "x\n")
-		b.ends(engine.Failed)
-		b.got("abort")
-		b.got("more")
-	}
-	for _, bad := range []string{"sheet=0", "sheet=2", "sheet=x", "twice", "size"} {
-		b.start("a" + bad)
-		c := b.got("fetch")
-		sheets, first := "sheets=2", "sheet=1"
-		if bad == "size" || bad == "twice" {
-			sheets = "sheets=20"
-		}
-		c.from.Answer("a"+bad, "data", sheets, "one\n")
-		b.got("more")
-		if bad == "twice" {
-			c.from.Answer("a"+bad, "page", first, "x\n")
-		}
-		for i := 1; bad == "size" && i < 9; i++ {
-			c.from.Answer("a"+bad, "page", "sheet="+string(rune('0'+i)), strings.Repeat("x", 6000))
-		}
-		if strings.HasPrefix(bad, "sheet") {
-			first = bad
+	large := strings.Repeat(row, 400)
+	for name, answers := range map[string][][3]string{
+		"no sheets":           {{"data", "", row}},
+		"no page":             {{"data", "sheets=0", row}},
+		"more than fit":       {{"data", "sheets=18", row}},
+		"a page first":        {{"page", "sheet=1", row}},
+		"no word of theirs":   {{"strange", "", row}},
+		"work no number":      {{"data", "sheets=1,toil=x,room=76", row}},
+		"memory below 0":      {{"data", "sheets=1,toil=35,room=-1", row}},
+		"half a row":          {{"data", "sheets=1", row + "four\tfive\tsix"}},
+		"two columns":         {{"data", "sheets=1", row + "four\tfive\n"}},
+		"noise":               {{"data", "sheets=1", "one\ttw\x01\tthree\n"}},
+		"no UTF-8":            {{"data", "sheets=1", "one\ttw\xff\tthree\n"}},
+		"sheet 0":             {{"data", "sheets=2", row}, {"page", "sheet=0", row}},
+		"sheet past the last": {{"data", "sheets=2", row}, {"page", "sheet=2", row}},
+		"sheet no number":     {{"data", "sheets=2", row}, {"page", "sheet=x", row}},
+		"another page":        {{"data", "sheets=3", row}, {"page", "sheet=1", row}, {"page", "sheet=1", row + row}},
+		"another first":       {{"data", "sheets=3", row}, {"data", "sheets=3", row + row}},
+		"too large a result": {{"data", "sheets=12", large}, {"page", "sheet=1", large}, {"page", "sheet=2", large}, {"page", "sheet=3", large},
+			{"page", "sheet=4", large}, {"page", "sheet=5", large}, {"page", "sheet=6", large}, {"page", "sheet=7", large}, {"page", "sheet=8", large}},
+	} {
+		b.start("a")
+		from := b.fetched()
+		for _, a := range answers {
+			from.Answer("a", a[0], a[1], a[2])
 		}
-		if bad != "size" {
-			c.from.Answer("a"+bad, "page", first, "x\n")
+		select {
+		case r := <-b.replies:
+			if r.End != engine.Failed {
+				t.Errorf("%s: %+v", name, r)
+				b.pool.Free(r.Pages)
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatalf("%s: no outcome", name)
 		}
-		b.ends(engine.Failed)
-		for c := <-b.commands; c.Word != "abort"; c = <-b.commands {
+		for len(b.commands) > 0 {
+			<-b.commands // pages asked for
 		}
-		b.got("more")
 	}
-	s.Answer("other", "data", "sheets=1", "one\n")
+	s.Answer("other", "data", "sheets=1", row)
 	b.pool.Free(b.ends(engine.Done).Pages)
+	b.until("a connection of no further use stays", func() bool { return b.pool.Count() == 1 })
 	b.start("a")
-	b.got("fetch").from.Write([]byte("no answer at all\r\n")) // framing is lost: so is the connection
+	b.fetched().Write([]byte("no answer at all\r\n")) // framing is lost: so is the connection
 	b.ends(engine.Reset)
 	b.until("bytes stay", func() bool { return b.bytes.Left() == memory })
 }
 
+// fetched waits for a dispatch, past pages asked for before.
+func (b *bench) fetched() *toy.Session {
+	c := <-b.commands
+	for c.Word != "fetch" {
+		c = <-b.commands
+	}
+	return c.from
+}
+
+// Seen on sockets: a second copy of a good answer was taken for a spoilt one, and the job lost.
+func TestGoodAnswersThatComeTwiceHarmNothing(t *testing.T) {
+	b := newBench(t, nil)
+	b.start("a")
+	c := b.got("fetch")
+	c.from.Answer("unknown", "data", "sheets=1", row)
+	for _, a := range [][2]string{{"data", "sheets=3"}, {"page", "sheet=2"}, {"page", "sheet=1"}} {
+		c.from.Answer("a", a[0], a[1], row)
+		c.from.Answer("a", a[0], a[1], row)
+	}
+	b.pool.Free(b.ends(engine.Done).Pages)
+	b.start("b") // turned away: sent anew, not where the same word may come once more
+	first := b.fetched()
+	first.Answer("b", "full", "", "")
+	b.ends(engine.Full)
+	b.start("b")
+	second := b.fetched()
+	if second == first {
+		t.Error("sent anew where a second copy would end it")
+	}
+	second.Answer("b", "full", "", "")
+	b.ends(engine.Full)
+}
+
+// One spoilt line, reset or silence costs what is open on that connection, and nothing else.
+func TestEachDispatchHasItsOwnConnectionWhileThereAreSome(t *testing.T) {
+	b := newBench(t, nil) // of 10 connections, one is spared for engines that have none
+	from := map[*toy.Session]int{}
+	ids := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k"}
+	var last command
+	for _, id := range ids {
+		b.start(id)
+		last = b.got("fetch")
+		from[last.from]++
+	}
+	if len(from) != 9 || from[last.from] != 2 {
+		t.Errorf("%d connections, %d dispatches on the last", len(from), from[last.from])
+	}
+	last.from.Reset()
+	b.ends(engine.Reset)
+	b.ends(engine.Reset)
+	for s := range from {
+		for _, id := range ids {
+			s.Answer(id, "full", "", "") // only what is open there counts
+		}
+	}
+	for range len(ids) - 2 {
+		b.ends(engine.Full)
+	}
+}
+
+// An answer that begins and does not end held its job until the job timeout.
+func TestHalfAnAnswerHasATimeLimit(t *testing.T) {
+	for name, half := range map[string]string{"a line": "a data she", "a page": "a data sheets=1 40\r\none\ttw", "next": "x full - 0\r\n\r\na da"} {
+		b := newBench(t, func(l *engine.Bounds) { l.Dial = 10 * time.Millisecond })
+		b.start("a")
+		b.got("fetch").from.Write([]byte(half))
+		if b.ends(engine.Reset); b.pool.Count() != 0 {
+			t.Error(name, "leaves its connection open")
+		}
+	}
+}
+
 func TestALateAnswerIsNotTakenForTheNextDispatch(t *testing.T) {
 	b := newBench(t, nil)
 	d := b.start("a")
@@ -212,9 +294,9 @@
 	if second.from == first.from {
 		t.Fatal("the same id on the same connection while its late answer may come")
 	}
-	first.from.Answer("a", "data", "sheets=1", "late\n")
-	second.from.Answer("a", "data", "sheets=1", "right\n")
-	if r := b.ends(engine.Done); string(r.Pages[0]) != "right\n" {
+	first.from.Answer("a", "data", "sheets=1", "late\tb\tc\n")
+	second.from.Answer("a", "data", "sheets=1", "right\tb\tc\n")
+	if r := b.ends(engine.Done); string(r.Pages[0]) != "right\tb\tc\n" {
 		t.Fatalf("%q", r.Pages[0])
 	}
 }
@@ -229,20 +311,24 @@
 	if b.peer.Sessions() != 2 {
 		t.Fatalf("%d connections for four dispatches", b.peer.Sessions())
 	}
-	b.start("e") // no descriptor for a third
-	b.ends(engine.NotConnected)
-	for _, c := range from[:2] {
-		c.from.Answer(c.ID, "full", "", "")
-		b.ends(engine.Full)
+	b.start("e") // no descriptor for a third: it never ran, and the engine refused nothing
+	b.ends(engine.Full)
+	for _, c := range from {
+		if c.from == from[0].from {
+			c.from.Answer(c.ID, "full", "", "")
+			b.ends(engine.Full)
+		}
 	}
 	other := newBench(t, nil) // an idle connection makes way for another engine
 	b.host = engine.Host{Name: "e2", Address: other.peer.Address()}
 	b.start("f")
 	other.got("fetch").from.Answer("f", "full", "", "")
 	b.ends(engine.Full)
-	for _, c := range from[2:] {
-		c.from.Answer(c.ID, "full", "", "")
-		b.ends(engine.Full)
+	for _, c := range from {
+		if c.from != from[0].from {
+			c.from.Answer(c.ID, "full", "", "")
+			b.ends(engine.Full)
+		}
 	}
 }
 
@@ -268,14 +354,14 @@
 
 // A machine that vanished reads no abort: the job still counted as out there when it was sent again elsewhere.
 func TestASilentConnectionIsClosedToGiveUpWhatIsOutOnIt(t *testing.T) {
-	b := newBench(t, func(l *engine.Bounds) { l.Dial = 200 * time.Millisecond })
+	b := newBench(t, func(l *engine.Bounds) { l.Dial, l.Conns = 200*time.Millisecond, 2 })
 	read := make(chan string, 3)
+	b.pool.Start(b.host, engine.Request{ID: []byte("c"), Type: []byte("import"), Lane: engine.MayNot}, func(r engine.Reply) { b.replies <- r })
+	kept := b.got("fetch")
 	d := b.start("a")
 	b.got("fetch")
-	b.start("b")
+	b.start("b") // no connection is left for it alone
 	b.got("fetch")
-	b.pool.Start(b.host, engine.Request{ID: []byte("c"), Type: []byte("import"), Lane: engine.MayNot}, func(r engine.Reply) { b.replies <- r })
-	kept := b.got("fetch")
 	d.GiveUp(func() { read <- "a" })
 	b.ends(engine.Reset) // b was beside it
 	if id := <-read; id != "a" || b.peer.Sessions() > 2 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	module choice.Controller
 	roster roster
 	jobs   map[choice.JobID]*job // until their function returns
+	calls  map[string]struct{}   // the ids of those that are not answered, nor left by their client
 	lastID choice.JobID
 	last   choice.Nanos // the module's time never goes back
 	ended  bool         // timers come to nothing
@@ -36,8 +37,9 @@
 // New starts the module with the settings as they are.
 func New(facts choice.Facts, seed uint64, parts limits.Parts, traced bool) *Gateway {
 	g := &Gateway{clock: newClock(), names: newNames(facts), rules: newRules(facts), roster: newRoster(),
-		jobs: map[choice.JobID]*job{}, trace: trace(traced)}
-	g.pool = engine.NewPool(engine.Bounds{Dial: g.rules.dial, Idle: g.rules.idle, Streams: g.rules.streams,
+		jobs: map[choice.JobID]*job{}, calls: map[string]struct{}{}, trace: trace(traced)}
+	g.rules.open = min(g.rules.open, parts.Jobs)
+	g.pool = engine.NewPool(engine.Bounds{Dial: g.rules.dial, Idle: g.rules.idle, Step: g.rules.step, Streams: g.rules.streams,
 		Conns: parts.EngineConns, Bytes: parts.Bytes})
 	g.tell(choice.Event{Kind: choice.Started, Seed: seed, Facts: facts})
 	return g
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -64,16 +64,22 @@
 	}
 	j := &job{Ask: a, in: newInbox()}
 	g.mu.Lock()
-	if len(g.jobs) >= g.rules.open {
+	_, twice := g.calls[string(a.ID)]
+	if many := len(g.jobs) >= g.rules.open; many || twice {
 		g.mu.Unlock()
-		check.Count("turned_away")
-		a.From.Throttled(0)
+		if twice { // engines tell dispatches apart by this id
+			check.Count("calls_twice")
+			a.From.Failed("a call with this id is open")
+		} else {
+			check.Count("turned_away")
+			a.From.Throttled(0)
+		}
 		return
 	}
 	for g.lastID++; g.jobs[g.lastID] != nil; g.lastID++ { // numbers come round after 2^32 jobs
 	}
 	j.id, ev.Job = g.lastID, g.lastID
-	g.jobs[j.id] = j
+	g.jobs[j.id], g.calls[string(j.ID)] = j, struct{}{}
 	g.running.Add(1)
 	rest := g.decide(ev)
 	g.mu.Unlock()
@@ -93,6 +99,12 @@
 	if !known && len(g.names.tenants) > 0 {
 		return choice.Event{}, fmt.Errorf("no such tenant")
 	}
+	if most := g.rules.mostLeft(t); a.Left > most {
+		return choice.Event{}, fmt.Errorf("a job timeout over %v", most)
+	}
+	if a.MemoryMB > g.rules.mostMB {
+		return choice.Event{}, fmt.Errorf("more memory than any engine has")
+	}
 	tables, found := statement.Group(a.Statement)
 	if !found && g.rules.tables(t) {
 		return choice.Event{}, fmt.Errorf("the statement names no group of tables")
@@ -138,6 +150,7 @@
 		if answered {
 			return
 		}
+		g.answered(j)
 		if answered = true; now != nil {
 			go write()
 		} else {
@@ -167,6 +180,7 @@
 		case m.left:
 			if !answered {
 				answered = true
+				g.answered(j)
 				g.tell(choice.Event{Kind: choice.ClientLeft, Job: j.id})
 			}
 		case m.given != 0:
@@ -186,6 +200,7 @@
 			ended(s, results[r.End], r)
 			if r.End == engine.Done {
 				if owed {
+					g.answered(j)
 					j.From.Done(r.Pages)
 				}
 				g.pool.Free(r.Pages)
@@ -242,6 +257,13 @@
 	}
 }
 
+// answered frees the id of a call.
+func (g *Gateway) answered(j *job) {
+	g.mu.Lock()
+	delete(g.calls, string(j.ID))
+	g.mu.Unlock()
+}
+
 // forget ends a job's entry, unless an order for it has come in: each dispatch ordered is owed its outcome, also if
 // the client has left meanwhile.
 func (g *Gateway) forget(j *job) bool {
--- a/internal/gateway/names_test.go
+++ b/internal/gateway/names_test.go
@@ -88,11 +88,11 @@
 func TestAFloodEndsInThrottling(t *testing.T) {
 	facts := choice.Facts{"classes": []any{map[string]any{"name": "lookup", "idempotency": "repeatable", "aim_ns": 5e8}},
 		"limits": map[string]any{"max_open": 3.0}}
-	g := New(facts, 1, limits.Parts{EngineConns: 1, Bytes: limits.NewBytes(1000)}, false)
+	g := New(facts, 1, limits.Parts{EngineConns: 1, Jobs: 100, Bytes: limits.NewBytes(1000)}, false)
 	defer g.Close()
 	a := asker{make(chan string, 10), func(func()) {}}
-	for range 5 { // no engine: three are parked until it is late, two turned away
-		g.Take(Ask{Type: []byte("lookup"), At: time.Now(), Left: time.Second, From: a})
+	for i := range 5 { // no engine: three are parked until it is late, two turned away
+		g.Take(Ask{Type: []byte("lookup"), ID: []byte{byte(i)}, At: time.Now(), Left: time.Second, From: a})
 	}
 	g.mu.Lock()
 	taken := len(g.jobs)
@@ -116,7 +116,7 @@
 func TestADispatchOrderedAsTheClientLeavesHasAnOutcome(t *testing.T) {
 	facts := choice.Facts{"localities": []any{"west"}, "kinds": []any{"std"}, "domain": map[string]any{"cpu_of_kind": []any{16.0}},
 		"classes": []any{map[string]any{"name": "lookup", "idempotency": "repeatable", "aim_ns": 5e8}}}
-	g := New(facts, 1, limits.Parts{EngineConns: 1, Bytes: limits.NewBytes(1000)}, false)
+	g := New(facts, 1, limits.Parts{EngineConns: 1, Jobs: 100, Bytes: limits.NewBytes(1000)}, false)
 	var parked *job
 	a := asker{make(chan string, 10), func(left func()) {
 		left()
--- a/internal/gateway/rules.go
+++ b/internal/gateway/rules.go
@@ -15,8 +15,10 @@
 type rules struct {
 	dial, idle, step, slack time.Duration
 	streams, open           int
-	writes, waits           []any  // by type: its group of tables matters
-	once                    []bool // by type: it must not be broken off
+	writes, waits           []any           // by type: its group of tables matters
+	once                    []bool          // by type: it must not be broken off
+	giveUp                  []time.Duration // by type: how long its clients wait in all
+	mostMB                  float64         // past any engine, and any rough estimate for one
 	fields                  []string
 	loadTold                bool
 }
@@ -42,6 +44,15 @@
 	for _, v := range classes {
 		c, _ := v.(map[string]any)
 		r.once = append(r.once, c["idempotency"] != "repeatable")
+		r.giveUp = append(r.giveUp, time.Duration(num(c, "give_up_ns", float64(time.Hour))))
+	}
+	sizes, _ := d["size_mb"].([]any)
+	for _, v := range sizes {
+		size, _ := v.(float64)
+		r.mostMB = max(r.mostMB, 8*size)
+	}
+	if r.mostMB == 0 {
+		r.mostMB = math.Inf(1)
 	}
 	fields, _ := t["fields"].([]any)
 	for _, v := range fields {
@@ -52,6 +63,14 @@
 	return r
 }
 
+// mostLeft is the longest job timeout that makes sense for a type, and some to spare.
+func (r rules) mostLeft(t choice.TypeID) time.Duration {
+	if int(t) < len(r.giveUp) {
+		return 2 * r.giveUp[t]
+	}
+	return time.Hour
+}
+
 // lane tells which connections a type's jobs go over.
 func (r rules) lane(t choice.TypeID) engine.Lane {
 	if int(t) < len(r.once) && r.once[t] {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -10,25 +10,30 @@
 	"swiftreel/internal/config"
 )
 
-// reserved descriptors: standard streams, poller, listener, feed, and what the runtime opens for a moment.
-const reserved = 24
-
 // Parts is the division.
 type Parts struct {
-	ClientConns int // a third of the descriptors at most
-	EngineConns int // what is left but for the reserve
-	Bytes       *Bytes
+	ClientConns int    // well over the third of the descriptors that usual clients hold
+	EngineConns int    // the same at least
+	Jobs        int    // taken and not over
+	Bytes       *Bytes // statements and results
+	Reads       *Bytes // messages of clients that are being read
 }
 
+// reserve is for standard streams, poller, listener, feeds, the configuration, and what the runtime opens for a moment.
+func reserve(sockets int) int { return min(40, 12+sockets/32) }
+
 // Apply sets the runtime's bounds and divides the rest.
 func Apply(l config.Limits) Parts {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
 	debug.SetMemoryLimit(int64(l.MemoryMB * 0.7 * (1 << 20)))
-	clients := l.Sockets / 3
+	left := l.Sockets - reserve(l.Sockets)
+	part := func(share float64) *Bytes { return NewBytes(int64(l.MemoryMB * share * (1 << 20))) }
 	return Parts{
-		ClientConns: clients,
-		EngineConns: max(1, l.Sockets-clients-reserved),
-		Bytes:       NewBytes(int64(l.MemoryMB * 0.3 * (1 << 20))),
+		ClientConns: max(1, left/2),
+		EngineConns: max(1, left-left/2),
+		Jobs:        int(min(1<<20, 64*l.MemoryMB)),
+		Bytes:       part(0.2),
+		Reads:       part(0.1),
 	}
 }
 
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -9,7 +9,7 @@
 func TestThePartsStayWithinTheWhole(t *testing.T) {
 	for _, sockets := range []int{64, 100, 1024, 65536} {
 		p := Apply(config.Limits{Cores: 0.5, MemoryMB: 192, Sockets: sockets})
-		if p.ClientConns > sockets/3 || p.ClientConns < 1 || p.EngineConns < 1 || p.ClientConns+p.EngineConns+reserved > sockets {
+		if p.ClientConns < sockets/3 || p.EngineConns < sockets/3 || p.ClientConns+p.EngineConns+reserve(sockets) > sockets || reserve(sockets) < 14 {
 			t.Errorf("%d sockets: %+v", sockets, p)
 		}
 	}
