Belief held against the sockets, limits taken over at SIGHUP, and all troubles at once in a test

Checked by reading: gateway/roster.go (goneKept), cmd/swiftreel/main.go (run).

Now a look each second compares the module's view (choice/view.go) with the pool, counts what differs for three looks and logs it with -trace; limits are taken over by a reload; gone engines are known for a minute; after SIGTERM the program ends after 100 ms in which it neither owed anything nor stood still. A seeded test plays bad clients, rough engines, a feed that breaks and moves and reloads against one controller, and finds every job answered once, no bad client served and nothing left.

--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -22,8 +22,14 @@
 )
 
 // lateArrivals is how long after SIGTERM jobs may still come: on new connections for 0.4 s, 0.2 s more on open ones,
-// and some to spare.
-const lateArrivals = 900 * time.Millisecond
+// and some to spare. Then the program ends once nothing was owed for quietLast, in which it must not have stood still:
+// what came meanwhile would lie unread.
+const (
+	quietLast = 100 * time.Millisecond
+	quietLook = 10 * time.Millisecond
+)
+
+var lateArrivals = time.Second // shorter in tests where nothing comes late
 
 func main() {
 	trace := flag.Bool("trace", false, "log every event and action of the module")
@@ -53,13 +59,14 @@
 	if err != nil {
 		return err
 	}
-	parts := limits.Apply(file.Limits)
+	parts := new(limits.Parts)
+	parts.Apply(file.Limits)
 	gate := gateway.New(choice.Facts(file.Facts), file.Seed, parts, trace)
 	for _, ev := range known {
 		gate.List(ev, true)
 	}
 	follower := feed.Follow(file.Feed, file.Known.N, func(ev feed.Event) { gate.List(ev, false) })
-	reloads := reloader{file: file, follower: follower, load: func() (config.File, error) { return config.Load(os.Getenv) },
+	reloads := reloader{file: file, follower: follower, parts: parts, load: func() (config.File, error) { return config.Load(os.Getenv) },
 		done: make(chan struct{}), ended: make(chan struct{})}
 	go reloads.run(reload)
 	front := client.NewFront(gate, parts)
@@ -71,8 +78,13 @@
 	at := time.Now()
 	gate.SetReady(false)
 	log.Printf("stopping signal=%q owed=%d", told, front.Owed())
-	for time.Since(at) < lateArrivals || front.Owed() > 0 {
-		time.Sleep(10 * time.Millisecond)
+	for quiet, last := time.Duration(0), at; quiet < quietLast; {
+		time.Sleep(quietLook)
+		now := time.Now()
+		if quiet += quietLook; now.Sub(at) < lateArrivals || front.Owed() > 0 || now.Sub(last) > 5*quietLook {
+			quiet = 0
+		}
+		last = now
 	}
 	listener.Close()
 	front.Close()
--- a/cmd/swiftreel/main_test.go
+++ b/cmd/swiftreel/main_test.go
@@ -40,6 +40,7 @@
 // town is a running controller with its peers.
 type town struct {
 	t        *testing.T
+	handle   func(*toy.Session, engine.Command) // nil: what is no probe comes through the channel
 	feed     *toy.Feed
 	engines  map[string]*toy.Engine
 	commands chan command
@@ -72,11 +73,16 @@
 }
 
 // newTown starts a controller that knows the engines named, and checks in the end that nothing stays open.
-func newTown(t *testing.T, names ...string) *town {
+func newTown(t *testing.T, names ...string) *town { return newTownOf(t, nil, names...) }
+
+// newTownOf has the engines' commands handled; else they come through the channel.
+func newTownOf(t *testing.T, handle func(*toy.Session, engine.Command), names ...string) *town {
+	usual := lateArrivals
+	lateArrivals = 50 * time.Millisecond
 	log.SetOutput(io.Discard)
 	runtime.GC()
 	goroutines, files := runtime.NumGoroutine(), descriptors()
-	w := &town{t: t, engines: map[string]*toy.Engine{}, commands: make(chan command, 1000), stop: make(chan os.Signal, 1),
+	w := &town{t: t, handle: handle, engines: map[string]*toy.Engine{}, commands: make(chan command, 1000), stop: make(chan os.Signal, 1),
 		reload: make(chan os.Signal, 1), config: filepath.Join(t.TempDir(), "config.json"), ended: make(chan error, 1)}
 	var err error
 	if w.feed, err = toy.StartFeed("127.0.0.1:0", 1); err != nil {
@@ -103,6 +109,7 @@
 	settle(t, "not ready", func() bool { ready, err := w.caller.Ready(); return ready && err == nil })
 	t.Cleanup(func() {
 		w.finish()
+		lateArrivals = usual
 		w.feed.Close()
 		for _, e := range w.engines {
 			e.Close()
@@ -146,7 +153,9 @@
 // engine starts an engine and gives its entry in the list. It is well; jobs come through the channel.
 func (w *town) engine(name string) string {
 	e, err := toy.StartEngine("127.0.0.1:0", func(s *toy.Session, c engine.Command) {
-		if c.Word == "stats" || c.Word == "alive" {
+		if w.handle != nil {
+			w.handle(s, c)
+		} else if c.Word == "stats" || c.Word == "alive" {
 			s.Answer(c.ID, "well", "load=concurrent:0", "")
 		} else {
 			w.commands <- command{c, name, s}
@@ -521,6 +530,7 @@
 
 func TestAfterSIGTERMWhatComesIsServedAndThenItEnds(t *testing.T) {
 	w := newTown(t, "e1")
+	lateArrivals = 900 * time.Millisecond
 	id := w.job("lookup", "20000")
 	c := w.got("fetch")
 	w.stop <- syscall.SIGTERM
--- a/cmd/swiftreel/reload.go
+++ b/cmd/swiftreel/reload.go
@@ -11,6 +11,7 @@
 	"swiftreel/internal/check"
 	"swiftreel/internal/config"
 	"swiftreel/internal/feed"
+	"swiftreel/internal/limits"
 )
 
 // reloader takes over what it can of a configuration file that is read anew.
@@ -18,6 +19,7 @@
 	file     config.File // as last taken over
 	load     func() (config.File, error)
 	follower *feed.Follower
+	parts    *limits.Parts
 
 	done, ended chan struct{}
 }
@@ -56,13 +58,15 @@
 	moved := r.follower.Move(file.Feed, known)
 	last, _ := r.follower.Last()
 	log.Printf("reloaded feed=%s feed_moved=%v events=%d needs_restart=%q", file.Feed, moved, last, strings.Join(r.kept(file), ","))
-	r.file.Feed, r.file.Known = file.Feed, file.Known
+	if file.Limits != r.file.Limits {
+		r.parts.Apply(file.Limits)
+	}
+	r.file.Feed, r.file.Known, r.file.Limits = file.Feed, file.Known, file.Limits
 }
 
 // kept names what differs and is not taken over before the next start. The seed is new with each.
 func (r *reloader) kept(file config.File) (names []string) {
-	for name, differs := range map[string]bool{"name": file.Name != r.file.Name, "listen": file.Listen != r.file.Listen,
-		"limits": file.Limits != r.file.Limits} {
+	for name, differs := range map[string]bool{"name": file.Name != r.file.Name, "listen": file.Listen != r.file.Listen} {
 		if differs {
 			names = append(names, name)
 		}
--- /dev/null
+++ b/cmd/swiftreel/rough_test.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"swiftreel/internal/check"
+	"swiftreel/internal/toy"
+)
+
+// Bad clients, bad engines, a feed that breaks and moves, and reloads, all at once against one controller. Each job of
+// a usual client is answered once, and with what an engine made for it; no bad client is served; in the end nothing is
+// left: newTown's own check sees goroutines and descriptors, the counters see jobs, ids and bytes.
+func TestAllTroublesAtOnce(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { roughDay(t, seed) })
+	}
+}
+
+func roughDay(t *testing.T, seed uint64) {
+	left := func() [4]uint64 {
+		return [4]uint64{check.Of("jobs_left"), check.Of("bytes_left"), check.Of("dispatch_out_of_turn"), check.Of("action_for_no_job")}
+	}
+	before := left()
+	w := newTownOf(t, toy.NewRough(seed).Handle, "e1", "e2", "e3")
+	var usual, others sync.WaitGroup
+	over := make(chan struct{})
+	for i := range uint64(4) { // usual clients
+		usual.Go(func() { w.usual(1000*seed+i, 60) })
+	}
+	for i := range uint64(3) { // bad ones
+		others.Go(func() {
+			for chance := rand.New(rand.NewPCG(seed, i)); ; {
+				select {
+				case <-over:
+					return
+				default:
+				}
+				if toy.Rude(w.address, chance) {
+					t.Error("a bad client was served")
+				}
+			}
+		})
+	}
+	feeds := []*toy.Feed{w.feed}
+	others.Go(func() { feeds = w.roughFeed(rand.New(rand.NewPCG(seed, 9)), over) })
+	usual.Wait()
+	close(over)
+	others.Wait()
+	w.finish()
+	for _, f := range feeds[1:] {
+		f.Close()
+	}
+	if after := left(); after != before {
+		t.Errorf("left, or out of turn: %v, before %v", after, before)
+	}
+}
+
+// usual sends jobs, some at a time, and checks each one's answer.
+func (w *town) usual(first uint64, n int) {
+	c := w.dial()
+	defer c.Conn.Close()
+	open := map[uint32]string{}
+	for sent := 0; sent < n || len(open) > 0; {
+		if sent < n && len(open) < 8 {
+			id := fmt.Sprintf("%016x", first<<20+uint64(sent))
+			number, err := c.Send("lookup", "SELECT 1 FROM a_1.b", "call", id, "ttl", "1500", "org", "acme", "work", "20", "est_mb", "8")
+			if err != nil {
+				w.t.Error(err)
+				return
+			}
+			open[number] = id
+			sent++
+			continue
+		}
+		a, err := c.Read(20 * time.Second)
+		id, is := open[a.ID]
+		switch {
+		case err != nil:
+			w.t.Errorf("%d answers owed: %v", len(open), err)
+			return
+		case !is:
+			w.t.Errorf("a second answer, or one for nothing: %+v", a)
+		case a.Error == "" && string(a.Body) != toy.Rows(id):
+			w.t.Errorf("done with what no engine made: %.60q", a.Body)
+		case a.Error != "" && a.Error != "Overloaded" && a.Error != "Internal":
+			w.t.Errorf("%+v", a)
+		}
+		delete(open, a.ID)
+	}
+}
+
+// roughFeed breaks, repeats and moves the feed, and has the file read anew, whole or not.
+func (w *town) roughFeed(chance *rand.Rand, over <-chan struct{}) []*toy.Feed {
+	feeds := []*toy.Feed{w.feed}
+	known := strings.TrimSuffix(strings.SplitN(good(w.config), `"events":[`, 2)[1], "]},\"settings\":"+facts+"}")
+	for {
+		select {
+		case <-over:
+			return feeds
+		case <-time.After(time.Duration(20+chance.IntN(60)) * time.Millisecond):
+		}
+		now := feeds[len(feeds)-1]
+		switch chance.IntN(6) {
+		case 0:
+			now.Cut()
+		case 1:
+			now.Replay(false)
+		case 2:
+			now.Replay(true)
+		case 3:
+			now.Write("noise\n")
+		case 4: // half a file
+			os.WriteFile(w.config, []byte(good(w.config)[:200]), 0o600)
+			w.hup()
+			w.write(now.Address(), known)
+		case 5:
+			moved, err := toy.StartFeed("127.0.0.1:0", 1)
+			if err != nil {
+				w.t.Error(err)
+				return feeds
+			}
+			feeds = append(feeds, moved)
+			moved.Load(known)
+			w.write(moved.Address(), known)
+			w.hup()
+			now.Close()
+		}
+	}
+}
+
+func (w *town) hup() {
+	select {
+	case w.reload <- syscall.SIGHUP:
+	default: // one is waiting
+	}
+}
--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -61,6 +61,7 @@
 
 // serve reads calls until the connection ends.
 func (c *conn) serve() {
+	defer c.front.reading.Done()
 	defer c.close()
 	c.begun = true
 	c.limit(c.came.Add(firstWithin))
@@ -135,7 +136,7 @@
 		if len(c.buf) >= maxFrame {
 			return errBad
 		}
-		if !c.front.reads.Take(len(c.buf)) {
+		if !c.front.parts.Reads.Take(len(c.buf)) {
 			return errMemory
 		}
 		larger := make([]byte, 2*len(c.buf))
@@ -178,7 +179,7 @@
 // giveBuffer gives the buffer back while nothing is in it.
 func (c *conn) giveBuffer() {
 	if len(c.buf) > firstBuffer {
-		c.front.reads.Give(len(c.buf) - firstBuffer)
+		c.front.parts.Reads.Give(len(c.buf) - firstBuffer)
 	} else if c.buf != nil {
 		c.front.buffers.Put(c.buf)
 	}
@@ -212,7 +213,7 @@
 		c.refuse(m.id, wordFailed, "reason", err.Error())
 		return nil
 	}
-	if !c.front.bytes.Take(len(r.body)) {
+	if !c.front.parts.Bytes.Take(len(r.body)) {
 		c.refuse(m.id, wordThrottle, "", "")
 		return nil
 	}
@@ -227,10 +228,10 @@
 	c.mu.Unlock()
 	switch {
 	case twice:
-		c.front.bytes.Give(call.held)
+		c.front.parts.Bytes.Give(call.held)
 		return fmt.Errorf("id %d is still open and was used again", m.id)
 	case many: // it never ran
-		c.front.bytes.Give(call.held)
+		c.front.parts.Bytes.Give(call.held)
 		c.refuse(m.id, wordThrottle, "", "")
 	default:
 		c.pending = append(c.pending, pending{call, newAsk(call, m, r, at)})
@@ -269,7 +270,7 @@
 	}
 	delete(c.open, call.id)
 	c.used = time.Now()
-	c.front.bytes.Give(call.held)
+	c.front.parts.Bytes.Give(call.held)
 	return true
 }
 
--- a/internal/client/front.go
+++ b/internal/client/front.go
@@ -25,15 +25,14 @@
 // Front is all client connections.
 type Front struct {
 	taker   Taker
-	bytes   *limits.Bytes // of statements
-	reads   *limits.Bytes // of messages over the usual size that are being read
-	most    int
+	parts   *limits.Parts
 	buffers sync.Pool
 
 	bad, unusable check.Grumble
 	pulse         *pulse
 	owed          atomic.Int64 // answers owed or being written
 	done          chan struct{}
+	reading       sync.WaitGroup
 
 	mu    sync.Mutex
 	room  *sync.Cond
@@ -42,8 +41,8 @@
 }
 
 // NewFront serves a taker within its part of the limits.
-func NewFront(taker Taker, parts limits.Parts) *Front {
-	f := &Front{taker: taker, bytes: parts.Bytes, reads: parts.Reads, most: parts.ClientConns, conns: map[*conn]struct{}{},
+func NewFront(taker Taker, parts *limits.Parts) *Front {
+	f := &Front{taker: taker, parts: parts, conns: map[*conn]struct{}{},
 		buffers: sync.Pool{New: func() any { return make([]byte, firstBuffer) }},
 		pulse:   newPulse(time.Now()), done: make(chan struct{})}
 	go f.pulse.run(f.done)
@@ -68,12 +67,14 @@
 		now := time.Now()
 		c := &conn{front: f, nc: tcp, came: now, used: now, open: map[uint32]*call{}}
 		f.mu.Lock()
-		f.conns[c] = struct{}{}
-		ended := f.ended
-		f.mu.Unlock()
-		if ended {
+		if f.ended {
+			f.mu.Unlock()
 			nc.Close()
+			continue
 		}
+		f.conns[c] = struct{}{}
+		f.reading.Add(1)
+		f.mu.Unlock()
 		go c.serve()
 	}
 }
@@ -83,7 +84,7 @@
 func (f *Front) makeRoom() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for len(f.conns) >= f.most && !f.ended {
+	for len(f.conns) >= f.parts.ClientConns.Most() && !f.ended {
 		check.Count("client_conns_full")
 		var best *conn
 		var silent bool
@@ -118,14 +119,15 @@
 // Owed counts the calls whose answer has not gone out.
 func (f *Front) Owed() int64 { return f.owed.Load() }
 
-// Close ends all connections.
+// Close ends all connections, and waits for what reads them.
 func (f *Front) Close() {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.ended = true
 	close(f.done)
 	for c := range f.conns {
 		c.nc.Close()
 	}
 	f.room.Broadcast()
+	f.mu.Unlock()
+	f.reading.Wait()
 }
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -21,7 +21,7 @@
 	Dial, Idle time.Duration // a connection not made by then has failed; one unused so long is closed
 	Step       time.Duration // from a close of ours until what was out there is told of: what is sent upon that must not overtake it
 	Streams    int           // on one connection
-	Conns      int           // over all engines
+	Conns      *limits.Count // over all engines
 	Bytes      *limits.Bytes // of the results in hand
 }
 
@@ -93,7 +93,7 @@
 // there are descriptors: an idle one, or a new one. Only then do dispatches of one lane share.
 func (p *Pool) assign(to Host, d *Dispatch) state {
 	c := p.idleTo(to, d)
-	if c == nil && p.count < p.bounds.Conns-p.bounds.Conns/spared {
+	if most := p.bounds.Conns.Most(); c == nil && p.count < most-most/spared {
 		c = p.connect(to, d.lane)
 	}
 	if c == nil {
@@ -144,7 +144,7 @@
 
 // connect starts a connection, if need be in place of one that is idle.
 func (p *Pool) connect(to Host, lane Lane) *conn {
-	if p.ended || p.count >= p.bounds.Conns && !p.makeRoom() {
+	if p.ended || p.count >= p.bounds.Conns.Most() && !p.makeRoom() {
 		return nil
 	}
 	c := &conn{pool: p, host: to.Name, address: to.Address, lane: lane, open: map[string]*Dispatch{},
@@ -247,6 +247,21 @@
 	}
 }
 
+// Out tells how many dispatches are open at an engine, and how many were given up there and may still be out.
+func (p *Pool) Out(name string) (open, givenUp int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns[name] {
+		for _, d := range c.open {
+			if !d.probe {
+				open++
+			}
+		}
+		givenUp += len(c.aborts)
+	}
+	return open, givenUp
+}
+
 // Count tells how many connections there are.
 func (p *Pool) Count() int {
 	p.mu.Lock()
--- a/internal/engine/pool_test.go
+++ b/internal/engine/pool_test.go
@@ -30,13 +30,15 @@
 const memory = 100_000
 
 func newBench(t *testing.T, change func(*engine.Bounds)) *bench {
-	b := &bench{t: t, bytes: limits.NewBytes(memory), commands: make(chan command, 100), replies: make(chan engine.Reply, 100)}
+	b := &bench{t: t, bytes: new(limits.Bytes), commands: make(chan command, 100), replies: make(chan engine.Reply, 100)}
+	b.bytes.Allow(memory)
 	var err error
 	b.peer, err = toy.StartEngine("127.0.0.1:0", func(s *toy.Session, c engine.Command) { b.commands <- command{c, s} })
 	if err != nil {
 		t.Fatal(err)
 	}
-	bounds := engine.Bounds{Dial: 5 * time.Second, Idle: time.Minute, Streams: 100, Conns: 10, Bytes: b.bytes}
+	bounds := engine.Bounds{Dial: 5 * time.Second, Idle: time.Minute, Streams: 100, Conns: new(limits.Count), Bytes: b.bytes}
+	bounds.Conns.Store(10)
 	if change != nil {
 		change(&bounds)
 	}
@@ -124,7 +126,7 @@
 }
 
 func TestWhatNeverRanAndWhatMayHave(t *testing.T) {
-	b := newBench(t, func(l *engine.Bounds) { l.Conns = 1 }) // shared
+	b := newBench(t, func(l *engine.Bounds) { l.Conns.Store(1) }) // shared
 	for word, end := range map[string]engine.End{"full": engine.Full, "moot": engine.Moot, "failed": engine.Failed} {
 		b.start("a")
 		b.got("fetch").from.Answer("a", word, "", "")
@@ -302,7 +304,7 @@
 }
 
 func TestConnectionsAreBounded(t *testing.T) {
-	b := newBench(t, func(l *engine.Bounds) { l.Streams, l.Conns = 2, 2 })
+	b := newBench(t, func(l *engine.Bounds) { l.Streams = 2; l.Conns.Store(2) })
 	var from []command
 	for _, id := range []string{"a", "b", "c", "d"} {
 		b.start(id)
@@ -354,7 +356,7 @@
 
 // A machine that vanished reads no abort: the job still counted as out there when it was sent again elsewhere.
 func TestASilentConnectionIsClosedToGiveUpWhatIsOutOnIt(t *testing.T) {
-	b := newBench(t, func(l *engine.Bounds) { l.Dial, l.Conns = 200*time.Millisecond, 2 })
+	b := newBench(t, func(l *engine.Bounds) { l.Dial = 200 * time.Millisecond; l.Conns.Store(2) })
 	read := make(chan string, 3)
 	b.pool.Start(b.host, engine.Request{ID: []byte("c"), Type: []byte("import"), Lane: engine.MayNot}, func(r engine.Reply) { b.replies <- r })
 	kept := b.got("fetch")
--- /dev/null
+++ b/internal/gateway/belief.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"log"
+	"time"
+
+	"swiftreel/choice"
+	"swiftreel/internal/check"
+)
+
+const (
+	beliefEvery = time.Second
+	differsMost = 3 // looks in a row: what is on its way between module and sockets differs for a moment only
+)
+
+// belief holds what the module thinks of each engine against what is out on the sockets.
+type belief struct {
+	differs map[string]int // looks in a row, by engine; one that agrees leaves, as does one no longer seen
+	say     check.Grumble
+}
+
+// watch looks each second, until the gateway is closed.
+func (g *Gateway) watch(done <-chan struct{}) {
+	b := belief{differs: map[string]int{}}
+	tick := time.NewTicker(beliefEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-tick.C:
+			b.look(g)
+		}
+	}
+}
+
+// look compares once. An engine that is gone is told of only while something is out there.
+func (b *belief) look(g *Gateway) {
+	g.mu.Lock()
+	seen := g.module.View(max(g.last, g.clock.now()))
+	names := make([]string, len(seen))
+	for i, s := range seen {
+		if l := g.roster.byID[s.Engine]; l != nil {
+			names[i] = l.host.Name
+		}
+	}
+	g.mu.Unlock()
+	before := b.differs
+	b.differs = map[string]int{}
+	for i, s := range seen {
+		open, giving := g.pool.Out(names[i])
+		if s.Jobs != open+giving {
+			if b.differs[names[i]] = before[names[i]] + 1; b.differs[names[i]] >= differsMost {
+				b.say.Note("beliefs_differ", "belief engine=%s module_jobs=%d open=%d given_up=%d", names[i], s.Jobs, open, giving)
+			}
+		}
+		if g.trace && (s.Out != "gone" || s.Jobs > 0) {
+			log.Printf("belief engine=%s module_jobs=%d open=%d given_up=%d threads=%.0f others=%.1f report_age_ms=%d heard_ms=%d out=%q",
+				names[i], s.Jobs, open, giving, s.Threads, s.Others, ms(s.Reported), ms(s.Heard), s.Out)
+		}
+	}
+}
+
+func ms(n choice.Nanos) int64 { return int64(n) / int64(time.Millisecond) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,9 +20,11 @@
 	names   names
 	pool    *engine.Pool
 	rules   rules
+	parts   *limits.Parts
 	ready   atomic.Bool
 	trace   trace
-	running sync.WaitGroup // jobs' functions
+	running sync.WaitGroup // jobs' functions, and the watch over what is believed
+	done    chan struct{}
 
 	mu     sync.Mutex // around Decide and what follows; no I/O under it
 	module choice.Controller
@@ -35,12 +37,12 @@
 }
 
 // New starts the module with the settings as they are.
-func New(facts choice.Facts, seed uint64, parts limits.Parts, traced bool) *Gateway {
-	g := &Gateway{clock: newClock(), names: newNames(facts), rules: newRules(facts), roster: newRoster(),
-		jobs: map[choice.JobID]*job{}, calls: map[string]struct{}{}, trace: trace(traced)}
-	g.rules.open = min(g.rules.open, parts.Jobs)
+func New(facts choice.Facts, seed uint64, parts *limits.Parts, traced bool) *Gateway {
+	g := &Gateway{clock: newClock(), names: newNames(facts), rules: newRules(facts), parts: parts, roster: newRoster(),
+		jobs: map[choice.JobID]*job{}, calls: map[string]struct{}{}, done: make(chan struct{}), trace: trace(traced)}
 	g.pool = engine.NewPool(engine.Bounds{Dial: g.rules.dial, Idle: g.rules.idle, Step: g.rules.step, Streams: g.rules.streams,
-		Conns: parts.EngineConns, Bytes: parts.Bytes})
+		Conns: &parts.EngineConns, Bytes: &parts.Bytes})
+	g.running.Go(func() { g.watch(g.done) })
 	g.tell(choice.Event{Kind: choice.Started, Seed: seed, Facts: facts})
 	return g
 }
@@ -142,6 +144,9 @@
 	g.mu.Lock()
 	g.ended = true
 	g.mu.Unlock()
+	close(g.done)
 	g.pool.Close()
 	g.running.Wait()
+	check.That(len(g.jobs) == 0 && len(g.calls) == 0, "jobs_left")
+	check.That(g.parts.Reads.All() && g.parts.Bytes.All(), "bytes_left")
 }
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -65,7 +65,7 @@
 	j := &job{Ask: a, in: newInbox()}
 	g.mu.Lock()
 	_, twice := g.calls[string(a.ID)]
-	if many := len(g.jobs) >= g.rules.open; many || twice {
+	if many := len(g.jobs) >= min(g.rules.open, g.parts.Jobs.Most()); many || twice {
 		g.mu.Unlock()
 		if twice { // engines tell dispatches apart by this id
 			check.Count("calls_twice")
--- a/internal/gateway/names_test.go
+++ b/internal/gateway/names_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"swiftreel/choice"
+	"swiftreel/internal/config"
 	"swiftreel/internal/engine"
 	"swiftreel/internal/feed"
 	"swiftreel/internal/limits"
@@ -74,6 +75,12 @@
 	}
 }
 
+func parts() *limits.Parts {
+	p := new(limits.Parts)
+	p.Apply(config.Limits{Cores: 1, MemoryMB: 32, Sockets: 64})
+	return p
+}
+
 // asker is a job's other side.
 type asker struct {
 	said  chan string
@@ -88,7 +95,7 @@
 func TestAFloodEndsInThrottling(t *testing.T) {
 	facts := choice.Facts{"classes": []any{map[string]any{"name": "lookup", "idempotency": "repeatable", "aim_ns": 5e8}},
 		"limits": map[string]any{"max_open": 3.0}}
-	g := New(facts, 1, limits.Parts{EngineConns: 1, Jobs: 100, Bytes: limits.NewBytes(1000)}, false)
+	g := New(facts, 1, parts(), false)
 	defer g.Close()
 	a := asker{make(chan string, 10), func(func()) {}}
 	for i := range 5 { // no engine: three are parked until it is late, two turned away
@@ -116,7 +123,7 @@
 func TestADispatchOrderedAsTheClientLeavesHasAnOutcome(t *testing.T) {
 	facts := choice.Facts{"localities": []any{"west"}, "kinds": []any{"std"}, "domain": map[string]any{"cpu_of_kind": []any{16.0}},
 		"classes": []any{map[string]any{"name": "lookup", "idempotency": "repeatable", "aim_ns": 5e8}}}
-	g := New(facts, 1, limits.Parts{EngineConns: 1, Jobs: 100, Bytes: limits.NewBytes(1000)}, false)
+	g := New(facts, 1, parts(), false)
 	var parked *job
 	a := asker{make(chan string, 10), func(left func()) {
 		left()
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -11,8 +11,8 @@
 	"swiftreel/internal/feed"
 )
 
-// goneKept is how long the number of an engine that is gone is kept, in case it returns.
-const goneKept = 10 * time.Minute
+// goneKept is how long an engine that is gone is still known, for what was ordered there a moment before.
+const goneKept = time.Minute
 
 // listed is an engine of the list: its number, where it is, and when it was gone.
 type listed struct {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -10,44 +10,43 @@
 	"swiftreel/internal/config"
 )
 
-// Parts is the division.
+// Parts is the division. A new configuration changes it in place.
 type Parts struct {
-	ClientConns int    // well over the third of the descriptors that usual clients hold
-	EngineConns int    // the same at least
-	Jobs        int    // taken and not over
-	Bytes       *Bytes // statements and results
-	Reads       *Bytes // messages of clients that are being read
+	ClientConns Count // well over the third of the descriptors that usual clients hold
+	EngineConns Count // the same at least
+	Jobs        Count // taken and not over
+	Bytes       Bytes // statements and results
+	Reads       Bytes // messages of clients that are being read
 }
 
+// Count is how many there may be.
+type Count struct{ atomic.Int64 }
+
+// Most gives it.
+func (c *Count) Most() int { return int(c.Load()) }
+
 // reserve is for standard streams, poller, listener, feeds, the configuration, and what the runtime opens for a moment.
 func reserve(sockets int) int { return min(40, 12+sockets/32) }
 
-// Apply sets the runtime's bounds and divides the rest.
-func Apply(l config.Limits) Parts {
+// Apply sets the runtime's bounds and divides the rest. What is held over a bound that shrank runs out by and by.
+func (p *Parts) Apply(l config.Limits) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
 	debug.SetMemoryLimit(int64(l.MemoryMB * 0.7 * (1 << 20)))
 	left := l.Sockets - reserve(l.Sockets)
-	part := func(share float64) *Bytes { return NewBytes(int64(l.MemoryMB * share * (1 << 20))) }
-	return Parts{
-		ClientConns: max(1, left/2),
-		EngineConns: max(1, left-left/2),
-		Jobs:        int(min(1<<20, 64*l.MemoryMB)),
-		Bytes:       part(0.2),
-		Reads:       part(0.1),
-	}
+	p.ClientConns.Store(int64(max(1, left/2)))
+	p.EngineConns.Store(int64(max(1, left-left/2)))
+	p.Jobs.Store(int64(min(1<<20, 64*l.MemoryMB)))
+	p.Bytes.Allow(int64(l.MemoryMB * 0.2 * (1 << 20)))
+	p.Reads.Allow(int64(l.MemoryMB * 0.1 * (1 << 20)))
 }
 
 // Bytes is what messages in hand may hold together: statements, results, and reads over their usual size.
 type Bytes struct {
-	left atomic.Int64
+	whole, left atomic.Int64
 }
 
-// NewBytes allows n bytes.
-func NewBytes(n int64) *Bytes {
-	b := new(Bytes)
-	b.left.Store(n)
-	return b
-}
+// Allow says how many there may be.
+func (b *Bytes) Allow(n int64) { b.left.Add(n - b.whole.Swap(n)) }
 
 // Take takes n bytes, or tells that so many are not left.
 func (b *Bytes) Take(n int) bool {
@@ -61,5 +60,8 @@
 // Give gives n bytes back.
 func (b *Bytes) Give(n int) { b.left.Add(int64(n)) }
 
+// All tells whether none are taken.
+func (b *Bytes) All() bool { return b.left.Load() == b.whole.Load() }
+
 // Left tells how many there are.
 func (b *Bytes) Left() int64 { return b.left.Load() }
--- a/internal/toy/engine.go
+++ b/internal/toy/engine.go
@@ -23,8 +23,24 @@
 
 // Session is one controller's connection.
 type Session struct {
-	conn net.Conn
-	mu   sync.Mutex
+	conn    net.Conn
+	mu      sync.Mutex
+	aborted map[string]bool // until asked for a page of it
+}
+
+func (s *Session) abort(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.aborted[id] = true
+}
+
+// takeBack tells whether an id was aborted, once.
+func (s *Session) takeBack(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	was := s.aborted[id]
+	delete(s.aborted, id)
+	return was
 }
 
 // StartEngine listens at an address.
@@ -49,7 +65,7 @@
 		if err != nil {
 			return
 		}
-		s := &Session{conn: conn}
+		s := &Session{conn: conn, aborted: map[string]bool{}}
 		e.mu.Lock()
 		if e.ended {
 			conn.Close()
--- a/internal/toy/feed.go
+++ b/internal/toy/feed.go
@@ -94,6 +94,13 @@
 	return text
 }
 
+// Load adds an event's text as it is: one that another feed told before.
+func (f *Feed) Load(text string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.events = append(f.events, text)
+}
+
 // Cut breaks the connections; each SUB so far is told.
 func (f *Feed) Cut() []int {
 	f.mu.Lock()
@@ -104,6 +111,23 @@
 	return append([]int{}, f.told...)
 }
 
+// Replay writes all events again, or the first half of the last one, to every connection.
+func (f *Feed) Replay(half bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	text := strings.Join(f.events, "\n") + "\n"
+	if half {
+		text = f.events[len(f.events)-1]
+		text = text[:len(text)/2]
+	}
+	for conn := range f.conns {
+		fmt.Fprint(conn, text)
+		if half {
+			conn.Close()
+		}
+	}
+}
+
 // Told gives the number of every SUB so far.
 func (f *Feed) Told() []int {
 	f.mu.Lock()
