The share of what is carried follows up to ten times faster the more jobs are out

Now the means follow up to ten times faster where many jobs are out, and the share over 0.4 s. With few jobs out, as in fleets of hundreds of controllers, nothing changes.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,10 +43,10 @@
 	probeEvery, reportFresh = 400 * ms, 1500 * ms // an engine; a report so young shows what siblings hold
 	probeBears, probePoints = 0.05, 0.008         // of billed value for a look's probes; points for a job's
 	blindPart, quickPart    = 0.6, 1.25           // of an engine filled without a fresh report; by quick types
-	outStep, swapPart       = 0.005, 0.8          // of means, a sweep; of memory where too much slows all
+	outStep, outFaster      = 0.005, 10.0         // of means, a sweep; times that with many jobs out
 
-	coldSafety, turnPart = 0.6, 0.75        // of what a cold engine stands; of that, in turns
-	emptied, outageLasts = 0.15, 5 * second // of the jobs usual: fewer, it just started; after the last refusal
+	coldSafety, turnPart, swapPart = 0.6, 0.75, 0.8   // of what a cold engine stands; in turns; of memory that pages
+	emptied, outageLasts           = 0.15, 5 * second // of the jobs usual: fewer, it just started; after the last refusal
 )
 
 // meanOf moves the usual work: a plain mean at first, which a fresh controller needs, then a moving one.
@@ -853,9 +853,9 @@
 			pressed++
 		}
 	}
-	c.outJobs += outStep * (jobs - c.outJobs)
-	c.outThreads += outStep * (threads - c.outThreads)
-	c.outGrants += outStep * (grants - c.outGrants)
+	step := outStep * min(outFaster, max(1, c.outJobs/4)) // the more jobs, the less of a change is chance
+	c.outJobs += step * (jobs - c.outJobs)
+	c.outThreads, c.outGrants = c.outThreads+step*(threads-c.outThreads), c.outGrants+step*(grants-c.outGrants)
 	c.slowMean, c.badMean = max(0.1, slow/max(1, n)), bad/max(1, n)
 	if on := 2*pressed > len(c.engines); on != c.pressed && (on || 4*pressed < len(c.engines)) {
 		c.pressed = on
@@ -866,7 +866,7 @@
 		c.crowd += outStep * (c.outThreads/max(1, c.even*c.cores) - c.crowd)
 	}
 	if c.crowd > 0 {
-		c.share += 0.02 * (min(1, max(c.even, c.outThreads/max(1, c.crowd*c.cores))) - c.share)
+		c.share += 0.05 * (min(1, max(c.even, c.outThreads/max(1, c.crowd*c.cores))) - c.share)
 	}
 	c.reprice(waited)
 	c.tidy()
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -217,6 +217,30 @@
 	want(t, s.c.share > 0.3 && s.c.room(j, e), "share %v though the reports show no others", s.c.share)
 }
 
+// The failure: while siblings restart one after the other, some seconds each, the controllers left throttled a tenth of
+// the jobs, as their share followed what they carried over four seconds only.
+func TestTheShareFollowsSoonWhereManyJobsAreOut(t *testing.T) {
+	s := newStage(t, plainFacts().set("balancers", 3.0), 6)
+	report := func(others float64) {
+		for _, e := range s.c.engines {
+			s.tell(Event{Kind: Probed, Engine: e.Engine, Result: Done, Load: []float64{float64(len(e.flights)) + others}})
+		}
+	}
+	for range 30 {
+		s.arrive(0, 0, 0)
+	}
+	for range 10 { // two siblings carry as much
+		report(10)
+		s.pass(400 * ms)
+	}
+	want(t, s.c.share < 0.4, "share %v beside two siblings", s.c.share)
+	for range 3 { // they are gone
+		report(0)
+		s.pass(400 * ms)
+	}
+	want(t, s.c.share > 0.6, "share %v 1.2 s after the siblings left", s.c.share)
+}
+
 // The failure: a job of many threads never fitted a small share of a small engine beside a single lookup.
 func TestAJobFitsIfHalfOfItDoes(t *testing.T) {
 	f := plainFacts().set("balancers", 4.0).set("domain.class_threads", []any{1.0, 4.0, 2.0})
