A dial reset as soon as it was up is no refusal; idle connections are trusted as far as they hold

Checked with -trace and probes: engines lay idle (threads 0, others 0) while a third of the jobs was throttled; the waiting heads had room everywhere and were barred by rule 4's gate alone, since every engine was taken for just started, 14 s long.

Now a dial that was reset is tried again, three times in all; a connection idle for as long as one that was lost under its next dispatch is not used, for a while; a probe whose connection is reset goes out again, as it used to take the engine out for a second.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -45,8 +45,8 @@
 	blindPart, quickPart    = 0.6, 1.25           // of an engine filled without a fresh report; by quick types
 	outStep, outFaster      = 0.005, 10.0         // of means, a sweep; times that with many jobs out
 
-	coldSafety, turnPart, swapPart = 0.6, 0.75, 0.8   // of what a cold engine stands; in turns; of memory that pages
-	emptied, outageLasts           = 0.15, 5 * second // of the jobs usual: fewer, it just started; after the last refusal
+	coldSafety, turnPart, swapPart = 0.6, 0.75, 0.8   // of what a cold engine stands; in turns; of paged memory
+	emptied, outageLasts           = 0.15, 5 * second // of jobs usual: fewer, it just started; after a refusal
 )
 
 // meanOf moves the usual work: a plain mean at first, which a fresh controller needs, then a moving one.
@@ -61,7 +61,7 @@
 	chance                               pcg
 	acts                                 []Action
 	tick                                 Mark  // of the last timer set
-	now, booted, swept, asked            Nanos // asked: for changes of the list
+	now, booted, swept, asked, until     Nanos // asked: for changes of the list; until: we stop
 	outage, refused, reportedLast        Nanos // engines refuse since, and last did; last report
 	warmWithin, step, period, retryAfter Nanos // step: between batches; period: between notes
 	zone                                 ZoneID
@@ -109,6 +109,8 @@
 		}
 	case Probed:
 		c.probed(ev)
+	case Stopping:
+		c.until = c.now + ev.Left
 	case TimerDue:
 		if ev.Mark == c.tick { // a timer that is not the last one set would start a second chain of them
 			c.sweep()
@@ -127,7 +129,7 @@
 func (c *Controller) start(ev Event) {
 	f := ev.Facts
 	c.facts, c.chance = f, pcg(ev.Seed)
-	c.booted, c.swept, c.refused = c.now, c.now, c.now-outageLasts
+	c.booted, c.swept, c.refused, c.until = c.now, c.now, c.now-outageLasts, math.MaxInt64
 	c.controllers, c.me = max(1, int(f.num("balancers", 1))), int(f.num("me", 0))
 	c.even, c.slowMean = 1/float64(c.controllers), 1
 	c.share, c.mostTries = c.even, max(1, int(f.num("limits.most_tries", 1)))
@@ -262,11 +264,11 @@
 	return true
 }
 
-// notWorth tells whether a job cannot end before its job timeout, or its billed value for the work (late,
-// once past its SLA time) is under the price of an overload: one rule for bursts, costly jobs and slowness.
+// notWorth tells whether a job cannot end before its job timeout, or before we stop, or its billed value for
+// the work (late, once past its SLA time) is under the price of an overload: for bursts, costly jobs, slowness.
 func (c *Controller) notWorth(j *job) bool {
 	t, left, worth := j.typ, j.work/j.typ.threads, j.worth
-	if c.late(j) || c.now+Nanos(0.8*left) > j.lost {
+	if c.late(j) || c.now+Nanos(0.8*left) > min(j.lost, c.until) {
 		return true
 	}
 	if c.now+Nanos(left*min(t.slow, 2)) > j.due {
@@ -659,8 +661,7 @@
 		return
 	}
 	f, took := j.flight, float64(c.now-j.flight.sent-j.flight.still)
-	f.engine.heard = c.now
-	if f.noted = c.now; ev.Note == Progress {
+	if f.noted, f.engine.heard = c.now, c.now; ev.Note == Progress {
 		if whole := took / max(ev.Amount, 0.01); whole > badPlanTimes*f.expect && whole-took > 1.5*f.expect {
 			c.callBack(f)
 		}
@@ -875,8 +876,7 @@
 // stood excuses the time that this controller stood still, seen from its own timer: it says nothing of
 // engines or queues, and answers may lie behind the timer. Should also catch a machine short of CPU.
 func (c *Controller) stood(still Nanos) {
-	c.swept = c.now
-	if still < stoodStill {
+	if c.swept = c.now; still < stoodStill {
 		return
 	}
 	for _, j := range c.live {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -112,6 +112,21 @@
 	want(t, s.jobs[id].by == Throttle, "answered by %v", s.jobs[id].by)
 }
 
+// The failure: long jobs that waited when a controller was told to stop were killed with it; throttled at once, their
+// clients find another in time.
+func TestWhatCannotEndBeforeWeStopIsThrottledAtOnce(t *testing.T) {
+	s := newStage(t, plainFacts(), 1)
+	s.c.engines[0].fullUntil = s.now + 100*second // nothing is sent for now
+	long, short := s.arriveAs(Event{Type: 1, Left: 20 * second, Cost: 10 * second, CostKnown: true}), s.arrive(0, 0, 0)
+	s.pass(100 * ms)
+	want(t, !s.jobs[long].ended && !s.jobs[short].ended, "both wait")
+	s.tell(Event{Kind: Stopping, Left: 3 * second})
+	s.pass(100 * ms)
+	want(t, s.jobs[long].ended && s.jobs[long].by == Throttle && !s.jobs[short].ended, "%+v %+v", s.jobs[long], s.jobs[short])
+	long = s.arriveAs(Event{Type: 1, Left: 20 * second, Cost: 10 * second, CostKnown: true})
+	want(t, s.jobs[long].ended && s.jobs[long].by == Throttle, "one that comes later: %+v", s.jobs[long])
+}
+
 func TestOneJobAKeyInOrderWithItsRest(t *testing.T) {
 	s := newStage(t, plainFacts(), 3)
 	a, b, other := s.arrive(2, 5, 1), s.arrive(2, 5, 2), s.arrive(2, 6, 3)
--- a/choice/types.go
+++ b/choice/types.go
@@ -39,6 +39,7 @@
 	Listed
 	Probed
 	Heard
+	Stopping // this controller is about to end
 )
 
 // Result is how a dispatch or a probe ended.
@@ -112,7 +113,7 @@
 	Type      TypeID
 	Tenant    TenantID
 	Key       Key
-	Left      Nanos
+	Left      Nanos // also Stopping: in which answers are sure to go out
 	Cost      Nanos
 	CostKnown bool
 	Repeat    bool
--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -71,12 +71,12 @@
 	go reloads.run(reload)
 	front := client.NewFront(gate, parts)
 	go front.Serve(listener)
-	gate.SetReady(true)
+	gate.Start()
 	log.Printf("serving name=%s address=%s events_known=%d", file.Name, listener.Addr(), file.Known.N)
 
 	told := <-stop
 	at := time.Now()
-	gate.SetReady(false)
+	gate.Stop()
 	log.Printf("stopping signal=%q owed=%d", told, front.Owed())
 	for quiet, last := time.Duration(0), at; quiet < quietLast; {
 		time.Sleep(quietLook)
--- a/internal/client/front.go
+++ b/internal/client/front.go
@@ -19,8 +19,10 @@
 	Take(gateway.Ask) // does not wait; those of one connection come in their order
 }
 
-// silentLeast is how long a connection may say nothing where others wait for its place.
-const silentLeast = 50 * time.Millisecond
+const (
+	silentLeast = 50 * time.Millisecond // a connection may say nothing so long where others wait for its place
+	usualIdle   = 5 * time.Second       // usual clients close a connection that is idle for 4 s
+)
 
 // Front is all client connections.
 type Front struct {
@@ -79,28 +81,15 @@
 	}
 }
 
-// makeRoom waits until one more connection may be held. One that never said anything makes way first, else the one
-// idle longest; never one with something to be read, which may be a call.
+// makeRoom waits until one more connection may be held.
 func (f *Front) makeRoom() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for len(f.conns) >= f.parts.ClientConns.Most() && !f.ended {
 		check.Count("client_conns_full")
-		var best *conn
-		var silent bool
-		var since time.Time
-		for c := range f.conns {
-			used, said, idle := c.idle()
-			if !said && time.Since(c.came) < silentLeast || !idle || best != nil && (silent && said || silent == !said && !used.Before(since)) {
-				continue
-			}
-			if !c.hasUnread() {
-				best, silent, since = c, !said, used
-			}
-		}
-		if best != nil {
-			best.nc.Close()
-			delete(f.conns, best)
+		if c := f.spare(time.Now()); c != nil {
+			c.nc.Close()
+			delete(f.conns, c)
 			return
 		}
 		wake := time.AfterFunc(silentLeast/4, f.room.Signal)
@@ -109,6 +98,29 @@
 	}
 }
 
+// spare finds the connection that makes way: the oldest that never said anything; else the one idle longest, if usual
+// clients would have closed it by now, or nobody is silent. Never one with something to be read, which may be a call.
+func (f *Front) spare(now time.Time) *conn {
+	var silent, idle *conn
+	var since time.Time
+	young := false
+	for c := range f.conns {
+		used, said, free := c.idle()
+		switch {
+		case !said && now.Sub(c.came) < silentLeast:
+			young = true
+		case !said && (silent == nil || c.came.Before(silent.came)) && !c.hasUnread():
+			silent = c
+		case said && free && (idle == nil || used.Before(since)) && !c.hasUnread():
+			idle, since = c, used
+		}
+	}
+	if silent != nil || idle == nil || young && now.Sub(since) < usualIdle {
+		return silent
+	}
+	return idle
+}
+
 func (f *Front) drop(c *conn) {
 	f.mu.Lock()
 	delete(f.conns, c)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"net"
 	"os"
@@ -41,7 +42,7 @@
 	if path == "" {
 		return File{}, errors.New("ROUTER_CONFIG names no file")
 	}
-	text, err := os.ReadFile(path)
+	text, err := read(path)
 	if err != nil {
 		return File{}, err
 	}
@@ -61,6 +62,22 @@
 	return f, nil
 }
 
+// mostBytes bounds the file.
+const mostBytes = 8 << 20
+
+func read(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, mostBytes+1))
+	if err == nil && len(text) > mostBytes {
+		err = fmt.Errorf("%s: over %d bytes", path, mostBytes)
+	}
+	return text, err
+}
+
 // Parse reads the JSON text.
 func Parse(text []byte) (File, error) {
 	var raw struct {
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -15,9 +15,13 @@
 
 const (
 	writeTimeout = time.Second // an engine that takes no byte for so long is cut off
+	movesMost    = 3           // of a dispatch of which no byte went out, to another connection
+	straysMost   = 256         // answers in a row for ids that are not open
 	carriedMost  = 64          // ids that ended without a result and are remembered on a connection
 )
 
+var errStray = errors.New("answers for nothing, without end")
+
 // conn is one connection to an engine. All but writing is guarded by the pool's lock.
 type conn struct {
 	pool          *Pool
@@ -31,7 +35,9 @@
 	queue         []*Dispatch       // wait for the connection to be made, in turn
 	given         []string          // the last ids that ended here but may be sent anew, whose answers may still come
 	aborts        map[string]func() // not known to have been read; emptied by answers, or the end of the connection
+	strays        int               // answers in a row that nobody waits for
 	idleSince     time.Time
+	rested        time.Duration // idle before what is open now, until something is heard
 	heard         time.Time
 
 	writing sync.Mutex
@@ -104,9 +110,15 @@
 			}
 			break
 		}
-		c.take(a)
+		if !c.take(a) {
+			broken(c, errStray)
+			break
+		}
 	}
 	p.mu.Lock()
+	if !c.closed && len(c.open) > 0 {
+		p.idle.lost(c.rested, time.Now())
+	}
 	p.shut(c)
 	cut := c.cut
 	p.mu.Unlock()
@@ -164,7 +176,7 @@
 	}
 }
 
-// send writes a dispatch. If not one byte of it went out it never ran and may go over another connection, once.
+// send writes a dispatch. If not one byte of it went out it never ran and may go over another connection.
 func (c *conn) send(d *Dispatch) {
 	p := c.pool
 	c.writing.Lock()
@@ -189,7 +201,7 @@
 	}
 	delete(c.open, d.id)
 	p.shut(c)
-	if n > 0 || d.again || time.Since(d.started) > p.bounds.Dial/2 { // in time for an engine that now drains
+	if n > 0 || d.moved == movesMost || time.Since(d.started) > p.bounds.Dial/2 { // in time for an engine that now drains
 		d.close(Reset)
 		p.mu.Unlock()
 		end := NotConnected
@@ -199,7 +211,7 @@
 		d.finish(Reply{End: end})
 		return
 	}
-	d.again = true
+	d.moved++
 	next := p.assign(Host{c.host, c.address}, d)
 	p.mu.Unlock()
 	check.Count("sends_moved")
@@ -222,11 +234,12 @@
 	return n, err
 }
 
-// take hands an answer to its dispatch; a late one, whose id is no longer open, is dropped.
-func (c *conn) take(a answer) {
+// take hands an answer to its dispatch; a late one, whose id is no longer open, is dropped. False means that too many
+// came for nothing.
+func (c *conn) take(a answer) bool {
 	p := c.pool
 	p.mu.Lock()
-	c.heard, c.doubted = time.Now(), false
+	c.heard, c.doubted, c.rested = time.Now(), false, 0
 	d := c.open[string(a.id)]
 	if d == nil {
 		done := c.aborts[string(a.id)]
@@ -234,17 +247,21 @@
 			delete(c.aborts, string(a.id))
 			p.mu.Unlock()
 			done()
-			return
+			return true
 		}
+		c.strays++
+		many := c.strays > straysMost
+		c.cut = c.cut || many
 		p.mu.Unlock()
 		check.Count("answers_late")
-		return
+		return !many
 	}
-	if d.state == sending { // the answer overtook its writer
+	if c.strays = 0; d.state == sending { // the answer overtook its writer
 		d.state, d.text = out, nil
 	}
 	p.mu.Unlock()
 	d.take(a)
+	return true
 }
 
 // release frees a dispatch's place. The lock is held.
--- a/internal/engine/dispatch.go
+++ b/internal/engine/dispatch.go
@@ -33,6 +33,12 @@
 	Amount float64
 }
 
+// Notes of a dispatch come so often at most, but for some at once.
+const (
+	notesAtOnce = 32
+	notesEvery  = 10 * time.Millisecond
+)
+
 type state uint8
 
 const (
@@ -49,7 +55,7 @@
 	reply   func(Reply)
 	started time.Time
 	probe   bool
-	again   bool // was moved to another connection once
+	moved   int // to another connection, with no byte out
 	text    []byte
 
 	lane  Lane
@@ -57,6 +63,7 @@
 	state state
 	wrote time.Time
 
+	notes int
 	done  Reply // gathered by the connection's reader
 	pages [][]byte
 	want  int
@@ -125,7 +132,9 @@
 	case d.probe:
 		d.end(Reply{End: Failed})
 	case word == "news":
-		if note, is := a.field("note"); is {
+		if d.notes++; time.Duration(d.notes-notesAtOnce)*notesEvery > time.Since(d.started) {
+			d.spoilt("news_without_end")
+		} else if note, is := a.field("note"); is {
 			if v, is := a.number("val"); is {
 				d.reply(Reply{Note: note, Amount: v})
 			}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -2,9 +2,11 @@
 package engine
 
 import (
+	"errors"
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"swiftreel/internal/check"
@@ -36,17 +38,20 @@
 	bounds Bounds
 	done   chan struct{}
 	bad    check.Grumble
+	dialer func(network, address string, limit time.Duration) (net.Conn, error)
 
 	mu    sync.Mutex
 	conns map[string][]*conn // by engine; an engine leaves with its last connection
 	count int                // of connections, being made or up
 	tags  uint64             // of probes
+	idle  trust
 	ended bool
 }
 
 // NewPool makes a pool and starts its sweep.
 func NewPool(b Bounds) *Pool {
-	p := &Pool{bounds: b, done: make(chan struct{}), conns: map[string][]*conn{}}
+	p := &Pool{bounds: b, done: make(chan struct{}), conns: map[string][]*conn{}, idle: newTrust(b.Idle * 2 / 3),
+		dialer: net.DialTimeout}
 	go p.sweep()
 	return p
 }
@@ -69,8 +74,19 @@
 	if load {
 		word = "stats"
 	}
-	d := &Dispatch{pool: p, id: id, reply: reply, started: time.Now(), probe: true}
-	d.text = appendCommand(nil, word, []byte(id), -1)
+	text := appendCommand(nil, word, []byte(id), -1)
+	p.probe(to, id, text, limit, func(r Reply) {
+		if r.End == Reset { // it has no effect: the connection may have been to blame
+			check.Count("probes_again")
+			p.probe(to, id, text, limit, reply)
+		} else {
+			reply(r)
+		}
+	})
+}
+
+func (p *Pool) probe(to Host, id string, text []byte, limit time.Duration, reply func(Reply)) {
+	d := &Dispatch{pool: p, id: id, reply: reply, started: time.Now(), probe: true, text: text}
 	p.place(to, d)
 	time.AfterFunc(limit, func() {
 		if d.GiveUp(func() {}) {
@@ -106,6 +122,9 @@
 		d.state = over
 		return over
 	}
+	if c.idle() {
+		c.rested = time.Since(c.idleSince)
+	}
 	c.open[d.id], c.lane = d, d.lane
 	c.idleSince = time.Time{}
 	if d.conn, d.state = c, waiting; c.nc != nil {
@@ -124,8 +143,10 @@
 
 // idleTo finds the idle connection that was used last: the others grow old and are closed.
 func (p *Pool) idleTo(to Host, d *Dispatch) (best *conn) {
+	now := time.Now()
+	most := p.idle.span(now)
 	for _, c := range p.conns[to.Name] {
-		if c.idle() && len(c.aborts) == 0 && c.usable(to, d) && (best == nil || c.idleSince.After(best.idleSince)) {
+		if c.idle() && now.Sub(c.idleSince) < most && len(c.aborts) == 0 && c.usable(to, d) && (best == nil || c.idleSince.After(best.idleSince)) {
 			best = c
 		}
 	}
@@ -211,8 +232,8 @@
 	}
 }
 
-// sweep closes what is idle some time before the engines would, so that nothing crosses with their close, and
-// what may be cut off once nothing is out on it.
+// sweep closes what is idle some time before the engines would, or the network drops it, so that nothing crosses with
+// that, and what may be cut off once nothing is out on it.
 func (p *Pool) sweep() {
 	tick := time.NewTicker(min(time.Second, max(p.bounds.Idle/8, time.Millisecond)))
 	defer tick.Stop()
@@ -223,9 +244,11 @@
 		case <-tick.C:
 		}
 		p.mu.Lock()
+		now := time.Now()
+		most := p.idle.span(now)
 		for _, conns := range p.conns {
 			for _, c := range conns {
-				if c.idle() && (c.doubted || time.Since(c.idleSince) >= p.bounds.Idle*2/3) {
+				if c.idle() && (c.doubted || now.Sub(c.idleSince) >= most) {
 					p.shut(c)
 				}
 			}
@@ -269,14 +292,24 @@
 	return p.count
 }
 
-// dial makes the connection of c.
+// dialTries is how often a connection is begun that was reset as soon as it was up.
+const dialTries = 3
+
+// dial makes the connection of c. One that came up and was reset at once says nothing of the engine, unlike a refused
+// one: seen on sockets, engines were taken for just started, and spared for the whole warm-up, for such resets.
 func (p *Pool) dial(c *conn) (net.Conn, error) {
-	nc, err := net.DialTimeout("tcp", c.address, p.bounds.Dial)
-	if err != nil {
-		check.Count("dials_failed")
-		return nil, err
+	until := time.Now().Add(p.bounds.Dial)
+	for try := 1; ; try++ {
+		nc, err := p.dialer("tcp", c.address, max(time.Millisecond, time.Until(until)))
+		if err == nil {
+			return nc, nil
+		}
+		if try == dialTries || !errors.Is(err, syscall.ECONNRESET) {
+			check.Count("dials_failed")
+			return nil, err
+		}
+		check.Count("dials_reset")
 	}
-	return nc, nil
 }
 
 func broken(c *conn, why error) {
--- a/internal/engine/pool_test.go
+++ b/internal/engine/pool_test.go
@@ -30,7 +30,7 @@
 const memory = 100_000
 
 func newBench(t *testing.T, change func(*engine.Bounds)) *bench {
-	b := &bench{t: t, bytes: new(limits.Bytes), commands: make(chan command, 100), replies: make(chan engine.Reply, 100)}
+	b := &bench{t: t, bytes: new(limits.Bytes), commands: make(chan command, 100), replies: make(chan engine.Reply, 1000)}
 	b.bytes.Allow(memory)
 	var err error
 	b.peer, err = toy.StartEngine("127.0.0.1:0", func(s *toy.Session, c engine.Command) { b.commands <- command{c, s} })
@@ -262,6 +262,79 @@
 	}
 }
 
+// Seen on sockets: a network that dropped what was idle for 90 ms cost one dispatch in twenty.
+func TestWhatIdleConnectionsLoseTeachesHowLongToTrustThem(t *testing.T) {
+	b := newBench(t, nil)
+	turn := func() *toy.Session {
+		b.start("a")
+		from := b.fetched()
+		from.Answer("a", "full", "", "")
+		b.ends(engine.Full)
+		return from
+	}
+	first := turn()
+	time.Sleep(60 * time.Millisecond)
+	b.start("b")
+	if b.fetched() != first {
+		t.Fatal("an idle connection was not used")
+	}
+	first.Reset()
+	b.ends(engine.Reset)
+	second := turn()
+	b.start("c")
+	if b.fetched() != second {
+		t.Error("one idle for a moment was not used")
+	}
+	second.Answer("c", "full", "", "")
+	b.ends(engine.Full)
+	time.Sleep(60 * time.Millisecond)
+	b.start("d")
+	third := b.fetched()
+	if third == second {
+		t.Error("sent where the last one was lost after as long an idle time")
+	}
+	third.Answer("d", "full", "", "")
+	b.ends(engine.Full)
+}
+
+// A probe has no effect, and the engine is not to blame for a connection: its reset took an engine out for a second.
+func TestAProbeGoesOutAgainWhenItsConnectionIsReset(t *testing.T) {
+	b := newBench(t, nil)
+	b.pool.Probe(b.host, true, 10*time.Second, func(r engine.Reply) { b.replies <- r })
+	b.got("stats").from.Reset()
+	c := b.got("stats")
+	c.from.Answer(c.ID, "well", "load=inflight:7", "")
+	if r := b.ends(engine.Done); r.Load != "inflight:7" {
+		t.Errorf("%+v", r)
+	}
+	b.pool.Probe(b.host, true, 10*time.Second, func(r engine.Reply) { b.replies <- r })
+	b.got("stats").from.Reset()
+	b.got("stats").from.Reset()
+	b.ends(engine.Reset)
+}
+
+// What nobody waits for, sent without end, would keep a reader busy for good.
+func TestAnswersWithoutEndLoseTheirConnection(t *testing.T) {
+	b := newBench(t, nil)
+	b.start("a")
+	c := b.got("fetch")
+	for range 300 {
+		c.from.Answer("x", "full", "", "")
+	}
+	b.ends(engine.Reset)
+	b.start("a")
+	c = b.got("fetch")
+	for range 300 {
+		c.from.Answer("a", "news", "note=frac,val=0.5", "")
+	}
+	r := <-b.replies
+	for ; r.End == engine.Open; r = <-b.replies {
+	}
+	if r.End != engine.Failed {
+		t.Errorf("%+v", r)
+	}
+}
+
 // An answer that begins and does not end held its job until the job timeout.
 func TestHalfAnAnswerHasATimeLimit(t *testing.T) {
 	for name, half := range map[string]string{"a line": "a data she", "a page": "a data sheets=1 40\r\none\ttw", "next": "x full - 0\r\n\r\na da"} {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"net"
 )
 
 // Engine is one entry of the list, in the feed's own terms.
@@ -20,25 +21,54 @@
 
 // Event is one change of the list, or the whole of it.
 type Event struct {
-	N       uint64 `json:"n"`
-	Members *struct {
-		Seq   uint64   `json:"seq"`
-		Whole bool     `json:"whole"`
-		Hosts []Engine `json:"hosts"`
-	} `json:"members"`
+	N       uint64
+	Members *Members // nil: of something else
+	Bad     int      // entries that could not be used, and were left out: they do not cost the others their news
 }
 
+// Members is what an event tells of the list.
+type Members struct {
+	Whole bool
+	Hosts []Engine
+}
+
+// mostEngines bounds the entries of one event.
+const mostEngines = 4096
+
 // Parse reads an event.
-func Parse(text []byte) (ev Event, err error) {
-	if err = json.Unmarshal(text, &ev); err != nil {
-		return ev, err
+func Parse(text []byte) (Event, error) {
+	var raw struct {
+		N       uint64 `json:"n"`
+		Members *struct {
+			Whole bool              `json:"whole"`
+			Hosts []json.RawMessage `json:"hosts"`
+		} `json:"members"`
+	}
+	if err := json.Unmarshal(text, &raw); err != nil {
+		return Event{}, err
 	}
-	if ev.Members != nil {
-		for _, e := range ev.Members.Hosts {
-			if e.Host == "" {
-				return ev, errors.New("an engine without a name")
-			}
+	ev := Event{N: raw.N}
+	if raw.Members == nil {
+		return ev, nil
+	}
+	if len(raw.Members.Hosts) > mostEngines {
+		return ev, errors.New("more engines than any list has")
+	}
+	ev.Members = &Members{Whole: raw.Members.Whole}
+	for _, entry := range raw.Members.Hosts {
+		var e Engine
+		if err := json.Unmarshal(entry, &e); err == nil && e.usable() {
+			ev.Members.Hosts = append(ev.Members.Hosts, e)
+		} else {
+			ev.Bad++
 		}
 	}
 	return ev, nil
 }
+
+// usable tells whether an entry has a name, an address if any, and figures in range.
+func (e Engine) usable() bool {
+	_, _, err := net.SplitHostPort(e.Dial)
+	return e.Host != "" && len(e.Host) <= 255 && (err == nil || e.Dial == "") && e.Size >= 0 && e.Size <= 1e6 &&
+		e.BornMS >= 0 && e.BornMS < 1<<43
+}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -87,16 +87,27 @@
 
 // FuzzParse: no panic, and what is read names every engine.
 func FuzzParse(f *testing.F) {
-	f.Add([]byte(`{"n":41,"members":{"seq":7,"whole":false,"hosts":` + hosts + `}}`))
-	f.Add([]byte(`{"n":41,"purge":{}}`))
-	f.Add([]byte(`{"n":-1}`))
+	for _, good := range []string{`{"n":41,"members":{"seq":7,"whole":false,"hosts":` + hosts + `}}`, `{"n":41,"purge":{}}`, `{"n":-1}`,
+		`{"n":1,"members":{"hosts":[{"host":"","dial":"a:1"},{"host":"e","dial":"nowhere"},{"host":"e","born_ms":-1},{"host":"e","share":-1}]}}`} {
+		f.Add([]byte(good))
+	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		if ev, err := feed.Parse(text); err == nil && ev.Members != nil {
-			for _, e := range ev.Members.Hosts {
-				if e.Host == "" {
-					t.Fatal("an engine without a name")
-				}
+		ev, err := feed.Parse(text)
+		if err != nil || ev.Members == nil {
+			return
+		}
+		for _, e := range ev.Members.Hosts {
+			if e.Host == "" || e.BornMS < 0 || e.Size < 0 {
+				t.Fatalf("%+v", e)
 			}
 		}
 	})
 }
+
+// An entry that could not be used had the feed called anew for ever, from the event before it.
+func TestAnEntryThatCannotBeUsedCostsNoOther(t *testing.T) {
+	ev, err := feed.Parse([]byte(`{"n":1,"members":{"hosts":[{"host":"","dial":"a:1"},{"host":"e","dial":"nowhere"},{"host":"e","block":-1},` + hosts[1:] + `}}`))
+	if err != nil || ev.Bad != 3 || len(ev.Members.Hosts) != 1 || ev.Members.Hosts[0].Host != "e1" {
+		t.Errorf("%+v, %v", ev, err)
+	}
+}
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -13,6 +13,7 @@
 type Follower struct {
 	tell func(Event)
 	done chan struct{}
+	bad  check.Grumble
 
 	mu      sync.Mutex // held over tell as well: two connections tell in one order
 	last    uint64     // the last event told
@@ -83,6 +84,9 @@
 		if ev, err = Parse(text); err != nil {
 			return err
 		}
+		if ev.Bad > 0 {
+			f.bad.Note("feed_entries_bad", "feed_entries_bad address=%s event=%d entries=%d", s.address, ev.N, ev.Bad)
+		}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,8 +50,14 @@
 // Ready tells whether the module has a list of engines and jobs are welcome.
 func (g *Gateway) Ready() bool { return g.ready.Load() }
 
-// SetReady says so.
-func (g *Gateway) SetReady(on bool) { g.ready.Store(on) }
+// Start says so.
+func (g *Gateway) Start() { g.ready.Store(true) }
+
+// Stop says that jobs are no longer welcome, and tells the module how long it may count on.
+func (g *Gateway) Stop() {
+	g.ready.Store(false)
+	g.tell(choice.Event{Kind: choice.Stopping, Left: choice.Nanos(g.rules.stops)})
+}
 
 // tell hands an event to the module and carries out what it decides: what concerns a job goes to its inbox in
 // the module's order, the rest is done once the lock is free.
--- a/internal/gateway/rules.go
+++ b/internal/gateway/rules.go
@@ -11,6 +11,13 @@
 	"swiftreel/internal/engine"
 )
 
+// After SIGTERM comes SIGKILL, no sooner than the longest job timeout, or this where it is longer, and some more.
+const (
+	killedLate  = 3 * time.Second
+	killedLeast = 700 * time.Millisecond
+	killedSpare = 300 * time.Millisecond // to write, and to be late
+)
+
 // rules are the figures of the settings that concern carrying out, not deciding.
 type rules struct {
 	dial, idle, step, slack time.Duration
@@ -18,6 +25,7 @@
 	writes, waits           []any           // by type: its group of tables matters
 	once                    []bool          // by type: it must not be broken off
 	giveUp                  []time.Duration // by type: how long its clients wait in all
+	stops                   time.Duration   // after SIGTERM we are not killed before
 	mostMB                  float64         // past any engine, and any rough estimate for one
 	fields                  []string
 	loadTold                bool
@@ -54,6 +62,7 @@
 	if r.mostMB == 0 {
 		r.mostMB = math.Inf(1)
 	}
+	r.stops = min(slices.Max(append(r.giveUp, 0)), killedLate) + killedLeast - killedSpare
 	fields, _ := t["fields"].([]any)
 	for _, v := range fields {
 		name, _ := v.(string)
