Engines in unknown places are in no list of places; counters each minute; log lines at a rate

Seen by reading: an engine whose room or kind the settings do not name was taken for the first of them (gateway/roster.go, a map's zero), so that rule 6 could send it jobs that must not run there; a line that could not be read was learnt from as if an idle connection had been lost (engine/conn.go); the module's lines, stalls and overdue answers were logged without a rate; counters came at the end only.

--- a/internal/check/grumble.go
+++ b/internal/check/grumble.go
@@ -16,6 +16,11 @@
 // Note counts under a name, and logs key=value text.
 func (g *Grumble) Note(counter, text string, v ...any) {
 	Count(counter)
+	g.Say(text, v...)
+}
+
+// Say logs without counting.
+func (g *Grumble) Say(text string, v ...any) {
 	g.mu.Lock()
 	g.n++
 	n, quiet := g.n, time.Since(g.at) < time.Second
@@ -27,3 +32,28 @@
 		log.Printf(text+" count=%d", append(v, n)...)
 	}
 }
+
+// linesMost is how many lines of a Rate there may be in a second.
+const linesMost = 20
+
+// Rate allows some log lines a second; those past it are counted as lines_dropped.
+type Rate struct {
+	mu    sync.Mutex
+	since time.Time
+	n     int
+}
+
+// Take tells whether one more may be logged.
+func (r *Rate) Take(now time.Time) bool {
+	r.mu.Lock()
+	if now.Sub(r.since) >= time.Second {
+		r.since, r.n = now, 0
+	}
+	r.n++
+	may := r.n <= linesMost
+	r.mu.Unlock()
+	if !may {
+		Count("lines_dropped")
+	}
+	return may
+}
--- a/internal/client/pulse.go
+++ b/internal/client/pulse.go
@@ -1,7 +1,6 @@
 package client
 
 import (
-	"log"
 	"sync"
 	"time"
 
@@ -20,6 +19,7 @@
 	mu       sync.Mutex
 	last     time.Time
 	from, to time.Time // the last stall
+	say      check.Grumble
 }
 
 func newPulse(now time.Time) *pulse { return &pulse{last: now, from: now, to: now.Add(-stallAfter)} }
@@ -59,7 +59,7 @@
 		case <-tick.C:
 			if still := p.beat(time.Now()); still > 0 {
 				check.Count("stalls")
-				log.Printf("stood_still for_ms=%d", still.Milliseconds())
+				p.say.Say("stood_still for_ms=%d", still.Milliseconds())
 			}
 		}
 	}
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -116,7 +116,7 @@
 		}
 	}
 	p.mu.Lock()
-	if !c.closed && len(c.open) > 0 {
+	if !c.closed && !c.cut && len(c.open) > 0 { // by the network, or the engine
 		p.idle.lost(c.rested, time.Now())
 	}
 	p.shut(c)
--- a/internal/gateway/belief.go
+++ b/internal/gateway/belief.go
@@ -9,14 +9,17 @@
 )
 
 const (
-	beliefEvery = time.Second
-	differsMost = 3 // looks in a row: what is on its way between module and sockets differs for a moment only
+	beliefEvery   = time.Second
+	countersEvery = 60 // looks; a tenth of that with -trace
+	differsMost   = 3  // looks in a row: what is on its way between module and sockets differs for a moment only
 )
 
 // belief holds what the module thinks of each engine against what is out on the sockets.
 type belief struct {
 	differs map[string]int // looks in a row, by engine; one that agrees leaves, as does one no longer seen
 	say     check.Grumble
+	looks   int
+	told    string // of the counters
 }
 
 // watch looks each second, until the gateway is closed.
@@ -30,6 +33,17 @@
 			return
 		case <-tick.C:
 			b.look(g)
+			b.counters(bool(g.trace))
+		}
+	}
+}
+
+// counters logs them now and then, if any has changed.
+func (b *belief) counters(often bool) {
+	if b.looks++; b.looks%countersEvery == 0 || often && b.looks%(countersEvery/10) == 0 {
+		if now := check.Told(); now != b.told {
+			b.told = now
+			log.Print("counters ", now)
 		}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,8 @@
 	trace   trace
 	running sync.WaitGroup // jobs' functions, and the watch over what is believed
 	done    chan struct{}
+	lines   check.Rate // of the module's log
+	overdue check.Grumble
 
 	mu     sync.Mutex // around Decide and what follows; no I/O under it
 	module choice.Controller
@@ -104,7 +106,7 @@
 		case choice.ListAll:
 			g.listAll()
 		case choice.Log:
-			log.Print("module ", a.Text)
+			g.say(a.Text)
 		case choice.Fault:
 			check.Count("module_faults")
 			log.Print("module fault: ", a.Text)
@@ -114,6 +116,13 @@
 	}
 }
 
+// say logs the module's lines, some a second at most.
+func (g *Gateway) say(text string) {
+	if g.lines.Take(time.Now()) {
+		log.Print("module ", text)
+	}
+}
+
 func (g *Gateway) due(mark choice.Mark) {
 	g.mu.Lock()
 	ended := g.ended
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"log"
 	"time"
 
 	"swiftreel/choice"
@@ -167,7 +166,7 @@
 					giveUp(choice.TimedOut)
 				}
 				if !answered && time.Now().After(lost.Add(g.rules.slack)) {
-					log.Printf("answer_overdue job=%d call=%s late_ms=%d", j.id, j.ID, time.Since(lost).Milliseconds())
+					g.overdue.Say("answer_overdue job=%d call=%s late_ms=%d", j.id, j.ID, time.Since(lost).Milliseconds())
 					check.That(false, "answers_overdue")
 					g.tell(choice.Event{Kind: choice.ClientLeft, Job: j.id})
 					answer(func() { j.From.Failed("job timeout") })
--- a/internal/gateway/names.go
+++ b/internal/gateway/names.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 
 	"swiftreel/choice"
 )
@@ -24,6 +25,26 @@
 	return n
 }
 
+// Zones and kinds that the settings do not name: in no list of places where a type may run.
+const (
+	noZone = choice.ZoneID(math.MaxUint8)
+	noKind = choice.KindID(math.MaxUint16)
+)
+
+func (n names) zone(name string) choice.ZoneID {
+	if id, is := n.zones[name]; is {
+		return id
+	}
+	return noZone
+}
+
+func (n names) kind(name string) choice.KindID {
+	if id, is := n.kinds[name]; is {
+		return id
+	}
+	return noKind
+}
+
 // each goes through a list of the settings whose entries are names, or have one.
 func each(facts choice.Facts, path string, tell func(i int, name string)) {
 	list, _ := facts[path].([]any)
--- a/internal/gateway/names_test.go
+++ b/internal/gateway/names_test.go
@@ -54,6 +54,15 @@
 	}
 }
 
+// Taken for the first zone of the settings, such an engine would get jobs that must not run there.
+func TestAnEngineInAnUnknownPlaceIsInNoneOfThose(t *testing.T) {
+	r := newRoster()
+	lines, _ := r.take(listOf(t, "true", "e1"), newNames(choice.Facts{"localities": []any{"east"}, "kinds": []any{"small"}}), time.Now())
+	if lines[0].Zone != noZone || lines[0].Kind != noKind {
+		t.Errorf("%+v", lines[0])
+	}
+}
+
 func TestAReportIsReadIntoTheOrderOfTheSettings(t *testing.T) {
 	r := rules{fields: []string{"concurrent", "load_share", "x1"}}
 	for text, want := range map[string][]float64{
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -78,7 +78,7 @@
 		if l.gone = (time.Time{}); state == choice.Gone {
 			l.gone = now
 		}
-		l.line = choice.Line{Engine: l.id, Zone: n.zones[e.Site], Kind: n.kinds[e.Kind], Cell: choice.CellID(e.Cell),
+		l.line = choice.Line{Engine: l.id, Zone: n.zone(e.Site), Kind: n.kind(e.Kind), Cell: choice.CellID(e.Cell),
 			State: state, Size: e.Size, StartedAt: choice.Nanos(e.BornMS) * 1e6}
 		lines = append(lines, l.line)
 	}
