The feed's bare number is no event; own stalls blame no engine on sockets; late orders are not sent

Seen in a raw log of the feed: the line of each second is {"n":N}, read here as an event without a list; one that was ahead by one would have passed for the event itself, whose news was then never asked for (feed/follow.go, hear).

Seen by reading: time-outs of probes and aborts fire before what came during an own stall is read (engine/pool.go, dispatch.go); a dispatch ordered long ago, by a controller that stood still, could go to an engine told to be draining since (engine/conn.go, send); with few silent connections among clients the youngest of them made way first, though they may be usual ones that just came (client/front.go). Each has a test that fails without it.

--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -193,7 +193,7 @@
 		return err
 	}
 	c.mu.Lock()
-	c.said = true
+	c.said, c.used = true, time.Now()
 	c.mu.Unlock()
 	if m.notice {
 		if string(m.method) == methodRevoke && m.count >= 1 {
--- a/internal/client/front.go
+++ b/internal/client/front.go
@@ -21,6 +21,7 @@
 
 const (
 	silentLeast = 50 * time.Millisecond // a connection may say nothing so long where others wait for its place
+	floodPart   = 8                     // a part so large of all that say nothing is a flood
 	usualIdle   = 5 * time.Second       // usual clients close a connection that is idle for 4 s
 )
 
@@ -98,27 +99,32 @@
 	}
 }
 
-// spare finds the connection that makes way: the oldest that never said anything; else the one idle longest, if usual
-// clients would have closed it by now, or nobody is silent. Never one with something to be read, which may be a call.
+// spare finds the connection that makes way. In a flood of clients that say nothing it is the oldest of those; else the
+// one idle longest, if usual clients would have closed it by now, or nobody is silent. Never one with something to be
+// read, which may be a call.
 func (f *Front) spare(now time.Time) *conn {
 	var silent, idle *conn
 	var since time.Time
-	young := false
+	unsaid := 0
 	for c := range f.conns {
 		used, said, free := c.idle()
+		if !said {
+			unsaid++
+		}
 		switch {
-		case !said && now.Sub(c.came) < silentLeast:
-			young = true
-		case !said && (silent == nil || c.came.Before(silent.came)) && !c.hasUnread():
+		case !said && now.Sub(c.came) >= silentLeast && (silent == nil || c.came.Before(silent.came)) && !c.hasUnread():
 			silent = c
 		case said && free && (idle == nil || used.Before(since)) && !c.hasUnread():
 			idle, since = c, used
 		}
 	}
-	if silent != nil || idle == nil || young && now.Sub(since) < usualIdle {
+	switch {
+	case silent != nil && unsaid > len(f.conns)/floodPart:
 		return silent
+	case idle != nil && (unsaid == 0 || now.Sub(since) >= usualIdle):
+		return idle
 	}
-	return idle
+	return silent
 }
 
 func (f *Front) drop(c *conn) {
--- /dev/null
+++ b/internal/client/front_test.go
@@ -0,0 +1,104 @@
+package client
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"swiftreel/internal/gateway"
+	"swiftreel/internal/limits"
+)
+
+// sink takes calls and answers none.
+type sink struct{}
+
+func (sink) Ready() bool      { return true }
+func (sink) Take(gateway.Ask) {}
+
+func startFront(t *testing.T, most int64) (dial func() net.Conn) {
+	parts := new(limits.Parts)
+	parts.ClientConns.Store(most)
+	parts.Bytes.Allow(1 << 20)
+	f := NewFront(sink{}, parts)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go f.Serve(l)
+	t.Cleanup(func() {
+		l.Close()
+		f.Close()
+	})
+	return func() net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+}
+
+// ready asks for the heartbeat and tells whether an answer came.
+func ready(c net.Conn) bool {
+	c.Write(AppendHeartbeat(nil, 1))
+	c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	b := make([]byte, 100)
+	n, _ := c.Read(b)
+	a, _, err := ParseAnswer(b[:n])
+	return err == nil && a.Ready
+}
+
+func TestAFloodOfSilentClientsPushesOutItsOwn(t *testing.T) {
+	dial := startFront(t, 6)
+	usual := []net.Conn{dial(), dial()}
+	for _, c := range usual {
+		if !ready(c) {
+			t.Fatal("no answer")
+		}
+	}
+	var silent []net.Conn
+	for range 20 {
+		silent = append(silent, dial())
+	}
+	if !ready(dial()) {
+		t.Error("a new client does not get in")
+	}
+	silent[0].SetReadDeadline(time.Now().Add(20 * time.Second))
+	if _, err := silent[0].Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the first that said nothing: %v", err)
+	}
+	for _, c := range usual {
+		if !ready(c) {
+			t.Error("a usual client was pushed out")
+		}
+	}
+}
+
+func TestWhereAllHaveAskedTheOneIdleLongestMakesWay(t *testing.T) {
+	dial := startFront(t, 3)
+	var conns []net.Conn
+	for range 3 {
+		conns = append(conns, dial())
+		if !ready(conns[len(conns)-1]) {
+			t.Fatal("no answer")
+		}
+		conns[len(conns)-1].Write(AppendRevoke(nil, 1)) // nothing is open: it stays idle
+	}
+	call := AppendCall(nil, 2, "lookup", []string{"call", "00000000000000aa", "ttl", "20000"}, nil)
+	conns[0].Write(call) // the oldest has a call open
+	if !ready(conns[0]) {
+		t.Fatal("no answer")
+	}
+	if !ready(dial()) {
+		t.Error("a new client does not get in")
+	}
+	conns[1].SetReadDeadline(time.Now().Add(20 * time.Second))
+	if _, err := conns[1].Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the one idle longest: %v", err)
+	}
+	if !ready(conns[0]) || !ready(conns[2]) {
+		t.Error("another was pushed out")
+	}
+}
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -167,7 +167,7 @@
 			c.cut = true
 			p.shut(c) // its reader settles the rest
 		} else {
-			time.AfterFunc(p.bounds.Dial, func() { c.silent(id, since) })
+			after(p.bounds.Dial, func() { c.silent(id, since) })
 		}
 	}
 	p.mu.Unlock()
@@ -176,13 +176,23 @@
 	}
 }
 
-// send writes a dispatch. If not one byte of it went out it never ran and may go over another connection.
+// send writes a dispatch, unless it is too late: the engine may have been told to be draining since. If not one byte of
+// it went out it never ran and may go over another connection.
 func (c *conn) send(d *Dispatch) {
 	p := c.pool
 	c.writing.Lock()
 	p.mu.Lock()
 	given := d.state != sending // an abort that comes after this waits for the writing lock
 	d.wrote = time.Now()
+	if !given && !d.probe && d.wrote.Sub(d.started) > p.bounds.Dial {
+		c.release(d)
+		d.close(Moot)
+		p.mu.Unlock()
+		c.writing.Unlock()
+		check.Count("sends_too_late")
+		d.finish(Reply{End: Moot})
+		return
+	}
 	p.mu.Unlock()
 	n, err := 0, error(nil)
 	if !given {
--- a/internal/engine/dial_test.go
+++ b/internal/engine/dial_test.go
@@ -38,3 +38,17 @@
 		}
 	}
 }
+
+// The time-outs of a program that stood still all fire at once, before it has read what came meanwhile.
+func TestATimerThatIsLateLetsWhatCameBeReadFirst(t *testing.T) {
+	called := make(chan bool, 2)
+	whenDue(time.Now().Add(-time.Second), func() { called <- true })
+	if len(called) > 0 {
+		t.Error("called at once, a second late")
+	}
+	<-called
+	whenDue(time.Now(), func() { called <- true })
+	if len(called) != 1 {
+		t.Error("not called in time")
+	}
+}
--- a/internal/engine/dispatch.go
+++ b/internal/engine/dispatch.go
@@ -53,7 +53,7 @@
 	pool    *Pool
 	id      string
 	reply   func(Reply)
-	started time.Time
+	started time.Time // when it was ordered
 	probe   bool
 	moved   int // to another connection, with no byte out
 	text    []byte
@@ -276,7 +276,7 @@
 	// An engine answers for a page of what it no longer knows, and reads in order: that proves the abort read.
 	at := time.Now()
 	c.write(appendCommand(appendCommand(nil, "abort", []byte(d.id), -1), "more", []byte(d.id), 1))
-	time.AfterFunc(p.bounds.Dial, func() { c.silent(d.id, at) })
+	after(p.bounds.Dial, func() { c.silent(d.id, at) })
 	return true
 }
 
--- a/internal/engine/line.go
+++ b/internal/engine/line.go
@@ -166,6 +166,7 @@
 	GrantMB             float64
 	Priority            uint8
 	Lane                Lane
+	Ordered             time.Time // it is not sent later than the dial time-out after this
 }
 
 // Lane keeps apart what may be broken off, to be sent again elsewhere, from what may not: a connection that falls
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -58,7 +58,7 @@
 
 // Start sends a dispatch to an engine. All that becomes of it is told to reply, in order, the end once and last.
 func (p *Pool) Start(to Host, r Request, reply func(Reply)) *Dispatch {
-	d := &Dispatch{pool: p, id: string(r.ID), reply: reply, started: time.Now(), lane: r.Lane}
+	d := &Dispatch{pool: p, id: string(r.ID), reply: reply, started: r.Ordered, lane: r.Lane}
 	d.text = appendFetch(make([]byte, 0, len(r.Statement)+128), r)
 	p.place(to, d)
 	return d
@@ -88,7 +88,7 @@
 func (p *Pool) probe(to Host, id string, text []byte, limit time.Duration, reply func(Reply)) {
 	d := &Dispatch{pool: p, id: id, reply: reply, started: time.Now(), probe: true, text: text}
 	p.place(to, d)
-	time.AfterFunc(limit, func() {
+	after(limit, func() {
 		if d.GiveUp(func() {}) {
 			d.finish(Reply{End: TimedOut})
 		}
--- a/internal/engine/pool_test.go
+++ b/internal/engine/pool_test.go
@@ -55,7 +55,7 @@
 
 func (b *bench) start(id string) *engine.Dispatch {
 	return b.pool.Start(b.host, engine.Request{ID: []byte(id), Type: []byte("report"), Statement: []byte("SELECT 1"),
-		WaitMS: 1000, Priority: 1}, func(r engine.Reply) { b.replies <- r })
+		WaitMS: 1000, Priority: 1, Ordered: time.Now()}, func(r engine.Reply) { b.replies <- r })
 }
 
 // got waits for the next command and checks its word.
@@ -297,6 +297,17 @@
 	b.ends(engine.Full)
 }
 
+// A controller that stood still between order and send could send to an engine that it has been told is draining.
+func TestWhatWasOrderedLongAgoIsNotSent(t *testing.T) {
+	b := newBench(t, nil)
+	b.pool.Start(b.host, engine.Request{ID: []byte("a"), Type: []byte("report"), Ordered: time.Now().Add(-6 * time.Second)},
+		func(r engine.Reply) { b.replies <- r })
+	b.ends(engine.Moot)
+	b.start("b")
+	b.got("fetch").from.Answer("b", "full", "", "") // and nothing of a
+	b.ends(engine.Full)
+}
+
 // A probe has no effect, and the engine is not to blame for a connection: its reset took an engine out for a second.
 func TestAProbeGoesOutAgainWhenItsConnectionIsReset(t *testing.T) {
 	b := newBench(t, nil)
@@ -431,7 +442,7 @@
 func TestASilentConnectionIsClosedToGiveUpWhatIsOutOnIt(t *testing.T) {
 	b := newBench(t, func(l *engine.Bounds) { l.Dial = 200 * time.Millisecond; l.Conns.Store(2) })
 	read := make(chan string, 3)
-	b.pool.Start(b.host, engine.Request{ID: []byte("c"), Type: []byte("import"), Lane: engine.MayNot}, func(r engine.Reply) { b.replies <- r })
+	b.pool.Start(b.host, engine.Request{ID: []byte("c"), Type: []byte("import"), Lane: engine.MayNot, Ordered: time.Now()}, func(r engine.Reply) { b.replies <- r })
 	kept := b.got("fetch")
 	d := b.start("a")
 	b.got("fetch")
@@ -452,7 +463,7 @@
 func TestARunOnceJobDoesNotGoWhereAProbeWasLost(t *testing.T) {
 	b := newBench(t, nil)
 	importing := func(id string) *toy.Session {
-		b.pool.Start(b.host, engine.Request{ID: []byte(id), Type: []byte("import"), Lane: engine.MayNot}, func(r engine.Reply) { b.replies <- r })
+		b.pool.Start(b.host, engine.Request{ID: []byte(id), Type: []byte("import"), Lane: engine.MayNot, Ordered: time.Now()}, func(r engine.Reply) { b.replies <- r })
 		c := b.got("fetch")
 		c.from.Answer(id, "full", "", "")
 		b.ends(engine.Full)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -23,6 +23,7 @@
 type Event struct {
 	N       uint64
 	Members *Members // nil: of something else
+	Bare    bool     // no event, but the number of the last one
 	Bad     int      // entries that could not be used, and were left out: they do not cost the others their news
 }
 
@@ -49,7 +50,10 @@
 	}
 	ev := Event{N: raw.N}
 	if raw.Members == nil {
-		return ev, nil
+		var all map[string]json.RawMessage
+		err := json.Unmarshal(text, &all)
+		ev.Bare = len(all) == 1
+		return ev, err
 	}
 	if len(raw.Members.Hosts) > mostEngines {
 		return ev, errors.New("more engines than any list has")
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -40,47 +40,47 @@
 	next(3)
 	next(4)
 	event := func(n int) string { return fmt.Sprintf(`{"n":%d,"members":{"hosts":%s}}`+"\n", n, hosts) }
-	for i, bad := range []string{"no JSON\n", event(9), "99\n"} { // unreadable, a gap, a gap told by the number alone
-		source.Write(event(4) + "\n4\n") // told before: passed over
+	for i, bad := range []string{"no JSON\n", event(9), "99\n", `{"n":8}` + "\n"} { // unreadable, a gap, gaps told by the number alone
+		source.Write(event(4) + "\n4\n" + `{"n":4}` + "\n") // told before: passed over
 		source.Write(bad)
 		source.Add(false, hosts) // perhaps on a connection that is given up: then it comes on the next
 		next(uint64(5 + i))
 	}
 	source.Cut()
 	source.Add(false, hosts)
-	next(8)
+	next(9)
 	moved, err := toy.StartFeed("127.0.0.1:0", 1)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer moved.Close()
-	for range 9 {
+	for range 10 {
 		moved.Add(false, hosts)
 	}
-	if again, err := feed.Parse([]byte(event(8))); err != nil || !f.Move(moved.Address(), []feed.Event{again}) {
+	if again, err := feed.Parse([]byte(event(9))); err != nil || !f.Move(moved.Address(), []feed.Event{again}) {
 		t.Fatal("not moved", err)
 	}
-	next(9)
+	next(10)
 	source.Add(false, hosts) // where it was: told before, if it still speaks
 	moved.Cut()              // and it is called anew where it is
 	moved.Add(false, hosts)
-	next(10)
+	next(11)
 	if f.Move(moved.Address(), nil) {
 		t.Error("moved to where it is")
 	}
 	f.Move("127.0.0.1:1", nil) // out of reach: the old place is kept while it speaks
 	moved.Add(false, hosts)
-	next(11)
+	next(12)
 	f.Move(source.Address(), nil) // and back
-	source.Add(false, hosts)      // 10
 	source.Add(false, hosts)      // 11
+	source.Add(false, hosts)      // 12
 	source.Add(false, hosts)
-	next(12)
+	next(13)
 	f.Close()
-	if subs := moved.Cut(); subs[0] != 8 || subs[1] != 9 {
+	if subs := moved.Cut(); subs[0] != 9 || subs[1] != 10 {
 		t.Errorf("the new place was asked from %v", subs)
 	}
-	if subs := source.Cut(); subs[0] != 2 || !slices.IsSorted(subs) || subs[len(subs)-1] < 7 || len(told) > 0 {
+	if subs := source.Cut(); subs[0] != 2 || !slices.IsSorted(subs) || subs[len(subs)-1] < 8 || len(told) > 0 {
 		t.Errorf("resumed from %v, %d events told again", subs, len(told))
 	}
 }
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -79,14 +79,14 @@
 		return nil
 	}
 	n, err := strconv.ParseUint(string(text), 10, 64)
-	var ev Event
+	ev := Event{N: n, Bare: true}
 	if err != nil {
 		if ev, err = Parse(text); err != nil {
 			return err
 		}
-		if ev.Bad > 0 {
-			f.bad.Note("feed_entries_bad", "feed_entries_bad address=%s event=%d entries=%d", s.address, ev.N, ev.Bad)
-		}
+	}
+	if ev.Bad > 0 {
+		f.bad.Note("feed_entries_bad", "feed_entries_bad address=%s event=%d entries=%d", s.address, ev.N, ev.Bad)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -95,9 +95,9 @@
 		f.before = nil
 	}
 	switch {
-	case ev.N == 0 && n > f.last:
-		return fmt.Errorf("at event %d where %d is told", f.last, n)
-	case ev.N == 0:
+	case ev.Bare && ev.N > f.last:
+		return fmt.Errorf("at event %d where %d is told", f.last, ev.N)
+	case ev.Bare:
 	case ev.N <= f.last: // told before
 		check.Count("feed_events_again")
 	case ev.N != f.last+1:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,7 +72,8 @@
 
 // decide holds the lock. Actions are copied, as the module uses their place again.
 func (g *Gateway) decide(ev choice.Event) (rest []choice.Action) {
-	g.last = max(g.last, g.clock.now())
+	now := time.Now()
+	g.last = max(g.last, g.clock.at(now))
 	g.trace.event(g.last, ev)
 	for _, a := range g.module.Decide(g.last, ev) {
 		g.trace.action(g.last, a)
@@ -80,7 +81,7 @@
 		case choice.Dispatch, choice.Throttle, choice.CancelForGood, choice.Retract, choice.Terms:
 			j := g.jobs[a.Job]
 			if check.That(j != nil, "action_for_no_job"); j != nil {
-				j.in.put(message{order: a})
+				j.in.put(message{order: a, at: now})
 			}
 		default:
 			rest = append(rest, a)
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -39,6 +39,7 @@
 // message is what a job's function waits for: an order of the module, or word of a dispatch, or the client's leave.
 type message struct {
 	order choice.Action
+	at    time.Time // of the order
 	from  *sent
 	reply engine.Reply
 	given choice.Result // given up, as this, and the engine had time to read so
@@ -88,6 +89,10 @@
 	go g.life(j)
 }
 
+// travels is what a call needed to come here and its answer needs to go: seen on sockets, answers given 2 ms before the
+// job timeout came after it.
+const travels = 5 * time.Millisecond
+
 // arrival puts a call into the module's terms.
 func (g *Gateway) arrival(a Ask) (choice.Event, error) {
 	t, known := g.names.types[string(a.Type)]
@@ -109,7 +114,7 @@
 		return choice.Event{}, fmt.Errorf("the statement names no group of tables")
 	}
 	return choice.Event{Kind: choice.Arrived, Type: t, Tenant: tenant, Key: keyOf(a.Key),
-		Left: choice.Nanos(a.Left - time.Since(a.At)), Cost: choice.Nanos(a.Work), CostKnown: a.Work > 0,
+		Left: choice.Nanos(a.Left - min(travels, a.Left/10) - time.Since(a.At)), Cost: choice.Nanos(a.Work), CostKnown: a.Work > 0,
 		Repeat: a.Repeat, MemoryMB: a.MemoryMB, Tables: choice.TableSet(tables),
 		Write: int(t) < len(g.rules.writes) && g.rules.writes[t] == true}, nil
 }
@@ -224,7 +229,7 @@
 			timer.Reset(time.Until(limit))
 			now = s
 			s.link = g.pool.Start(host, engine.Request{ID: j.ID, Type: j.Type, Statement: j.Statement,
-				WaitMS: max(1, time.Until(limit).Milliseconds()), GrantMB: grant, Priority: priority,
+				WaitMS: max(1, time.Until(limit).Milliseconds()), GrantMB: grant, Priority: priority, Ordered: m.at,
 				Lane: g.rules.lane(g.names.types[string(j.Type)])},
 				func(r engine.Reply) {
 					if m := (message{from: s, reply: r}); r.End == engine.Open {
--- a/internal/gateway/names_test.go
+++ b/internal/gateway/names_test.go
@@ -127,6 +127,17 @@
 	}
 }
 
+func TestTheModuleIsToldLessTimeThanTheClientHas(t *testing.T) {
+	g := New(choice.Facts{"classes": []any{map[string]any{"name": "lookup"}}}, 1, parts(), false)
+	defer g.Close()
+	for left, most := range map[time.Duration]time.Duration{time.Second: time.Second - travels, 10 * time.Millisecond: 9 * time.Millisecond} {
+		ev, err := g.arrival(Ask{Type: []byte("lookup"), At: time.Now(), Left: left})
+		if got := time.Duration(ev.Left); err != nil || got > most || got < most-5*time.Second {
+			t.Errorf("%v of %v told, %v", got, left, err)
+		}
+	}
+}
+
 // A client may leave in the moment in which the module sends its job: that dispatch is owed an outcome too, or its
 // threads would count as out for ever.
 func TestADispatchOrderedAsTheClientLeavesHasAnOutcome(t *testing.T) {
--- a/internal/toy/feed.go
+++ b/internal/toy/feed.go
@@ -156,7 +156,7 @@
 		}
 		f.mu.Lock()
 		for conn := range f.conns {
-			fmt.Fprintf(conn, "%d\n", f.first+len(f.events)-1)
+			fmt.Fprintf(conn, "{\"n\":%d}\n", f.first+len(f.events)-1)
 		}
 		f.mu.Unlock()
 	}
