A full front closes a usual, idle client only once a newcomer is at the door

TestWhereAllHaveAskedTheOneIdleLongestMakesWay failed about every second run: Front.Serve made room before it accepted, so a full front closed a client with nobody waiting, and the test raced with that. Room is now made after a connection was accepted; the newcomer's descriptor is one of the reserved ones.

--- a/internal/client/front.go
+++ b/internal/client/front.go
@@ -56,7 +56,6 @@
 // Serve accepts connections until the listener is closed.
 func (f *Front) Serve(l net.Listener) error {
 	for {
-		f.makeRoom()
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
@@ -67,6 +66,7 @@
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
+		f.makeRoom() // only now: where nobody is at the door, nobody has to leave
 		now := time.Now()
 		c := &conn{front: f, nc: tcp, came: now, used: now, open: map[uint32]*call{}}
 		f.mu.Lock()
@@ -82,7 +82,8 @@
 	}
 }
 
-// makeRoom waits until one more connection may be held.
+// makeRoom waits until one more connection may be held. The newcomer's own descriptor, already open, is one of the
+// reserved ones (limits).
 func (f *Front) makeRoom() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
