--- /dev/null
+++ b/internal/solve/generate.go
@@ -0,0 +1,81 @@
+package solve
+
+import (
+	"math"
+
+	"swiftreel/internal/integer"
+)
+
+// generate adds the patterns that the multipliers call for, until none does, and returns a bound that holds over all
+// patterns there are, written out or not: in whole numbers, whatever the LP's rounding. math.MaxInt64: none known.
+func (s *master) generate(stop func() bool) (bound int64) {
+	bound = math.MaxInt64
+	if s.whole {
+		return bound
+	}
+	lp := integer.NewLP(s.prog)
+	for !stop() {
+		ended := lp.Solve(stop)
+		if ended == integer.Stopped {
+			return bound
+		}
+		y := lp.Multipliers(ended)
+		added := 0
+		for c := range s.clusters {
+			counts, worth, most := s.pack(c, y)
+			if worth > y.By[s.convex+int32(c)] {
+				before := len(s.cols)
+				s.pattern(c, counts)
+				added += len(s.cols) - before
+			}
+			y.By[s.convex+int32(c)] = most
+		}
+		if b, known := s.prog.Bound(y); known && (ended == integer.Best || b < 0) {
+			bound = min(bound, b) // with no fit: nothing at all fits, as b tells
+		}
+		if added == 0 {
+			return bound
+		}
+		lp.Grow()
+	}
+	return bound
+}
+
+// pack finds the pattern of a cluster that is worth most at the multipliers. Among a type's pieces the best counts, as
+// a pattern may hold any number of it: that can only raise the bound.
+func (s *master) pack(c int, y integer.Multipliers) (counts []int64, worth, bound int64) {
+	m, cl := s.m, &s.clusters[c]
+	items := make([]item, len(m.p.Types))
+	pieceOf := make([]int, len(items))
+	for i := range items {
+		items[i].memory = m.memory[i]
+	}
+	for k, pc := range m.pieces {
+		if s.most(cl, k) == 0 {
+			continue
+		}
+		col := integer.Col{Rows: []int32{s.link + int32(k), s.budget + int32(pc.zone), s.cost},
+			By: []int64{-1, cl.group.bytes[k], cl.group.cost[k]}}
+		if s.aim == aimCost {
+			col.Obj = -cl.group.cost[k]
+		}
+		if !m.placed(pc.typ, cl.group) {
+			col.Rows, col.By = append(col.Rows, s.outside+int32(pc.typ)), append(col.By, 1)
+		}
+		if d, known := y.Reduced(&col); !known {
+			return nil, 0, math.MaxInt64
+		} else if d > items[pc.typ].worth && d < integer.Largest/max(1, 2*cl.threads) {
+			items[pc.typ].worth, pieceOf[pc.typ] = d, k
+		} else if d >= integer.Largest/max(1, 2*cl.threads) {
+			return nil, 0, math.MaxInt64
+		}
+	}
+	n, worth, bound := pack(items, cl.threads, cl.group.memory)
+	counts = make([]int64, len(m.pieces))
+	for i, of := range n {
+		if of > 0 {
+			counts[pieceOf[i]] = of
+		}
+	}
+	return counts, worth, bound
+}
--- /dev/null
+++ b/internal/solve/problem.go
@@ -0,0 +1,88 @@
+// Package solve works out ahead how a fleet's threads are best given to reservation types, tenants and zones: whole
+// threads on each engine, with a proof of how good the answer is, or with the demands that cannot be met together.
+//
+// No I/O, no clock, whole numbers throughout; docs/design/solve.md says how and why.
+package solve
+
+// Problem is a fleet, what is asked of it, and what must hold. The JSON schema is deploy/problem.schema.json.
+type Problem struct {
+	ThreadsPerCore int64     `json:"threads_per_core,omitempty"` // 0: 2, as the decision module counts
+	Engines        []Engine  `json:"engines"`
+	Types          []Type    `json:"types"`
+	Tenants        []Tenant  `json:"tenants"`
+	Zones          []Zone    `json:"zones"`
+	Demand         []Demand  `json:"demand"`
+	Must           MustHolds `json:"must"`
+}
+
+// The states of an engine. A draining one gets nothing, a started one is still cold.
+const (
+	Ready    = "ready"
+	Draining = "draining"
+	Started  = "started"
+)
+
+// Engine is one of the list of engines.
+type Engine struct {
+	Name         string `json:"name"`
+	Kind         string `json:"kind"`
+	Zone         string `json:"zone"`
+	Cores        int64  `json:"cores"`
+	MemoryMB     int64  `json:"memory_mb"`
+	State        string `json:"state,omitempty"`          // absent: ready
+	PartPerMille int64  `json:"part_per_mille,omitempty"` // started: of its capacity that rule 4 lets it have now, all controllers together
+	WarmInMS     int64  `json:"warm_in_ms,omitempty"`     // started: until it has all; between, its part grows evenly
+	Cost         int64  `json:"cost,omitempty"`           // of a thread-second, in millionths of the unit of money
+}
+
+// Type is a reservation type.
+type Type struct {
+	Name        string   `json:"name"`
+	Threads     int64    `json:"threads"` // of a job
+	MemoryMB    int64    `json:"memory_mb"`
+	WorkMS      int64    `json:"work_ms"` // thread time of a job
+	SLATimeMS   int64    `json:"sla_time_ms,omitempty"`
+	Value       int64    `json:"value"`           // billed for a job done
+	Kinds       []string `json:"kinds,omitempty"` // placement bound: the only kinds; absent: any
+	Zones       []string `json:"zones,omitempty"` // and the only zones of engines
+	AnswerBytes int64    `json:"answer_bytes,omitempty"`
+}
+
+// Tenant is who jobs are for.
+type Tenant struct {
+	Name          string `json:"name"`
+	SharePerMille int64  `json:"share_per_mille,omitempty"` // of the fleet's threads, his to claim where must.shares_hold
+	QuotaThreads  *int64 `json:"quota_threads,omitempty"`   // at most; absent: any
+}
+
+// Zone is where clients and engines are. A job crosses where the two differ; its answer's bytes count for the
+// clients' zone.
+type Zone struct {
+	Name              string `json:"name"`
+	CrossingCostPerGB int64  `json:"crossing_cost_per_gb,omitempty"` // in millionths of the unit of money
+	CrossingBytesPerS *int64 `json:"crossing_bytes_per_s,omitempty"` // budget; absent: any
+}
+
+// Demand is what comes of a type for a tenant from clients in a zone.
+type Demand struct {
+	Type         string `json:"type"`
+	Tenant       string `json:"tenant"`
+	Zone         string `json:"zone"`
+	JobsPer1000S int64  `json:"jobs_per_1000s"`
+}
+
+// MustHolds are the demands on an answer.
+type MustHolds struct {
+	LeastServed         []LeastServed `json:"least_served,omitempty"`
+	SharesHold          bool          `json:"shares_hold,omitempty"`
+	GreatestCost        *int64        `json:"greatest_cost,omitempty"`          // of a second
+	GreatestUsePerMille *int64        `json:"greatest_use_per_mille,omitempty"` // of each engine's threads
+	FitsWithout         []string      `json:"fits_without,omitempty"`           // "any engine", "engine NAME", "zone NAME"
+}
+
+// LeastServed is the least part of the threads asked for that a type, or a tenant, is given: one of the two is named.
+type LeastServed struct {
+	Type     string `json:"type,omitempty"`
+	Tenant   string `json:"tenant,omitempty"`
+	PerMille int64  `json:"per_mille"`
+}
