--- a/internal/solve/generate.go
+++ b/internal/solve/generate.go
@@ -7,19 +7,20 @@
 )
 
 // generate adds the patterns that the multipliers call for, until none does, and returns a bound that holds over all
-// patterns there are, written out or not: in whole numbers, whatever the LP's rounding. math.MaxInt64: none known.
-func (s *master) generate(stop func() bool) (bound int64) {
+// patterns there are, written out or not: in whole numbers, whatever the LP's rounding. math.MaxInt64: none known. The
+// multipliers are those of the last round.
+func (s *master) generate(stop func() bool) (bound int64, y integer.Multipliers) {
 	bound = math.MaxInt64
 	if s.whole {
-		return bound
+		return bound, y
 	}
 	lp := integer.NewLP(s.prog)
 	for !stop() {
 		ended := lp.Solve(stop)
 		if ended == integer.Stopped {
-			return bound
+			return bound, y
 		}
-		y := lp.Multipliers(ended)
+		y = lp.Multipliers(ended)
 		added := 0
 		for c := range s.clusters {
 			counts, worth, most := s.pack(c, y)
@@ -34,11 +35,11 @@
 			bound = min(bound, b) // with no fit: nothing at all fits, as b tells
 		}
 		if added == 0 {
-			return bound
+			return bound, y
 		}
 		lp.Grow()
 	}
-	return bound
+	return bound, y
 }
 
 // pack finds the pattern of a cluster that is worth most at the multipliers. Among a type's pieces the best counts, as
@@ -54,20 +55,12 @@
 		if s.most(cl, k) == 0 {
 			continue
 		}
-		col := integer.Col{Rows: []int32{s.link + int32(k), s.budget + int32(pc.zone), s.cost},
-			By: []int64{-1, cl.group.bytes[k], cl.group.cost[k]}}
-		if s.aim == aimCost {
-			col.Obj = -cl.group.cost[k]
-		}
-		if !m.placed(pc.typ, cl.group) {
-			col.Rows, col.By = append(col.Rows, s.outside+int32(pc.typ)), append(col.By, 1)
-		}
-		if d, known := y.Reduced(&col); !known {
+		d, known := s.reduced(c, k, y)
+		if !known {
 			return nil, 0, math.MaxInt64
-		} else if d > items[pc.typ].worth && d < integer.Largest/max(1, 2*cl.threads) {
+		}
+		if d > items[pc.typ].worth {
 			items[pc.typ].worth, pieceOf[pc.typ] = d, k
-		} else if d >= integer.Largest/max(1, 2*cl.threads) {
-			return nil, 0, math.MaxInt64
 		}
 	}
 	n, worth, bound := pack(items, cl.threads, cl.group.memory)
--- a/internal/solve/knapsack.go
+++ b/internal/solve/knapsack.go
@@ -16,7 +16,7 @@
 // pack fills an engine of some threads and memory with items, any number of each, for the greatest worth. It returns
 // the counts by place in items, their worth, and what no packing can pass: the same but where the steps ran out.
 func pack(items []item, threads, memory int64) (counts []int64, worth, bound int64) {
-	k := packing{at: make([]int64, len(items)), best: make([]int64, len(items))}
+	k := packing{at: make([]int64, len(items)), best: make([]int64, len(items)), limit: knapsackSteps}
 	for i, it := range items {
 		if it.worth > 0 && it.memory <= memory {
 			k.items = append(k.items, item{i, it.worth, it.memory})
@@ -36,7 +36,7 @@
 	})
 	whole := k.ceiling(0, threads, memory)
 	k.fill(0, threads, memory, 0)
-	if bound = k.value; k.steps > knapsackSteps {
+	if bound = k.value; k.steps > k.limit {
 		bound = max(whole, k.value)
 	}
 	return k.best, k.value, bound
@@ -45,8 +45,10 @@
 type packing struct {
 	items    []item // the most worth first, so also the most memory first
 	at, best []int64
+	most     []int64 // of each at most; nil: any number
 	value    int64
 	steps    int
+	limit    int
 }
 
 // fill tries counts of items from i on, the most first.
@@ -55,7 +57,7 @@
 		k.value = value
 		copy(k.best, k.at)
 	}
-	if k.steps++; i == len(k.items) || threads == 0 || k.steps > knapsackSteps || value+k.ceiling(i, threads, memory) <= k.value {
+	if k.steps++; i == len(k.items) || threads == 0 || k.steps > k.limit || value+k.ceiling(i, threads, memory) <= k.value {
 		return
 	}
 	it := k.items[i]
@@ -63,11 +65,13 @@
 	if it.memory > 0 {
 		n = min(n, memory/it.memory)
 	}
+	if k.most != nil {
+		n = min(n, k.most[it.id])
+	}
 	for ; n >= 0; n-- {
 		k.at[it.id] = n
 		k.fill(i+1, threads-n, memory-n*it.memory, value+n*it.worth)
-		// One less of this sort frees a thread, which at the best takes the next sort.
-		if k.steps > knapsackSteps {
+		if k.steps > k.limit {
 			break
 		}
 	}
@@ -89,7 +93,7 @@
 		}
 		most = max(most, float64(x.worth)*each/float64(x.memory)) // with threads left empty
 		for b := a + 1; b < len(k.items); b++ {
-			if y := k.items[b]; float64(y.memory) <= each {
+			if y := k.items[b]; float64(y.memory) <= each && y.memory < x.memory {
 				part := (each - float64(y.memory)) / float64(x.memory-y.memory)
 				most = max(most, float64(y.worth)+part*float64(x.worth-y.worth))
 			}
--- a/internal/solve/master.go
+++ b/internal/solve/master.go
@@ -34,6 +34,8 @@
 	known    []map[string]int
 	whole    bool // all patterns are in it
 	aim      aim
+	dear     int64 // what a unit of cost takes off the objective
+	missing  int64 // and a thread short of a floor; 0: none may be
 
 	convex, link, quota, floors, budget, outside int32 // first rows of each sort
 	cost, value                                  int32
@@ -244,7 +246,7 @@
 	return j
 }
 
-// cost of a pattern's column.
+// costOf is the cost of a pattern's column.
 func (s *master) costOf(j int) int64 {
 	col := &s.prog.Cols[j]
 	if i := slices.Index(col.Rows, s.cost); i >= 0 {
@@ -258,25 +260,27 @@
 	col, of := &s.prog.Cols[j], s.cols[j]
 	switch {
 	case of.cluster >= 0:
-		if col.Obj = 0; s.aim == aimCost {
-			col.Obj = -s.costOf(j)
-		}
+		col.Obj = -s.dear * s.costOf(j)
 	case of.want >= 0:
 		if col.Obj = 0; s.aim == aimValue {
 			col.Obj = col.By[len(col.By)-1]
 		}
 	default:
-		if col.Obj = 0; s.aim == aimShort {
+		col.Obj, col.Hi = -s.missing, 0 // floors hold
+		if s.aim == aimShort {
 			col.Obj = -1
-		} else {
-			col.Hi = 0 // from here on floors hold
+		}
+		if s.aim == aimShort || s.missing > 0 {
+			col.Hi = s.h.floors[col.Rows[0]-s.floors].threads
 		}
 	}
 }
 
 // turn sets the stage.
 func (s *master) turn(to aim, value, cost int64) {
-	s.aim = to
+	if s.aim, s.dear = to, 0; to == aimCost {
+		s.dear = 1
+	}
 	s.prog.Rows[s.value].Bound = value
 	if cost >= 0 {
 		s.prog.Rows[s.cost].Bound = cost
--- a/internal/solve/stages.go
+++ b/internal/solve/stages.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 
 	"swiftreel/internal/integer"
@@ -42,14 +43,14 @@
 		out.sol = m.empty()
 	}
 	first := m.measure(out.sol)
-	f := s.run(aimValue, out.sol, math.MinInt64, near(nearValue), 0, h.cost, upTo(stop, valueEnds))
+	f := s.run(aimValue, out.sol, math.MinInt64, nearValue, 0, h.cost, upTo(stop, valueEnds))
 	out.master, out.marks = s, f.marks
 	out.bound.value = f.bound
 	if out.got = first; f.sol != nil {
 		out.sol, out.got = f.sol, m.measure(f.sol)
 	}
 	out.proved[0] = out.got.value >= f.bound
-	f = s.run(aimCost, out.sol, math.MinInt64, near(nearCost), out.got.value, h.cost, upTo(stop, costEnds))
+	f = s.run(aimCost, out.sol, math.MinInt64, nearCost, out.got.value, h.cost, upTo(stop, costEnds))
 	if f.sol != nil {
 		if got := m.measure(f.sol); got.better(out.got) {
 			out.sol, out.got = f.sol, got
@@ -65,8 +66,6 @@
 	return func() bool { return stop != nil && stop(perMille) }
 }
 
-func near(part int64) int64 { return part }
-
 // found is what a stage gives.
 type found struct {
 	sol          *solution
@@ -74,31 +73,37 @@
 	marks        integer.Multipliers
 }
 
-// run is one stage. above: only what is worth more counts; part: where not all patterns are written out, within that
-// part of the bound is enough (0: all of it); value and cost: what earlier stages reached and must be kept.
+// run is one stage. above: only what is worth more counts, and the first such is enough; part: where not all patterns
+// are written out, within that part of the bound is enough (0: all of it); value and cost: what earlier stages reached
+// and must be kept.
 func (s *master) run(to aim, start *solution, above, part, value, cost int64, stop func() bool) (f found) {
 	s.turn(to, value, cost)
 	var x []int64
 	if start != nil {
 		x = s.write(start)
 	}
-	bound := s.generate(stop)
-	if x != nil {
-		x = append(x, make([]int64, len(s.cols)-len(x))...)
-	}
 	search := integer.NewSearch(s.prog)
-	search.Stop, search.Start, search.Above, search.Bound = stop, x, above, bound
-	if to == aimShort {
+	search.Stop, search.Above = stop, above
+	search.Bound, f.marks = s.generate(stop)
+	switch {
+	case to == aimShort:
 		search.Enough = 0
-	} else if above != math.MinInt64 {
+	case above != math.MinInt64:
 		search.Enough = above + 1
-	} else if !s.whole && bound != math.MaxInt64 && part > 0 {
-		search.Enough = bound - max(bound, -bound)/part
+	case !s.whole && search.Bound != math.MaxInt64 && part > 0:
+		search.Enough = search.Bound - max(search.Bound, -search.Bound)/part
+	}
+	if !s.whole {
+		x = s.dives(to, x, min(search.Enough, search.Bound), stop)
+	}
+	if x != nil {
+		x = append(x, make([]int64, len(s.cols)-len(x))...)
 	}
+	search.Start = x
 	r := search.Run()
 	f.value, f.bound = r.Value, r.Bound
 	if !s.whole {
-		f.bound = bound // the search knows the patterns at hand only
+		f.bound = search.Bound // the search knows the patterns at hand only
 	}
 	if f.bound == math.MaxInt64 {
 		f.bound = s.ceiling()
@@ -168,3 +173,88 @@
 	i, _ := slices.BinarySearch(levels, level)
 	return i
 }
+
+// wholeFrom are the parts from which a dive takes a pattern for whole, one dive after the other.
+var wholeFrom = [...]float64{0.9, 0.98, 0.8, 0.7}
+
+// mostFreed is how often in a row engines are freed and settled anew for nothing before the search says enough.
+const mostFreed = 200
+
+// dives goes down several ways, then frees a part of the best plan's engines again and again and settles them anew,
+// until it is worth enough. A little of the cost stands in the objective, so that of values nearly alike
+// the cheaper is found.
+func (s *master) dives(to aim, best []int64, enough int64, stop func() bool) []int64 {
+	dear, was := s.dear, s.dear
+	if to == aimValue {
+		dear = s.ceiling() / max(1, s.m.mostCost()) / 20_000
+	}
+	kept := best // the best that meets all floors; best may be short of some at a price
+	var most int64 = math.MinInt64
+	if best != nil {
+		best = append(best, make([]int64, len(s.cols)-len(best))...)
+		most, _ = s.prog.Value(best)
+	}
+	done := func() bool {
+		return stop() || (kept != nil && most >= enough)
+	}
+	try := func(settled []int64, almost float64) bool {
+		s.soften(true)
+		s.charge(dear)
+		x := s.dive(settled, almost, stop)
+		s.charge(was)
+		x = append(x, make([]int64, len(s.cols)-len(x))...)
+		v, fits := s.prog.Value(x)
+		s.soften(false)
+		s.charge(was)
+		if !fits || v <= most {
+			return false
+		}
+		if best, most = x, v; s.short(x) == 0 {
+			kept = x
+		}
+		return true
+	}
+	for i := 0; i < len(wholeFrom) && !done(); i++ {
+		try(nil, wholeFrom[i])
+	}
+	by := rand.New(rand.NewPCG(1, 1))
+	for idle := 0; best != nil && idle < mostFreed && !done(); idle++ {
+		if try(s.free(best, 2+idle%6, by), wholeFrom[idle%len(wholeFrom)]) {
+			idle = -1
+		}
+	}
+	return kept
+}
+
+// soften lets floors be missed at a price while a dive is under way, which would else end at the first that is.
+func (s *master) soften(on bool) {
+	if s.aim != aimValue {
+		return
+	}
+	dearest := int64(1)
+	for _, w := range s.m.worth {
+		dearest = max(dearest, w)
+	}
+	s.missing = 0
+	if on {
+		s.missing = min(20*dearest, mostSum/max(1, s.m.fleet))
+	}
+}
+
+// short is the threads that a plan is short of floors.
+func (s *master) short(x []int64) (n int64) {
+	for j, of := range s.cols {
+		if of.cluster < 0 && of.want < 0 {
+			n += x[j]
+		}
+	}
+	return n
+}
+
+// charge sets what a unit of cost takes off the objective.
+func (s *master) charge(dear int64) {
+	s.dear = dear
+	for j := range s.cols {
+		s.price(j)
+	}
+}
