--- a/choice/stage_test.go
+++ b/choice/stage_test.go
@@ -29,6 +29,7 @@
 	further    []Nanos
 	acts       []Action // of the last event
 	texts      string   // logged
+	heard      func(Event, []Action)
 }
 
 type staged struct {
@@ -130,6 +131,9 @@
 func (s *stage) tell(ev Event) {
 	s.acts = slices.Clone(s.c.Decide(s.now, ev))
 	own := s.acts
+	if s.heard != nil {
+		s.heard(ev, own)
+	}
 	for _, a := range own {
 		s.check(a)
 	}
