--- a/choice/choice.go
+++ b/choice/choice.go
@@ -45,6 +45,9 @@
 	blindPart, quickPart    = 0.6, 1.25           // of an engine filled without a fresh report; by quick types
 	outStep, outFaster      = 0.005, 10.0         // of means, a sweep; times that with many jobs out
 
+	planPull, planMissing, planBack = 1.0, 0.2, 0.5 // threads a core; of a plan's threads: gone, it is set aside
+	offeredOver                     = 10 * second   // what is offered is a mean over so long
+
 	coldSafety, turnPart, swapPart = 0.6, 0.75, 0.8   // of what a cold engine stands; in turns; of paged memory
 	emptied, outageLasts           = 0.15, 5 * second // of jobs usual: fewer, it just started; after a refusal
 )
@@ -57,33 +60,35 @@
 
 // Controller decides for one instance.
 type Controller struct {
-	facts                                Facts
-	chance                               pcg
-	acts                                 []Action
-	tick                                 Mark  // of the last timer set
-	now, booted, swept, asked, until     Nanos // asked: for changes of the list; until: we stop
-	outage, refused, reportedLast        Nanos // engines refuse since, and last did; last report
-	warmWithin, step, period, retryAfter Nanos // step: between batches; period: between notes
-	zone                                 ZoneID
-	probes, cancels, swaps               bool
-	priced, pressed, tracked             bool
-	even, share                          float64 // 1/controllers, and what we carry by the reports where more
-	mostTries, controllers, me           int
-	reach, concurrentAt                  int     // engines looked at; place of jobs in hand in a report
-	crossing, grantMost                  float64 // price of crossing; part of a memory that a job gets at most
-	cores, crowd                         float64 // of ready engines; threads a core over the fleet, by reports
-	outJobs, outThreads, outGrants       float64 // ours out of late
-	slowMean, badMean                    float64 // of engines not aside: latency over best, part lost or failed
-	arrivals, price, worthMean, workMean float64 // price: in mean billed values for a second of work
-	probesLeft, spare                    float64 // probes, and further dispatches of what may have run, paid for
-	types                                []*jobType
-	engines                              []*engine                // by id; a gone one leaves once nothing is out
-	jobs                                 map[JobID]*job           // until over and nothing is out
-	live                                 []*job                   // the same, in order of arrival
-	buckets                              []*bucket                // emptied by completions, dropped once idle
-	lines                                map[Key]*keyLine         // dropped when empty and rested
-	tenants                              map[TenantID]*tenantSeen // dropped after tenantMemory
-	taken, further                       []Nanos                  // inside the rationing window
+	facts                                  Facts
+	chance                                 pcg
+	acts                                   []Action
+	tick                                   Mark  // of the last timer set
+	now, booted, swept, asked, until       Nanos // asked: for changes of the list; until: we stop
+	outage, refused, reportedLast, planned Nanos // engines refuse since, and last did; last report; plan
+	warmWithin, step, period, retryAfter   Nanos // step: between batches; period: between notes
+	zone                                   ZoneID
+	probes, cancels, swaps                 bool
+	priced, pressed, tracked               bool
+	even, share                            float64 // 1/controllers, and what we carry by the reports where more
+	mostTries, controllers, me             int
+	reach, concurrentAt                    int     // engines looked at; place of jobs in hand in a report
+	crossing, grantMost                    float64 // price of crossing; part of a memory that a job gets at most
+	cores, crowd                           float64 // of ready engines; threads a core over the fleet, by reports
+	outJobs, outThreads, outGrants         float64 // ours out of late
+	slowMean, badMean                      float64 // of engines not aside: latency over best, part lost or failed
+	arrivals, price, worthMean, workMean   float64 // price: in mean billed values for a second of work
+	probesLeft, spare                      float64 // probes, and further dispatches of what may have run, paid for
+	types                                  []*jobType
+	engines                                []*engine                // by id; a gone one leaves once nothing is out
+	jobs                                   map[JobID]*job           // until over and nothing is out
+	live                                   []*job                   // the same, in order of arrival
+	buckets                                []*bucket                // emptied by completions, dropped once idle
+	lines                                  map[Key]*keyLine         // dropped when empty and rested
+	tenants                                map[TenantID]*tenantSeen // dropped after tenantMemory
+	taken, further                         []Nanos                  // inside the rationing window
+	plan                                   *Plan                    // worked out ahead; nil: none
+	hold, offered                          float64                  // how far it is followed; threads asked of us
 }
 
 // Decide is told what happened and returns what to do.
@@ -111,6 +116,8 @@
 		c.probed(ev)
 	case Stopping:
 		c.until = c.now + ev.Left
+	case Planned:
+		c.takePlan(ev.Plan)
 	case TimerDue:
 		if ev.Mark == c.tick { // a timer that is not the last one set would start a second chain of them
 			c.sweep()
@@ -148,7 +155,7 @@
 		at := func(name string) string { return fmt.Sprintf("classes.%d.%s", i, name) }
 		of := func(name string) string { return fmt.Sprintf("domain.%s.%d", name, i) }
 		t := &jobType{
-			threads: math.Max(1, f.num(of("class_threads"), 1)), aim: f.span(at("aim_ns")),
+			id: TypeID(i), threads: math.Max(1, f.num(of("class_threads"), 1)), aim: f.span(at("aim_ns")),
 			stretch: f.num(at("aim_stretch"), 0), worth: f.num(at("gain"), 1), late: f.num(at("late_worth"), 0),
 			repeatable: f.text(at("idempotency")) == "repeatable", keyed: f.text(at("idempotency")) == "by_key",
 			scope: f.text(at("key_scope")), window: f.span(at("repeat_window_ns")),
@@ -179,9 +186,7 @@
 		}
 	}
 	for _, l := range ev.Lines {
-		i, known := slices.BinarySearchFunc(c.engines, l.Engine, func(e *engine, id EngineID) int {
-			return cmp.Compare(e.Engine, id)
-		})
+		i, known := c.find(l.Engine)
 		if !known {
 			c.engines = slices.Insert(c.engines, i, &engine{slow: 1, Line: l})
 		}
@@ -203,6 +208,12 @@
 	c.reach = max(looksLeast, int(math.Ceil(c.cores*c.even)))
 }
 
+func (c *Controller) find(id EngineID) (int, bool) {
+	return slices.BinarySearchFunc(c.engines, id, func(e *engine, id EngineID) int {
+		return cmp.Compare(e.Engine, id)
+	})
+}
+
 // arrive takes a job: it is priced, sent, parked in its bucket or throttled at once.
 func (c *Controller) arrive(ev Event) {
 	if int(ev.Type) >= len(c.types) || c.jobs[ev.Job] != nil {
@@ -218,6 +229,7 @@
 	if ev.MemoryMB > 0 && ev.MemoryMB < 1e9 {
 		j.memory = ev.MemoryMB
 	}
+	c.offered += j.work / float64(offeredOver)
 	j.due = min(c.now+t.aim+Nanos(t.stretch*j.work/t.threads), j.lost)
 	c.jobs[j.id], c.live = j, append(c.live, j)
 	if t.ordered && j.key != 0 {
@@ -288,9 +300,54 @@
 	return c.buckets[i]
 }
 
-// limit is every bucket's limit in threads, read anew at each use.
-func (c *Controller) limit() float64 {
-	return c.cores * 2 * c.share / float64(max(1, len(c.tenants)))
+// limit is a bucket's limit in threads, read anew at each use: even for all tenants, or as a plan says.
+func (c *Controller) limit(b *bucket) float64 {
+	even := c.cores * 2 * c.share / float64(max(1, len(c.tenants)))
+	if c.hold > 0 {
+		even += c.hold * (c.cores*2*c.share*c.plan.parts[b.tenant] - even)
+	}
+	return even
+}
+
+// takePlan follows a plan from now on, or none. What is asked is thought to be as planned until it is known.
+func (c *Controller) takePlan(p *Plan) {
+	if c.plan, c.hold = p, 0; p != nil {
+		p.index()
+		c.hold, c.planned, c.offered = 1, c.now, p.Demand*c.share
+		c.follow()
+	}
+}
+
+// follow says how far the plan still holds: less the more of its threads are on engines that cannot run them,
+// or the more engines it does not know; not at all from planMissing on, or where what is asked is off by its
+// factor. It comes back at half of either. The mean of what is asked is trusted once it had its time.
+func (c *Controller) follow() {
+	missing, strange, all := 0.0, 0.0, 0.0
+	for _, e := range c.engines {
+		var known bool
+		if e.meant, known = c.plan.weights[e.Engine]; e.State == Ready && !known {
+			strange += e.cores
+		}
+	}
+	for _, p := range c.plan.Engines {
+		i, known := c.find(p.Engine)
+		if all += p.Threads; !known || c.engines[i].State != Ready || c.engines[i].aside {
+			missing += p.Threads
+		}
+	}
+	gone, off := max(missing/max(1, all), strange/max(1, c.cores)), c.plan.Factor
+	ratio, out := max(c.offered, 1e-9)/max(1e-9, c.plan.Demand*c.share), planMissing
+	if c.hold == 0 {
+		out, off = planBack*planMissing, 1+planBack*(off-1)
+	}
+	hold := max(0, 1-gone/planMissing)
+	if gone >= out || (c.now-c.planned >= 2*offeredOver && max(ratio, 1/ratio) > off) {
+		hold = 0
+	}
+	if on := hold > 0; on != (c.hold > 0) {
+		c.log("plan followed=%v threads gone=%.2f asked/planned=%.2f", on, gone, ratio)
+	}
+	c.hold = hold
 }
 
 // drain sends what is parked: the freed bucket first, then the earliest-due head that fits anywhere.
@@ -334,7 +391,7 @@
 
 // borrows tells whether a job would go past its bucket's limit.
 func (c *Controller) borrows(j *job) bool {
-	return j.bucket.used > 0 && j.bucket.used+j.typ.threads > c.limit()
+	return j.bucket.used > 0 && j.bucket.used+j.typ.threads > c.limit(j.bucket)
 }
 
 // send dispatches a job if its bucket and an engine let it, once the probes of its look are in.
@@ -490,6 +547,9 @@
 		if j.typ.holds && (e.place+int(j.tables))%c.controllers != c.me {
 			load += 3 // each controller has engines of its own for a group's loads, as they stand still behind others
 		}
+		if c.hold > 0 && int(j.typ.id) < len(e.meant) {
+			load -= c.hold * planPull * e.meant[j.typ.id]
+		}
 		if load += 0.02 * c.chance.unit(); load < least {
 			best, least = e, load
 		}
@@ -870,6 +930,10 @@
 		c.share += 0.05 * (min(1, max(c.even, c.outThreads/max(1, c.crowd*c.cores))) - c.share)
 	}
 	c.reprice(waited)
+	c.offered -= c.offered * float64(sweepEvery) / float64(offeredOver)
+	if c.plan != nil {
+		c.follow()
+	}
 	c.tidy()
 }
 
@@ -992,8 +1056,8 @@
 }
 
 func (c *Controller) probed(ev Event) {
-	i := slices.IndexFunc(c.engines, func(e *engine) bool { return e.Engine == ev.Engine })
-	if i < 0 {
+	i, known := c.find(ev.Engine)
+	if !known {
 		return
 	}
 	e := c.engines[i]
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -33,11 +33,11 @@
 func TestLimitIsCoresTimesTwoByShareAndTenants(t *testing.T) {
 	s := newStage(t, plainFacts(), 3)
 	s.arrive(0, 0, 1)
-	want(t, s.c.limit() == 3*8*2/2, "limit %v", s.c.limit())
+	want(t, s.c.limit(&bucket{}) == 3*8*2/2, "limit %v", s.c.limit(&bucket{}))
 	s.arriveAs(Event{Type: 0, Tenant: 1, Left: second, Cost: ms, CostKnown: true})
-	want(t, s.c.limit() == 3*8*2/2/2, "limit %v with two tenants", s.c.limit())
+	want(t, s.c.limit(&bucket{}) == 3*8*2/2/2, "limit %v with two tenants", s.c.limit(&bucket{}))
 	s.list(ListChanges, Line{Engine: 100, State: Draining})
-	want(t, s.c.limit() == 2*8*2/2/2, "live limit %v", s.c.limit())
+	want(t, s.c.limit(&bucket{}) == 2*8*2/2/2, "live limit %v", s.c.limit(&bucket{}))
 }
 
 func TestPastItsRoomAJobParksAndACompletionDrainsItsBucketFirst(t *testing.T) {
--- /dev/null
+++ b/choice/plan_test.go
@@ -0,0 +1,142 @@
+package choice
+
+import (
+	"math/rand"
+	"strings"
+	"testing"
+)
+
+// planned is a stage of four engines whose plan wants type 0 on engine 103 and gives tenant 1 most.
+func planned(t testing.TB, f Facts) (*stage, *Plan) {
+	s := newStage(t, f, 4)
+	p := &Plan{Tenants: []PlanTenant{{0, 0.25}, {1, 0.75}}, Demand: 8, Factor: 3,
+		Engines: []PlanEngine{{100, 4}, {101, 4}, {102, 4}, {103, 4}}, Weights: []PlanWeight{{0, 103, 1}}}
+	s.tell(Event{Kind: Planned, Plan: p})
+	return s, p
+}
+
+// offer keeps the mean of what is asked near the plan's: 4 threads of our half of the demand.
+func (s *stage) offer(span Nanos, each int) {
+	for end := s.now + span; s.now < end; {
+		for range each {
+			s.finish(s.arrive(0, 0, 0), Done)
+		}
+		s.pass(25 * ms)
+	}
+}
+
+func TestAPlansSharesAndPreferencesAreFollowedWithinRoom(t *testing.T) {
+	s, _ := planned(t, plainFacts())
+	mean := s.c.cores * 2 * s.c.share
+	want(t, s.c.limit(&bucket{tenant: 1}) == 0.75*mean && s.c.limit(&bucket{tenant: 0}) == 0.25*mean, "limits do not follow")
+	for range 4 {
+		to := s.sentTo(s.arrive(0, 0, 0))
+		want(t, len(to) == 1 && to[0] == 103, "sent to %v", to)
+	}
+	for range 40 { // its bound stands above the plan
+		s.arrive(0, 0, 0)
+	}
+	e := s.c.engines[3]
+	want(t, e.threads <= 2.5*e.cores*s.c.share && s.c.engines[0].threads > 0, "%v threads at the engine meant for them", e.threads)
+}
+
+func TestAPlanFadesAsItsEnginesGoAndComesBackLater(t *testing.T) {
+	s, p := planned(t, plainFacts())
+	p.Engines[0].Threads = 1.5
+	s.tell(Event{Kind: Planned, Plan: p})
+	line := func(id EngineID, state EngineState) {
+		s.list(ListChanges, Line{Engine: id, State: state, Zone: ZoneID(id % 2)})
+	}
+	line(100, Draining)
+	s.offer(second, 1)
+	want(t, s.c.hold > 0.4 && s.c.hold < 0.5, "a ninth of its threads gone: hold %v", s.c.hold)
+	line(101, Gone)
+	s.offer(second, 1)
+	want(t, s.c.hold == 0 && strings.Count(s.texts, "plan followed=false") == 1, "hold %v, log %q", s.c.hold, s.texts)
+	want(t, s.c.limit(&bucket{tenant: 1}) == s.c.limit(&bucket{tenant: 0}), "limits of a plan set aside")
+	line(101, Ready)
+	s.offer(second, 1)
+	want(t, s.c.hold == 0, "back too soon")
+	line(100, Ready)
+	s.offer(second, 1)
+	want(t, s.c.hold == 1 && strings.Count(s.texts, "plan followed=true") == 1, "hold %v, log %q", s.c.hold, s.texts)
+	s.list(ListChanges, Line{Engine: 104, State: Ready}, Line{Engine: 105, State: Ready})
+	s.offer(second, 1)
+	want(t, s.c.hold == 0, "a third of the fleet is not in the plan: hold %v", s.c.hold)
+	s.tell(Event{Kind: Planned})
+	s.offer(second, 1)
+	want(t, s.c.hold == 0 && s.c.plan == nil, "a plan taken back")
+}
+
+func TestAPlanIsSetAsideWhereDemandIsOff(t *testing.T) {
+	s, _ := planned(t, plainFacts())
+	s.offer(21*second, 1) // 0.1 s of work each 25 ms: 4 threads, as planned
+	want(t, s.c.hold == 1, "as planned: hold %v", s.c.hold)
+	s.offer(30*second, 5)
+	want(t, s.c.hold == 0, "five times as much: hold %v", s.c.hold)
+	s.offer(60*second, 1)
+	want(t, s.c.hold == 1, "as planned again: hold %v of %v", s.c.hold, s.c.offered)
+	s.pass(40 * second)
+	want(t, s.c.hold == 0, "nothing asked: hold %v", s.c.hold)
+}
+
+// All rules hold with a plan as without, however wrong it is.
+func FuzzRulesWithPlans(f *testing.F) {
+	for seed := range int64(12) {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, seed int64) {
+		r := rand.New(rand.NewSource(seed))
+		s, _ := planned(t, plainFacts())
+		for range 5 {
+			p := &Plan{Demand: r.Float64() * 40, Factor: 1 + 5*r.Float64()}
+			for i := range 5 {
+				p.Tenants = append(p.Tenants, PlanTenant{TenantID(i), r.Float64()})
+				p.Engines = append(p.Engines, PlanEngine{EngineID(100 + i), r.Float64() * 9})
+				p.Weights = append(p.Weights, PlanWeight{TypeID(i), EngineID(100 + r.Intn(6)), r.Float64()})
+			}
+			s.tell(Event{Kind: Planned, Plan: p})
+			s.chaos(r, 50)
+		}
+	})
+}
+
+func BenchmarkDecide(b *testing.B) {
+	for _, with := range []string{"without", "with"} {
+		b.Run(with+" a plan", func(b *testing.B) { RunDecides(b.N, with == "with") })
+	}
+}
+
+// RunDecides takes jobs in and out: n of them, each two calls of Decide, at a fleet of 40 engines.
+func RunDecides(n int, plan bool) {
+	var c Controller
+	now := Nanos(1e12)
+	c.Decide(now, Event{Kind: Started, Seed: 3, Facts: plainFacts()})
+	p := &Plan{Tenants: []PlanTenant{{0, 1}}, Demand: 40, Factor: 1e9}
+	var lines []Line
+	for i := range EngineID(40) {
+		lines = append(lines, Line{Engine: i, State: Ready})
+		p.Engines = append(p.Engines, PlanEngine{i, 8})
+		for t := range TypeID(3) {
+			p.Weights = append(p.Weights, PlanWeight{t, i, float64(i%7) / 7})
+		}
+	}
+	c.Decide(now, Event{Kind: Listed, List: WholeList, Lines: lines})
+	if plan {
+		c.Decide(now, Event{Kind: Planned, Plan: p})
+	}
+	for i := range n {
+		now += ms
+		id := JobID(i + 1)
+		to := EngineID(0)
+		for _, a := range c.Decide(now, Event{Kind: Arrived, Job: id, Type: TypeID(i % 2), Left: second, Cost: 50 * ms, CostKnown: true}) {
+			if a.Kind == Dispatch {
+				to = a.Engine
+			}
+		}
+		c.Decide(now, Event{Kind: Answered, Job: id, Engine: to, Result: Done, Final: true, Latency: 50 * ms})
+		if i%20 == 0 {
+			c.Decide(now, Event{Kind: TimerDue, Mark: c.tick})
+		}
+	}
+}
--- a/choice/types.go
+++ b/choice/types.go
@@ -40,6 +40,7 @@
 	Probed
 	Heard
 	Stopping // this controller is about to end
+	Planned  // a plan is to be followed from now on, or none any more
 )
 
 // Result is how a dispatch or a probe ended.
@@ -138,6 +139,8 @@
 
 	Peer PeerID // Heard
 	Said []byte
+
+	Plan *Plan // Planned; nil: none
 }
 
 // ActionKind says what is to be done.
@@ -175,8 +178,64 @@
 	Text     string // Log, Fault, and what Tell says
 }
 
+// Plan is what was worked out ahead, as far as it bears on this controller. All rules, bounds and judgements of health
+// stand above it.
+type Plan struct {
+	Tenants []PlanTenant // each once
+	Engines []PlanEngine // each once: those that it gives threads
+	Weights []PlanWeight // each pair once
+	Idle    []EngineID   // known to it, and given nothing
+	Demand  float64      // threads asked for in the whole fleet
+	Factor  float64      // where so many times more is asked, or less, it does not hold
+
+	parts   map[TenantID]float64 // the same, to look up
+	weights map[EngineID][]float64
+}
+
+// index makes the tables for looking up. Engines known to the plan have weights by type, if only of length 0.
+func (p *Plan) index() {
+	p.parts, p.weights = map[TenantID]float64{}, map[EngineID][]float64{}
+	for _, t := range p.Tenants {
+		p.parts[t.Tenant] = t.Part
+	}
+	for _, e := range p.Engines {
+		p.weights[e.Engine] = nil
+	}
+	for _, id := range p.Idle {
+		p.weights[id] = nil
+	}
+	for _, w := range p.Weights {
+		list := p.weights[w.Engine]
+		for len(list) <= int(w.Type) {
+			list = append(list, 0)
+		}
+		list[w.Type] = w.Weight
+		p.weights[w.Engine] = list
+	}
+}
+
+// PlanTenant is a tenant's part of all threads.
+type PlanTenant struct {
+	Tenant TenantID
+	Part   float64
+}
+
+// PlanEngine is the threads that a plan counts on at an engine.
+type PlanEngine struct {
+	Engine  EngineID
+	Threads float64
+}
+
+// PlanWeight is how much an engine is meant for a type's jobs, from 0 to 1 at the engine meant for them most.
+type PlanWeight struct {
+	Type   TypeID
+	Engine EngineID
+	Weight float64
+}
+
 // jobType is what is known of a reservation type: its settings, and what answers taught.
 type jobType struct {
+	id                    TypeID
 	threads               float64
 	aim, window           Nanos
 	stretch, worth, late  float64
@@ -235,6 +294,7 @@
 	fullUntil, stepped, halved, since      Nanos
 	rest, probed, reported                 Nanos
 	strikes, passed, place                 int
+	meant                                  []float64 // by type: a plan's weights
 	sent                                   []sentWork
 }
 
