Command line, operator's file with schemas, and plans taken over by a running controller

Need: operators solve, read and roll out plans, and every later subsystem adds its part to the same file. cobra carries solve, plan show|check|diff and check; JSON files are held against schemas under deploy/ (jsonschema), every fault named with its path; SIGHUP takes a plan over or changes nothing. Bare swiftreel serves as before.

--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -3,8 +3,6 @@
 package main
 
 import (
-	"flag"
-	"fmt"
 	"log"
 	"net"
 	"os"
@@ -14,11 +12,13 @@
 
 	"swiftreel/choice"
 	"swiftreel/internal/check"
+	"swiftreel/internal/cli"
 	"swiftreel/internal/client"
 	"swiftreel/internal/config"
 	"swiftreel/internal/feed"
 	"swiftreel/internal/gateway"
 	"swiftreel/internal/limits"
+	"swiftreel/internal/operator"
 )
 
 // lateArrivals is how long after SIGTERM jobs may still come: on new connections for 0.4 s, 0.2 s more on open ones,
@@ -32,42 +32,54 @@
 var lateArrivals = time.Second // shorter in tests where nothing comes late
 
 func main() {
-	trace := flag.Bool("trace", false, "log every event and action of the module")
-	flag.Parse()
+	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr, serve))
+}
+
+// serve is what swiftreel does without a command.
+func serve(s cli.Serving) error {
 	reload := make(chan os.Signal, 1) // caught before anything else: the signal never ends the program
 	signal.Notify(reload, syscall.SIGHUP)
 	log.SetFlags(log.Ldate | log.Ltime | log.Lmicroseconds | log.LUTC)
-	file, err := config.Load(os.Getenv)
-	var listener net.Listener
-	if err == nil {
-		listener, err = net.Listen("tcp", file.Listen)
+	if s.Operator == "" {
+		s.Operator = os.Getenv("ROUTER_OPERATOR")
 	}
-	if err == nil {
-		stop := make(chan os.Signal, 1)
-		signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-		err = run(file, listener, *trace, stop, reload)
+	file, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
 	}
+	listener, err := net.Listen("tcp", file.Listen)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "swiftreel:", err)
-		os.Exit(1)
+		return err
 	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	return run(file, listener, s, stop, reload)
 }
 
-// run serves until it is told to stop and nothing is owed. At a reload the file is read anew.
-func run(file config.File, listener net.Listener, trace bool, stop, reload <-chan os.Signal) error {
+// run serves until it is told to stop and nothing is owed. At a reload both files are read anew.
+func run(file config.File, listener net.Listener, s cli.Serving, stop, reload <-chan os.Signal) error {
 	known, err := events(file)
 	if err != nil {
 		return err
 	}
+	own, err := operator.Load(s.Operator)
+	if err != nil {
+		return err
+	}
 	parts := new(limits.Parts)
 	parts.Apply(file.Limits)
-	gate := gateway.New(choice.Facts(file.Facts), file.Seed, parts, trace)
+	gate := gateway.New(choice.Facts(file.Facts), file.Seed, parts, s.Trace)
 	for _, ev := range known {
 		gate.List(ev, true)
 	}
+	if own.Plan != nil {
+		follow(gate, own)
+	}
 	follower := feed.Follow(file.Feed, file.Known.N, func(ev feed.Event) { gate.List(ev, false) })
-	reloads := reloader{file: file, follower: follower, parts: parts, load: func() (config.File, error) { return config.Load(os.Getenv) },
-		done: make(chan struct{}), ended: make(chan struct{})}
+	reloads := reloader{file: file, own: own, follower: follower, parts: parts, load: func() (config.File, error) { return config.Load(os.Getenv) },
+		operator: func() (operator.File, error) { return operator.Load(s.Operator) },
+		follow:   func(f operator.File) { follow(gate, f) },
+		done:     make(chan struct{}), ended: make(chan struct{})}
 	go reloads.run(reload)
 	front := client.NewFront(gate, parts)
 	go front.Serve(listener)
@@ -94,3 +106,12 @@
 	log.Printf("stopped after_ms=%d %s", time.Since(at).Milliseconds(), check.Told())
 	return nil
 }
+
+// follow takes over what the operator's file says of a plan.
+func follow(gate *gateway.Gateway, f operator.File) {
+	if f.Plan == nil {
+		gate.Follow(nil)
+		return
+	}
+	gate.Follow(&gateway.Plan{Steps: f.Plan.Answer.Steps, Factor: f.Plan.DemandFactor})
+}
--- a/cmd/swiftreel/main_test.go
+++ b/cmd/swiftreel/main_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"swiftreel/internal/check"
+	"swiftreel/internal/cli"
 	"swiftreel/internal/client"
 	"swiftreel/internal/config"
 	"swiftreel/internal/engine"
@@ -104,7 +105,7 @@
 		t.Fatal(err)
 	}
 	w.address = l.Addr().String()
-	go func() { w.ended <- run(file, l, false, w.stop, w.reload) }()
+	go func() { w.ended <- run(file, l, cli.Serving{Operator: os.Getenv("ROUTER_OPERATOR")}, w.stop, w.reload) }()
 	w.caller = w.dial()
 	settle(t, "not ready", func() bool { ready, err := w.caller.Ready(); return ready && err == nil })
 	t.Cleanup(func() {
--- /dev/null
+++ b/cmd/swiftreel/plan_test.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"swiftreel/internal/check"
+	"swiftreel/internal/cli"
+)
+
+const problem = `{"engines":[{"name":"e1","kind":"std","zone":"east","cores":16,"memory_mb":32000},
+{"name":"e2","kind":"std","zone":"east","cores":16,"memory_mb":32000,"cost":9}],
+"types":[{"name":"lookup","threads":1,"memory_mb":96,"work_ms":50,"value":1},{"name":"import","threads":2,"memory_mb":500,"work_ms":900,"value":10}],
+"tenants":[{"name":"acme"}],"zones":[{"name":"east"}],"must":{},
+"demand":[{"type":"lookup","tenant":"acme","zone":"east","jobs_per_1000s":300000}]}`
+
+// line carries a command line out and gives its code and output.
+func line(t *testing.T, args ...string) (int, string) {
+	t.Helper()
+	var out bytes.Buffer
+	code := cli.Run(args, &out, &out, func(cli.Serving) error { t.Error("it serves"); return nil })
+	return code, out.String()
+}
+
+func write(t *testing.T, path, text string) string {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestAPlanFromProblemToController(t *testing.T) {
+	dir := t.TempDir()
+	from, plan := write(t, filepath.Join(dir, "problem.json"), problem), filepath.Join(dir, "plan.json")
+	if code, out := line(t, "solve", from, "--out", plan, "--explain", "--time", "20s"); code != 0 || !strings.Contains(out, "optimal by solver") {
+		t.Fatalf("%d: %s", code, out)
+	}
+	for _, args := range [][]string{{"plan", "show", plan}, {"plan", "check", plan, from}, {"plan", "diff", plan, plan}, {"check", "--kind", "plan", plan},
+		{"check", "--kind", "problem", from}, {"solve", from, "--json", "--method", "proportional"}} {
+		if code, out := line(t, args...); code != 0 {
+			t.Errorf("%v: %d: %s", args, code, out)
+		}
+	}
+	own := write(t, filepath.Join(dir, "own.json"), `{}`)
+	t.Setenv("ROUTER_OPERATOR", own)
+	w := newTown(t, "e1", "e2")
+	done := func(host string) { // jobs one after the other, so that both engines are empty: all go where the plan wants them
+		t.Helper()
+		for range 6 {
+			id := w.job("lookup", "20000")
+			c := w.got("fetch")
+			if host != "" && c.host != host {
+				t.Errorf("sent to %s", c.host)
+			}
+			c.from.Answer(c.ID, "data", "sheets=1", "one\tb\tc\n")
+			w.answer(id, "")
+		}
+	}
+	reload := func(counter, text string) {
+		t.Helper()
+		write(t, own, text)
+		before := check.Of(counter)
+		w.reload <- syscall.SIGHUP
+		settle(t, "not read anew", func() bool { return check.Of(counter) > before })
+	}
+	done("")
+	reload("reloads", `{"plan":{"file":"plan.json"}}`)
+	done("e1")
+	reload("reloads_failed", `{"plan":{"file":"none.json"}}`) // changes nothing
+	done("e1")
+	reload("reloads", `{}`)
+	done("")
+}
+
+func TestBadFilesAreToldWhole(t *testing.T) {
+	dir := t.TempDir()
+	for _, c := range []struct {
+		args []string
+		text string
+		code int
+		told []string
+	}{
+		{[]string{"check"}, `{"plan":{"demand_factor":"x"},"what":1}`, 2, []string{"/: additional properties 'what' not allowed", "/plan: missing property 'file'", "/plan/demand_factor: got string"}},
+		{[]string{"check", "--json"}, `{"plan":{"file":"none"}}`, 2, []string{"none"}},
+		{[]string{"check"}, `{`, 2, []string{"is no JSON"}},
+		{[]string{"check", "--kind", "problem"}, strings.Replace(problem, `"e2"`, `"e1"`, 1), 2, []string{`/engines/1/name: "e1" stands twice`}},
+		{[]string{"check", "--kind", "problem"}, strings.Replace(problem, `"cores":16`, `"cores":-16`, 2), 2, []string{"/engines/0/cores", "/engines/1/cores"}},
+		{[]string{"solve"}, `[]`, 2, []string{"got array, want object"}},
+		{[]string{"solve", "--method", "guess"}, problem, 2, []string{"guess"}},
+		{[]string{"solve", "--time", "0s"}, problem, 2, []string{"--time"}},
+		{[]string{"solve", "--time", "20s"}, strings.Replace(problem, `"must":{}`, `"must":{"least_served":[{"type":"lookup","per_mille":1000}],"greatest_cost":0,"greatest_use_per_mille":100}`, 1), 3,
+			[]string{"no answer fits", "conflict 1", "no engine is used over 100 per mille", "it fits with: a use of 250 per mille"}},
+		{[]string{"plan", "show"}, `{"status":"optimal","steps":[{"from_ms":5,"threads":[],"use":[],"shares":[],"weights":[],"served":[]}]}`, 2, []string{"/steps/0/from_ms"}},
+		{[]string{"nonsense"}, ``, 2, []string{"unknown command"}},
+	} {
+		path := write(t, filepath.Join(dir, "file.json"), c.text)
+		code, out := line(t, append(c.args, path)...)
+		if code != c.code {
+			t.Errorf("%v of %s: %d: %s", c.args, c.text, code, out)
+		}
+		for _, told := range c.told {
+			if !strings.Contains(out, told) {
+				t.Errorf("%v of %s tells %q, not %q", c.args, c.text, out, told)
+			}
+		}
+	}
+}
+
+// The schema bounds a file before anything is made of it; what is large but in form is read and solved, or refused.
+func TestALargeProblemIsReadOrRefused(t *testing.T) {
+	dir, p := t.TempDir(), map[string]any{}
+	json.Unmarshal([]byte(problem), &p)
+	var engines []any
+	name := strings.Repeat("x", 180)
+	for i := range 2000 {
+		e := map[string]any{"name": name + string(rune('a'+i%26)) + string(rune('a'+i/26%26)) + string(rune('a'+i/676)), "kind": name, "zone": "east", "cores": 8, "memory_mb": 1}
+		engines = append(engines, e)
+	}
+	p["engines"] = engines
+	text, _ := json.Marshal(p)
+	path := write(t, filepath.Join(dir, "large.json"), string(text)+strings.Repeat(" ", 10<<20))
+	if code, out := line(t, "check", "--kind", "problem", path); code != 0 {
+		t.Errorf("%d: %.300s", code, out)
+	}
+	write(t, path, string(text)+strings.Repeat(" ", 33<<20))
+	if code, out := line(t, "check", "--kind", "problem", path); code != 2 || !strings.Contains(out, "over 33554432 bytes") {
+		t.Errorf("%d: %.300s", code, out)
+	}
+}
--- a/cmd/swiftreel/reload.go
+++ b/cmd/swiftreel/reload.go
@@ -12,12 +12,16 @@
 	"swiftreel/internal/config"
 	"swiftreel/internal/feed"
 	"swiftreel/internal/limits"
+	"swiftreel/internal/operator"
 )
 
 // reloader takes over what it can of a configuration file that is read anew.
 type reloader struct {
 	file     config.File // as last taken over
 	load     func() (config.File, error)
+	own      operator.File // as last taken over
+	operator func() (operator.File, error)
+	follow   func(operator.File) // a file taken over
 	follower *feed.Follower
 	parts    *limits.Parts
 
@@ -49,19 +53,27 @@
 	if err == nil {
 		known, err = events(file)
 	}
+	var own operator.File
+	if err == nil {
+		own, err = r.operator()
+	}
 	if err != nil {
 		check.Count("reloads_failed")
 		log.Printf("reload_failed reason=%q", err)
 		return
 	}
-	check.Count("reloads")
 	moved := r.follower.Move(file.Feed, known)
 	last, _ := r.follower.Last()
 	log.Printf("reloaded feed=%s feed_moved=%v events=%d needs_restart=%q", file.Feed, moved, last, strings.Join(r.kept(file), ","))
 	if file.Limits != r.file.Limits {
 		r.parts.Apply(file.Limits)
 	}
+	if !reflect.DeepEqual(own, r.own) { // the same plan once more is no new one
+		r.follow(own)
+		r.own = own
+	}
 	r.file.Feed, r.file.Known, r.file.Limits = file.Feed, file.Known, file.Limits
+	check.Count("reloads")
 }
 
 // kept names what differs and is not taken over before the next start. The seed is new with each.
--- /dev/null
+++ b/internal/cli/check.go
@@ -0,0 +1,84 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"swiftreel/internal/document"
+	"swiftreel/internal/operator"
+	"swiftreel/internal/plan"
+	"swiftreel/internal/solve"
+)
+
+// report is what check tells scripts.
+type report struct {
+	File   string   `json:"file"`
+	Kind   string   `json:"kind"`
+	Faults []string `json:"faults"`
+}
+
+func checkCommand() *cobra.Command {
+	var kind string
+	var forScripts bool
+	c := &cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a file whole: every fault is named with its path",
+		Long: `Checks the operator's file and what it names, as the start and SIGHUP do; with --kind problem or plan, one of those.
+A line a fault. Exit codes: 0 no fault, 2 faults, or the file cannot be read.`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			var err error
+			switch document.Kind(kind) {
+			case document.Operator:
+				_, err = operator.Load(args[0])
+			case document.Plan:
+				_, err = plan.Load(args[0])
+			case document.Problem:
+				_, err = readProblem(args[0])
+			default:
+				return badInput(fmt.Errorf("--kind %q is none of operator, problem, plan", kind))
+			}
+			r := report{File: args[0], Kind: kind, Faults: []string{}}
+			var faults *document.Faults
+			if errors.As(err, &faults) {
+				r.Faults = faults.List
+			} else if err != nil {
+				return badInput(err)
+			}
+			if forScripts {
+				if err := asJSON(c.OutOrStdout(), r); err != nil {
+					return err
+				}
+			} else {
+				for _, f := range r.Faults {
+					fmt.Fprintf(c.OutOrStdout(), "%s: %s\n", faults.File, f)
+				}
+			}
+			if err != nil {
+				return exit{code: ExitBadInput, err: err, said: true}
+			}
+			return nil
+		},
+	}
+	c.Flags().StringVar(&kind, "kind", string(document.Operator), "operator, problem or plan")
+	c.Flags().BoolVar(&forScripts, "json", false, "for scripts")
+	return c
+}
+
+// readProblem reads a problem and checks it whole.
+func readProblem(path string) (*solve.Problem, error) {
+	p := new(solve.Problem)
+	if err := document.Read(path, document.Problem, p); err != nil {
+		return nil, err
+	}
+	if list := p.Check(); len(list) > 0 {
+		f := &document.Faults{File: path}
+		for _, fault := range list {
+			f.List = append(f.List, fault.String())
+		}
+		return nil, f
+	}
+	return p, nil
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,14 +28,15 @@
 	lines   check.Rate // of the module's log
 	overdue check.Grumble
 
-	mu     sync.Mutex // around Decide and what follows; no I/O under it
-	module choice.Controller
-	roster roster
-	jobs   map[choice.JobID]*job // until their function returns
-	calls  map[string]struct{}   // the ids of those that are not answered, nor left by their client
-	lastID choice.JobID
-	last   choice.Nanos // the module's time never goes back
-	ended  bool         // timers come to nothing
+	mu        sync.Mutex // around Decide and what follows; no I/O under it
+	module    choice.Controller
+	roster    roster
+	following following
+	jobs      map[choice.JobID]*job // until their function returns
+	calls     map[string]struct{}   // the ids of those that are not answered, nor left by their client
+	lastID    choice.JobID
+	last      choice.Nanos // the module's time never goes back
+	ended     bool         // timers come to nothing
 }
 
 // New starts the module with the settings as they are.
@@ -159,6 +160,9 @@
 func (g *Gateway) Close() {
 	g.mu.Lock()
 	g.ended = true
+	if g.following.timer != nil {
+		g.following.timer.Stop()
+	}
 	g.mu.Unlock()
 	close(g.done)
 	g.pool.Close()
--- a/internal/gateway/names.go
+++ b/internal/gateway/names.go
@@ -13,14 +13,20 @@
 	tenants map[string]choice.TenantID
 	zones   map[string]choice.ZoneID
 	kinds   map[string]choice.KindID
+	own     string // the zone that this controller is in
 }
 
 func newNames(facts choice.Facts) names {
 	n := names{map[string]choice.TypeID{}, map[string]choice.TenantID{}, map[string]choice.ZoneID{},
-		map[string]choice.KindID{}}
+		map[string]choice.KindID{}, ""}
+	here, _ := facts["locality"].(float64)
 	each(facts, "classes", func(i int, name string) { n.types[name] = choice.TypeID(i) })
 	each(facts, "tenants", func(i int, name string) { n.tenants[name] = choice.TenantID(i) })
-	each(facts, "localities", func(i int, name string) { n.zones[name] = choice.ZoneID(i) })
+	each(facts, "localities", func(i int, name string) {
+		if n.zones[name] = choice.ZoneID(i); i == int(here) {
+			n.own = name
+		}
+	})
 	each(facts, "kinds", func(i int, name string) { n.kinds[name] = choice.KindID(i) })
 	return n
 }
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"hash/fnv"
 	"slices"
 	"time"
 
@@ -36,9 +35,7 @@
 func (r *roster) number(name string) *listed {
 	l := r.byName[name]
 	if l == nil {
-		h := fnv.New32a()
-		h.Write([]byte(name))
-		id := choice.EngineID(h.Sum32())
+		id := engineNumber(name)
 		for r.byID[id] != nil {
 			id++
 		}
