--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # build, test, lint, run. .ci/run does what lint, build and test do, with the test command of README.md.
 
-.PHONY: all build test race fuzz lint run clean
+.PHONY: all build test race fuzz lint run clean proof-solve
 
 all: lint build test
 
@@ -15,7 +15,9 @@
 
 # Each fuzz target for a short while, beyond the fixed seeds that the tests play.
 fuzz:
-	go test -run '^$$' -fuzz FuzzRules -fuzztime 10s ./choice
+	go test -run '^$$' -fuzz 'FuzzRules$$' -fuzztime 10s ./choice
+	go test -run '^$$' -fuzz FuzzRulesWithPlans -fuzztime 10s ./choice
+	go test -run '^$$' -fuzz FuzzCheckedProblemsAreSolved -fuzztime 10s ./internal/solve
 	go test -run '^$$' -fuzz FuzzMessages -fuzztime 10s ./internal/client
 	go test -run '^$$' -fuzz FuzzAnswers -fuzztime 10s ./internal/engine
 	go test -run '^$$' -fuzz FuzzCommands -fuzztime 10s ./internal/engine
@@ -31,5 +33,9 @@
 run: build
 	go run ./example demo
 
+# Proofs: each prints its table and ends with 1 where a figure fails.
+proof-solve: build
+	go run ./internal/proof/solve
+
 clean:
 	rm -rf bin
--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -83,6 +84,7 @@
 	go reloads.run(reload)
 	front := client.NewFront(gate, parts)
 	go front.Serve(listener)
+	debug.FreeOSMemory() // what the libraries of the command line left behind when they were set up
 	gate.Start()
 	log.Printf("serving name=%s address=%s events_known=%d", file.Name, listener.Addr(), file.Known.N)
 
