Structured logs through log/slog, key=value as before

Need: logs that scripts read without knowing each line's text. Every line is an event (msg) with attributes; names and figures are the same.

--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -3,7 +3,7 @@
 package main
 
 import (
-	"log"
+	"log/slog"
 	"net"
 	"os"
 	"os/signal"
@@ -19,6 +19,7 @@
 	"swiftreel/internal/feed"
 	"swiftreel/internal/gateway"
 	"swiftreel/internal/limits"
+	"swiftreel/internal/logs"
 	"swiftreel/internal/operator"
 )
 
@@ -40,7 +41,7 @@
 func serve(s cli.Serving) error {
 	reload := make(chan os.Signal, 1) // caught before anything else: the signal never ends the program
 	signal.Notify(reload, syscall.SIGHUP)
-	log.SetFlags(log.Ldate | log.Ltime | log.Lmicroseconds | log.LUTC)
+	logs.To(os.Stderr)
 	if s.Operator == "" {
 		s.Operator = os.Getenv("ROUTER_OPERATOR")
 	}
@@ -86,12 +87,12 @@
 	go front.Serve(listener)
 	debug.FreeOSMemory() // what the libraries of the command line left behind when they were set up
 	gate.Start()
-	log.Printf("serving name=%s address=%s events_known=%d", file.Name, listener.Addr(), file.Known.N)
+	slog.Info("serving", "name", file.Name, "address", listener.Addr(), "events_known", file.Known.N)
 
 	told := <-stop
 	at := time.Now()
 	gate.Stop()
-	log.Printf("stopping signal=%q owed=%d", told, front.Owed())
+	slog.Info("stopping", "signal", told, "owed", front.Owed())
 	for quiet, last := time.Duration(0), at; quiet < quietLast; {
 		time.Sleep(quietLook)
 		now := time.Now()
@@ -105,7 +106,7 @@
 	reloads.close()
 	follower.Close()
 	gate.Close()
-	log.Printf("stopped after_ms=%d %s", time.Since(at).Milliseconds(), check.Told())
+	slog.Info("stopped", append([]any{"after_ms", time.Since(at).Milliseconds()}, check.Told()...)...)
 	return nil
 }
 
--- a/cmd/swiftreel/reload.go
+++ b/cmd/swiftreel/reload.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"log"
+	"log/slog"
 	"os"
 	"reflect"
 	"slices"
@@ -59,12 +59,12 @@
 	}
 	if err != nil {
 		check.Count("reloads_failed")
-		log.Printf("reload_failed reason=%q", err)
+		slog.Error("reload_failed", "reason", err)
 		return
 	}
 	moved := r.follower.Move(file.Feed, known)
 	last, _ := r.follower.Last()
-	log.Printf("reloaded feed=%s feed_moved=%v events=%d needs_restart=%q", file.Feed, moved, last, strings.Join(r.kept(file), ","))
+	slog.Info("reloaded", "feed", file.Feed, "feed_moved", moved, "events", last, "needs_restart", strings.Join(r.kept(file), ","))
 	if file.Limits != r.file.Limits {
 		r.parts.Apply(file.Limits)
 	}
--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -2,9 +2,9 @@
 package check
 
 import (
-	"fmt"
+	"log/slog"
+	"maps"
 	"slices"
-	"strings"
 	"sync"
 )
 
@@ -36,14 +36,12 @@
 	return counts[what]
 }
 
-// Told gives the counters as key=value text.
-func Told() string {
+// Told gives the counters as attributes for a log line, in order of their names.
+func Told() (attrs []any) {
 	mu.Lock()
 	defer mu.Unlock()
-	var words []string
-	for what, n := range counts {
-		words = append(words, fmt.Sprintf("%s=%d", what, n))
+	for _, what := range slices.Sorted(maps.Keys(counts)) {
+		attrs = append(attrs, slog.Uint64(what, counts[what]))
 	}
-	slices.Sort(words)
-	return strings.Join(words, " ")
+	return attrs
 }
--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -15,7 +15,7 @@
 	defer log.SetOutput(os.Stderr)
 	var g Grumble
 	for range 5 {
-		g.Note("faults_of_the_test", "fault reason=%s", "x")
+		g.Note("faults_of_the_test", "fault", "reason", "x")
 	}
 	if strings.Count(got.String(), "\n") != 1 || !strings.Contains(got.String(), "fault reason=x count=1") || Of("faults_of_the_test") != 5 {
 		t.Errorf("%q, %d counted", got.String(), Of("faults_of_the_test"))
--- a/internal/check/grumble.go
+++ b/internal/check/grumble.go
@@ -1,7 +1,7 @@
 package check
 
 import (
-	"log"
+	"log/slog"
 	"sync"
 	"time"
 )
@@ -13,14 +13,14 @@
 	n  int
 }
 
-// Note counts under a name, and logs key=value text.
-func (g *Grumble) Note(counter, text string, v ...any) {
+// Note counts under a name, and logs an event with its attributes.
+func (g *Grumble) Note(counter, event string, attrs ...any) {
 	Count(counter)
-	g.Say(text, v...)
+	g.Say(event, attrs...)
 }
 
 // Say logs without counting.
-func (g *Grumble) Say(text string, v ...any) {
+func (g *Grumble) Say(event string, attrs ...any) {
 	g.mu.Lock()
 	g.n++
 	n, quiet := g.n, time.Since(g.at) < time.Second
@@ -29,7 +29,7 @@
 	}
 	g.mu.Unlock()
 	if !quiet {
-		log.Printf(text+" count=%d", append(v, n)...)
+		slog.Warn(event, append(attrs, "count", n)...)
 	}
 }
 
--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -72,7 +72,7 @@
 		}
 		if err != nil {
 			if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, syscall.ECONNRESET) {
-				c.front.bad.Note("clients_bad", "client_bad address=%s reason=%q", c.nc.RemoteAddr(), err)
+				c.front.bad.Note("clients_bad", "client_bad", "address", c.nc.RemoteAddr(), "reason", err)
 				c.lastWord(err)
 			}
 			return
@@ -209,7 +209,7 @@
 	}
 	r, err := parseRequest(m)
 	if err != nil {
-		c.front.unusable.Note("calls_unusable", "call_unusable address=%s reason=%q", c.nc.RemoteAddr(), err)
+		c.front.unusable.Note("calls_unusable", "call_unusable", "address", c.nc.RemoteAddr(), "reason", err)
 		c.refuse(m.id, wordFailed, "reason", err.Error())
 		return nil
 	}
--- a/internal/client/pulse.go
+++ b/internal/client/pulse.go
@@ -59,7 +59,7 @@
 		case <-tick.C:
 			if still := p.beat(time.Now()); still > 0 {
 				check.Count("stalls")
-				p.say.Say("stood_still for_ms=%d", still.Milliseconds())
+				p.say.Say("stood_still", "for_ms", still.Milliseconds())
 			}
 		}
 	}
--- a/internal/engine/dispatch.go
+++ b/internal/engine/dispatch.go
@@ -244,7 +244,7 @@
 	}
 	p.mu.Unlock()
 	if was != over {
-		p.bad.Note("answers_bad", "answer_bad engine=%s reason=%s", d.conn.host, what)
+		p.bad.Note("answers_bad", "answer_bad", "engine", d.conn.host, "reason", what)
 		d.finish(Reply{End: Failed})
 	}
 }
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -313,5 +313,5 @@
 }
 
 func broken(c *conn, why error) {
-	c.pool.bad.Note("engine_lines_bad", "engine_bad engine=%s reason=%q", c.host, why)
+	c.pool.bad.Note("engine_lines_bad", "engine_bad", "engine", c.host, "reason", why)
 }
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"log"
+	"log/slog"
 	"strconv"
 	"sync"
 
@@ -86,7 +86,7 @@
 		}
 	}
 	if ev.Bad > 0 {
-		f.bad.Note("feed_entries_bad", "feed_entries_bad address=%s event=%d entries=%d", s.address, ev.N, ev.Bad)
+		f.bad.Note("feed_entries_bad", "feed_entries_bad", "address", s.address, "event", ev.N, "entries", ev.Bad)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -113,7 +113,7 @@
 func (f *Follower) lost(s *source, say bool, why error) {
 	check.Count("feed_lost")
 	if last, _ := f.Last(); say {
-		log.Printf("feed_lost address=%s last=%d reason=%q", s.address, last, why)
+		slog.Warn("feed_lost", "address", s.address, "last", last, "reason", why)
 	}
 }
 
--- a/internal/gateway/belief.go
+++ b/internal/gateway/belief.go
@@ -1,7 +1,8 @@
 package gateway
 
 import (
-	"log"
+	"fmt"
+	"log/slog"
 	"time"
 
 	"swiftreel/choice"
@@ -41,9 +42,9 @@
 // counters logs them now and then, if any has changed.
 func (b *belief) counters(often bool) {
 	if b.looks++; b.looks%countersEvery == 0 || often && b.looks%(countersEvery/10) == 0 {
-		if now := check.Told(); now != b.told {
-			b.told = now
-			log.Print("counters ", now)
+		if now := check.Told(); fmt.Sprint(now) != b.told {
+			b.told = fmt.Sprint(now)
+			slog.Info("counters", now...)
 		}
 	}
 }
@@ -65,12 +66,12 @@
 		open, giving := g.pool.Out(names[i])
 		if s.Jobs != open+giving {
 			if b.differs[names[i]] = before[names[i]] + 1; b.differs[names[i]] >= differsMost {
-				b.say.Note("beliefs_differ", "belief engine=%s module_jobs=%d open=%d given_up=%d", names[i], s.Jobs, open, giving)
+				b.say.Note("beliefs_differ", "belief", "engine", names[i], "module_jobs", s.Jobs, "open", open, "given_up", giving)
 			}
 		}
 		if g.trace && (s.Out != "gone" || s.Jobs > 0) {
-			log.Printf("belief engine=%s module_jobs=%d open=%d given_up=%d threads=%.0f others=%.1f report_age_ms=%d heard_ms=%d out=%q",
-				names[i], s.Jobs, open, giving, s.Threads, s.Others, ms(s.Reported), ms(s.Heard), s.Out)
+			slog.Info("belief", "engine", names[i], "module_jobs", s.Jobs, "open", open, "given_up", giving, "threads", s.Threads,
+				"others", s.Others, "report_age_ms", ms(s.Reported), "heard_ms", ms(s.Heard), "out", s.Out)
 		}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,7 +3,7 @@
 package gateway
 
 import (
-	"log"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -111,7 +111,7 @@
 			g.say(a.Text)
 		case choice.Fault:
 			check.Count("module_faults")
-			log.Print("module fault: ", a.Text)
+			slog.Error("module_fault", "text", a.Text)
 		case choice.Tell: // no channel between controllers is told of
 			check.Count("tells_dropped")
 		}
@@ -121,7 +121,7 @@
 // say logs the module's lines, some a second at most.
 func (g *Gateway) say(text string) {
 	if g.lines.Take(time.Now()) {
-		log.Print("module ", text)
+		slog.Info("module", "text", text)
 	}
 }
 
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -84,7 +84,7 @@
 	rest := g.decide(ev)
 	g.mu.Unlock()
 	g.carry(rest)
-	g.trace.note(j.id, "call=%s", a.ID)
+	g.trace.note(j.id, "call", string(a.ID))
 	a.From.OnLeave(func() { j.in.put(message{left: true}) })
 	go g.life(j)
 }
@@ -171,7 +171,7 @@
 					giveUp(choice.TimedOut)
 				}
 				if !answered && time.Now().After(lost.Add(g.rules.slack)) {
-					g.overdue.Say("answer_overdue job=%d call=%s late_ms=%d", j.id, j.ID, time.Since(lost).Milliseconds())
+					g.overdue.Say("answer_overdue", "job", j.id, "call", string(j.ID), "late_ms", time.Since(lost).Milliseconds())
 					check.That(false, "answers_overdue")
 					g.tell(choice.Event{Kind: choice.ClientLeft, Job: j.id})
 					answer(func() { j.From.Failed("job timeout") })
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -2,7 +2,7 @@
 
 import (
 	"hash/fnv"
-	"log"
+	"log/slog"
 	"time"
 
 	"swiftreel/choice"
@@ -36,7 +36,7 @@
 		g.tell(choice.Event{Kind: choice.Planned})
 		return
 	}
-	log.Printf("plan_taken steps=%d", len(p.Steps))
+	slog.Info("plan_taken", "steps", len(p.Steps))
 	g.step(p, 0, turn, time.Now())
 }
 
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"log"
+	"log/slog"
 
 	"swiftreel/choice"
 )
@@ -24,36 +24,36 @@
 	if !on || ev.Kind == choice.TimerDue {
 		return
 	}
-	text := ""
+	attrs := []any{"t", now, "event", eventNames[ev.Kind]}
 	switch ev.Kind {
 	case choice.Arrived:
-		text = fmt.Sprintf("job=%d type=%d tenant=%d key=%x left=%d cost=%d memory_mb=%.0f tables=%d repeat=%v", ev.Job, ev.Type,
-			ev.Tenant, ev.Key, ev.Left, ev.Cost, ev.MemoryMB, ev.Tables, ev.Repeat)
+		attrs = append(attrs, "job", ev.Job, "type", ev.Type, "tenant", ev.Tenant, "key", fmt.Sprintf("%x", ev.Key), "left", ev.Left,
+			"cost", ev.Cost, "memory_mb", ev.MemoryMB, "tables", ev.Tables, "repeat", ev.Repeat)
 	case choice.Answered:
-		text = fmt.Sprintf("job=%d seq=%d engine=%d result=%d latency=%d final=%v bill=%d load=%v", ev.Job, ev.Seq, ev.Engine,
-			ev.Result, ev.Latency, ev.Final, ev.Bill, ev.Load)
+		attrs = append(attrs, "job", ev.Job, "seq", ev.Seq, "engine", ev.Engine, "result", ev.Result, "latency", ev.Latency, "final", ev.Final,
+			"bill", ev.Bill, "load", ev.Load)
 	case choice.Noted:
-		text = fmt.Sprintf("job=%d seq=%d engine=%d note=%d amount=%g", ev.Job, ev.Seq, ev.Engine, ev.Note, ev.Amount)
+		attrs = append(attrs, "job", ev.Job, "seq", ev.Seq, "engine", ev.Engine, "note", ev.Note, "amount", ev.Amount)
 	case choice.ClientLeft:
-		text = fmt.Sprintf("job=%d", ev.Job)
+		attrs = append(attrs, "job", ev.Job)
 	case choice.Listed:
-		text = fmt.Sprintf("list=%d lines=%+v", ev.List, ev.Lines)
+		attrs = append(attrs, "list", ev.List, "lines", ev.Lines)
 	case choice.Probed:
-		text = fmt.Sprintf("engine=%d result=%d latency=%d load=%v", ev.Engine, ev.Result, ev.Latency, ev.Load)
+		attrs = append(attrs, "engine", ev.Engine, "result", ev.Result, "latency", ev.Latency, "load", ev.Load)
 	}
-	log.Printf("trace t=%d event=%s %s", now, eventNames[ev.Kind], text)
+	slog.Info("trace", attrs...)
 }
 
 func (on trace) action(now choice.Nanos, a choice.Action) {
 	if on && a.Kind != choice.Timer && a.Kind != choice.Log {
-		log.Printf("trace t=%d action=%s job=%d engine=%d seq=%d span=%d priority=%d memory_mb=%.0f", now, actionNames[a.Kind], a.Job,
-			a.Engine, a.Seq, a.Span, a.Priority, a.MemoryMB)
+		slog.Info("trace", "t", now, "action", actionNames[a.Kind], "job", a.Job, "engine", a.Engine, "seq", a.Seq, "span", a.Span,
+			"priority", a.Priority, "memory_mb", a.MemoryMB)
 	}
 }
 
 // note tells of a job what only the sockets know.
-func (on trace) note(id choice.JobID, text string, v ...any) {
+func (on trace) note(id choice.JobID, attrs ...any) {
 	if on {
-		log.Printf("trace job=%d "+text, append([]any{id}, v...)...)
+		slog.Info("trace", append([]any{"job", id}, attrs...)...)
 	}
 }
