--- a/choice/choice.go
+++ b/choice/choice.go
@@ -325,8 +325,8 @@
 	}
 }
 
-// follow says how far the plan still holds: less the more of its threads are out, or engines are there that it
-// does not know; not at all from planMissing on, or where demand is off by its factor. It comes back at half.
+// follow says how far the plan still holds: less the more of its threads are out, or engines come that it does
+// not know; not at all from planMissing on, or where demand is off by its factor. It comes back at half.
 func (c *Controller) follow() {
 	there, strange := 0.0, 0.0
 	for _, e := range c.engines {
--- a/cmd/swiftreel/plan_test.go
+++ b/cmd/swiftreel/plan_test.go
@@ -6,11 +6,13 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 
 	"swiftreel/internal/check"
 	"swiftreel/internal/cli"
+	"swiftreel/internal/toy"
 )
 
 const problem = `{"engines":[{"name":"e1","kind":"std","zone":"east","cores":16,"memory_mb":32000},
@@ -133,3 +135,29 @@
 		t.Errorf("%d: %.300s", code, out)
 	}
 }
+
+// Plans come, go and are bad while clients send and engines misbehave: every job has its one answer all the same.
+func TestPlansAreTakenOverUnderLoad(t *testing.T) {
+	dir := t.TempDir()
+	from := write(t, filepath.Join(dir, "problem.json"), problem)
+	for name, method := range map[string]string{"a.json": "solver", "b.json": "proportional"} {
+		if code, out := line(t, "solve", from, "--method", method, "--time", "20s", "--out", filepath.Join(dir, name)); code != 0 {
+			t.Fatalf("%d: %s", code, out)
+		}
+	}
+	own := write(t, filepath.Join(dir, "own.json"), `{}`)
+	t.Setenv("ROUTER_OPERATOR", own)
+	w := newTownOf(t, toy.NewRough(4).Handle, "e1", "e2", "e3")
+	var usual sync.WaitGroup
+	for i := range uint64(3) {
+		usual.Go(func() { w.usual(7000+i, 80) })
+	}
+	for i := range 12 {
+		text := []string{`{"plan":{"file":"a.json"}}`, `{"plan":{"file":"b.json","demand_factor":1.1}}`, `{"plan":{}}`, `{}`}[i%4]
+		write(t, own, text)
+		before := check.Of("reloads") + check.Of("reloads_failed")
+		w.reload <- syscall.SIGHUP
+		settle(t, "not read anew", func() bool { return check.Of("reloads")+check.Of("reloads_failed") > before })
+	}
+	usual.Wait()
+}
