The gateway knows engines by an interface of dispatch, abort, probe and outcome, one a protocol

Need: SPARQL engines behind the same decisions (SPARQL alongside); gateway knew engine.Pool itself. internal/back holds the words and the interface; engine.Pool is the line protocol's implementation, an engine's entry says which speaks with it. One of a protocol that nothing speaks is never reached, so never ran.

--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -12,10 +12,12 @@
 	"time"
 
 	"swiftreel/choice"
+	"swiftreel/internal/back"
 	"swiftreel/internal/check"
 	"swiftreel/internal/cli"
 	"swiftreel/internal/client"
 	"swiftreel/internal/config"
+	"swiftreel/internal/engine"
 	"swiftreel/internal/feed"
 	"swiftreel/internal/gateway"
 	"swiftreel/internal/limits"
@@ -58,6 +60,11 @@
 	return run(file, listener, s, stop, reload)
 }
 
+// speak is what speaks with engines, by their protocol.
+var speak = map[back.Protocol]back.Make{
+	back.Line: func(b back.Bounds) back.Engines { return engine.NewPool(b) },
+}
+
 // run serves until it is told to stop and nothing is owed. At a reload both files are read anew.
 func run(file config.File, listener net.Listener, s cli.Serving, stop, reload <-chan os.Signal) error {
 	known, err := events(file)
@@ -70,7 +77,7 @@
 	}
 	parts := new(limits.Parts)
 	parts.Apply(file.Limits)
-	gate := gateway.New(choice.Facts(file.Facts), file.Seed, parts, s.Trace)
+	gate := gateway.New(choice.Facts(file.Facts), file.Seed, parts, s.Trace, speak)
 	for _, ev := range known {
 		gate.List(ev, true)
 	}
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -98,7 +98,7 @@
 	for _, d := range queue {
 		c.send(d)
 	}
-	r := newLines(nc, p.bounds.half())
+	r := newLines(nc, half(p.bounds))
 	for {
 		a, err := r.answer()
 		if err != nil {
@@ -222,7 +222,7 @@
 		return
 	}
 	d.moved++
-	next := p.assign(Host{c.host, c.address}, d)
+	next := p.assign(Host{Name: c.host, Address: c.address}, d)
 	p.mu.Unlock()
 	check.Count("sends_moved")
 	d.proceed(next)
--- a/internal/engine/dispatch.go
+++ b/internal/engine/dispatch.go
@@ -7,32 +7,6 @@
 	"swiftreel/internal/check"
 )
 
-// End is how a dispatch or a probe ended, as the protocol tells it.
-type End uint8
-
-// The ends. Open marks a reply that does not end anything.
-const (
-	Open         End = iota
-	Done             // all pages are in hand; of a probe: well
-	Failed           // error, lost pages, or an answer that cannot be read: it may have run
-	Full             // it never ran
-	Moot             // it never ran
-	NotConnected     // it never ran
-	Reset            // it may have run
-	TimedOut         // a probe only: whoever waits for a dispatch gives it up
-)
-
-// Reply is what is told of a dispatch or a probe.
-type Reply struct {
-	End    End
-	Pages  [][]byte // Done: the result, in order, charged to the bounds' bytes until Free
-	Load   string   // the report, as in inflight:7;util:0.61
-	WorkMS float64
-	RoomMB float64
-	Note   string // Open: frac, missing or parked
-	Amount float64
-}
-
 // Notes of a dispatch come so often at most, but for some at once.
 const (
 	notesAtOnce = 32
--- a/internal/engine/line.go
+++ b/internal/engine/line.go
@@ -159,26 +159,6 @@
 	return (len(page) == 0 || page[len(page)-1] == '\n') && utf8.Valid(page)
 }
 
-// Request is what a dispatch sends.
-type Request struct {
-	ID, Type, Statement []byte
-	WaitMS              int64
-	GrantMB             float64
-	Priority            uint8
-	Lane                Lane
-	Ordered             time.Time // it is not sent later than the dial time-out after this
-}
-
-// Lane keeps apart what may be broken off, to be sent again elsewhere, from what may not: a connection that falls
-// silent is closed to free what was called back on it, and nothing else may be lost by that.
-type Lane uint8
-
-// The lanes.
-const (
-	MayRepeat Lane = iota // and probes
-	MayNot
-)
-
 func appendFetch(b []byte, r Request) []byte {
 	b = append(append(append(b, "fetch "...), r.ID...), " c="...)
 	b = append(append(b, r.Type...), ",w="...)
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -9,26 +9,12 @@
 	"syscall"
 	"time"
 
+	"swiftreel/internal/back"
 	"swiftreel/internal/check"
-	"swiftreel/internal/limits"
 )
 
-// Host is an engine by its name; its address may change, and may have been another's.
-type Host struct {
-	Name, Address string
-}
-
-// Bounds are the settings and limits of the connections.
-type Bounds struct {
-	Dial, Idle time.Duration // a connection not made by then has failed; one unused so long is closed
-	Step       time.Duration // from a close of ours until what was out there is told of: what is sent upon that must not overtake it
-	Streams    int           // on one connection
-	Conns      *limits.Count // over all engines
-	Bytes      *limits.Bytes // of the results in hand
-}
-
 // half is how long an answer that has begun may take to be whole.
-func (b Bounds) half() time.Duration { return max(2*b.Dial, 500*time.Millisecond) }
+func half(b Bounds) time.Duration { return max(2*b.Dial, 500*time.Millisecond) }
 
 // spared is the part of the connections kept for engines that have none: the others share what they have by then.
 const spared = 8
@@ -57,7 +43,7 @@
 }
 
 // Start sends a dispatch to an engine. All that becomes of it is told to reply, in order, the end once and last.
-func (p *Pool) Start(to Host, r Request, reply func(Reply)) *Dispatch {
+func (p *Pool) Start(to Host, r Request, reply func(Reply)) back.Dispatch {
 	d := &Dispatch{pool: p, id: string(r.ID), reply: reply, started: r.Ordered, lane: r.Lane}
 	d.text = appendFetch(make([]byte, 0, len(r.Statement)+128), r)
 	p.place(to, d)
--- a/internal/engine/pool_test.go
+++ b/internal/engine/pool_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"swiftreel/internal/back"
 	"swiftreel/internal/engine"
 	"swiftreel/internal/limits"
 	"swiftreel/internal/toy"
@@ -53,7 +54,7 @@
 	return b
 }
 
-func (b *bench) start(id string) *engine.Dispatch {
+func (b *bench) start(id string) back.Dispatch {
 	return b.pool.Start(b.host, engine.Request{ID: []byte(id), Type: []byte("report"), Statement: []byte("SELECT 1"),
 		WaitMS: 1000, Priority: 1, Ordered: time.Now()}, func(r engine.Reply) { b.replies <- r })
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"swiftreel/choice"
+	"swiftreel/internal/back"
 	"swiftreel/internal/check"
-	"swiftreel/internal/engine"
 	"swiftreel/internal/limits"
 )
 
@@ -18,7 +18,7 @@
 type Gateway struct {
 	clock   clock
 	names   names
-	pool    *engine.Pool
+	pool    back.Engines
 	rules   rules
 	parts   *limits.Parts
 	ready   atomic.Bool
@@ -39,11 +39,11 @@
 	ended     bool         // timers come to nothing
 }
 
-// New starts the module with the settings as they are.
-func New(facts choice.Facts, seed uint64, parts *limits.Parts, traced bool) *Gateway {
+// New starts the module with the settings as they are, and what speaks with engines by protocol.
+func New(facts choice.Facts, seed uint64, parts *limits.Parts, traced bool, speak map[back.Protocol]back.Make) *Gateway {
 	g := &Gateway{clock: newClock(), names: newNames(facts), rules: newRules(facts), parts: parts, roster: newRoster(),
 		jobs: map[choice.JobID]*job{}, calls: map[string]struct{}{}, done: make(chan struct{}), trace: trace(traced)}
-	g.pool = engine.NewPool(engine.Bounds{Dial: g.rules.dial, Idle: g.rules.idle, Step: g.rules.step, Streams: g.rules.streams,
+	g.pool = back.NewEach(speak, back.Bounds{Dial: g.rules.dial, Idle: g.rules.idle, Step: g.rules.step, Streams: g.rules.streams,
 		Conns: &parts.EngineConns, Bytes: &parts.Bytes})
 	g.running.Go(func() { g.watch(g.done) })
 	g.tell(choice.Event{Kind: choice.Started, Seed: seed, Facts: facts})
@@ -134,25 +134,25 @@
 	}
 }
 
-func (g *Gateway) host(id choice.EngineID) (engine.Host, bool) {
+func (g *Gateway) host(id choice.EngineID) (back.Host, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if l := g.roster.byID[id]; l != nil {
 		return l.host, true
 	}
-	return engine.Host{}, false
+	return back.Host{}, false
 }
 
 func (g *Gateway) probe(id choice.EngineID) {
 	at := time.Now()
-	told := func(r engine.Reply) {
+	told := func(r back.Reply) {
 		g.tell(choice.Event{Kind: choice.Probed, Engine: id, Result: results[r.End], Latency: choice.Nanos(time.Since(at)),
 			Load: g.rules.load(r.Load)})
 	}
 	if host, is := g.host(id); is {
 		go g.pool.Probe(host, g.rules.loadTold, g.rules.dial, told)
 	} else {
-		told(engine.Reply{End: engine.NotConnected})
+		told(back.Reply{End: back.NotConnected})
 	}
 }
 
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"swiftreel/choice"
+	"swiftreel/internal/back"
 	"swiftreel/internal/check"
-	"swiftreel/internal/engine"
 	"swiftreel/internal/statement"
 )
 
@@ -41,7 +41,7 @@
 	order choice.Action
 	at    time.Time // of the order
 	from  *sent
-	reply engine.Reply
+	reply back.Reply
 	given choice.Result // given up, as this, and the engine had time to read so
 	left  bool
 }
@@ -51,7 +51,7 @@
 	seq    choice.Seq
 	engine choice.EngineID
 	at     time.Time
-	link   *engine.Dispatch
+	link   back.Dispatch
 }
 
 // Take takes a job: the module is told of it in the order of arrival, then its function is on its own.
@@ -143,7 +143,7 @@
 		})
 	}
 	// ended tells the module an outcome, and whether the job is over with it.
-	ended := func(s *sent, result choice.Result, r engine.Reply) {
+	ended := func(s *sent, result choice.Result, r back.Reply) {
 		now, limit = nil, lost
 		answered = answered || result == choice.Done
 		g.tell(choice.Event{Kind: choice.Answered, Job: j.id, Seq: s.seq, Engine: s.engine, Result: result,
@@ -188,7 +188,7 @@
 				g.tell(choice.Event{Kind: choice.ClientLeft, Job: j.id})
 			}
 		case m.given != 0:
-			ended(m.from, m.given, engine.Reply{})
+			ended(m.from, m.given, back.Reply{})
 		case m.from != nil:
 			if m.from != now {
 				check.Count("replies_late")
@@ -196,13 +196,13 @@
 				break
 			}
 			s, r := now, m.reply
-			if r.End == engine.Open {
+			if r.End == back.Open {
 				g.noted(j, s, r)
 				break
 			}
 			owed := !answered
 			ended(s, results[r.End], r)
-			if r.End == engine.Done {
+			if r.End == back.Done {
 				if owed {
 					g.answered(j)
 					j.From.Done(r.Pages)
@@ -228,11 +228,11 @@
 			}
 			timer.Reset(time.Until(limit))
 			now = s
-			s.link = g.pool.Start(host, engine.Request{ID: j.ID, Type: j.Type, Statement: j.Statement,
+			s.link = g.pool.Start(host, back.Request{ID: j.ID, Type: j.Type, Statement: j.Statement,
 				WaitMS: max(1, time.Until(limit).Milliseconds()), GrantMB: grant, Priority: priority, Ordered: m.at,
 				Lane: g.rules.lane(g.names.types[string(j.Type)])},
-				func(r engine.Reply) {
-					if m := (message{from: s, reply: r}); r.End == engine.Open {
+				func(r back.Reply) {
+					if m := (message{from: s, reply: r}); r.End == back.Open {
 						j.in.note(m)
 					} else {
 						j.in.put(m)
@@ -255,7 +255,7 @@
 	g.tell(choice.Event{Kind: choice.Answered, Job: j.id, Seq: s.seq, Engine: s.engine, Result: choice.Moot, Final: final})
 }
 
-func (g *Gateway) noted(j *job, s *sent, r engine.Reply) {
+func (g *Gateway) noted(j *job, s *sent, r back.Reply) {
 	if kind, is := notes[r.Note]; is {
 		g.tell(choice.Event{Kind: choice.Noted, Job: j.id, Seq: s.seq, Engine: s.engine, Note: kind, Amount: r.Amount})
 	}
--- a/internal/gateway/names_test.go
+++ b/internal/gateway/names_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"swiftreel/choice"
+	"swiftreel/internal/back"
 	"swiftreel/internal/config"
-	"swiftreel/internal/engine"
 	"swiftreel/internal/feed"
 	"swiftreel/internal/limits"
 )
@@ -76,10 +76,10 @@
 			t.Errorf("%q: %v", text, got)
 		}
 	}
-	if got := bill(engine.Reply{WorkMS: 35, RoomMB: 76}); got != 35*4096+19 {
+	if got := bill(back.Reply{WorkMS: 35, RoomMB: 76}); got != 35*4096+19 {
 		t.Errorf("bill %d", got)
 	}
-	if got := bill(engine.Reply{WorkMS: 1e12, RoomMB: 1e9}); got != 1<<32-1 {
+	if got := bill(back.Reply{WorkMS: 1e12, RoomMB: 1e9}); got != 1<<32-1 {
 		t.Errorf("bill past its bounds: %d", got)
 	}
 }
@@ -104,7 +104,7 @@
 func TestAFloodEndsInThrottling(t *testing.T) {
 	facts := choice.Facts{"classes": []any{map[string]any{"name": "lookup", "idempotency": "repeatable", "aim_ns": 5e8}},
 		"limits": map[string]any{"max_open": 3.0}}
-	g := New(facts, 1, parts(), false)
+	g := New(facts, 1, parts(), false, nil)
 	defer g.Close()
 	a := asker{make(chan string, 10), func(func()) {}}
 	for i := range 5 { // no engine: three are parked until it is late, two turned away
@@ -128,7 +128,7 @@
 }
 
 func TestTheModuleIsToldLessTimeThanTheClientHas(t *testing.T) {
-	g := New(choice.Facts{"classes": []any{map[string]any{"name": "lookup"}}}, 1, parts(), false)
+	g := New(choice.Facts{"classes": []any{map[string]any{"name": "lookup"}}}, 1, parts(), false, nil)
 	defer g.Close()
 	for left, most := range map[time.Duration]time.Duration{time.Second: time.Second - travels, 10 * time.Millisecond: 9 * time.Millisecond} {
 		ev, err := g.arrival(Ask{Type: []byte("lookup"), At: time.Now(), Left: left})
@@ -143,7 +143,7 @@
 func TestADispatchOrderedAsTheClientLeavesHasAnOutcome(t *testing.T) {
 	facts := choice.Facts{"localities": []any{"west"}, "kinds": []any{"std"}, "domain": map[string]any{"cpu_of_kind": []any{16.0}},
 		"classes": []any{map[string]any{"name": "lookup", "idempotency": "repeatable", "aim_ns": 5e8}}}
-	g := New(facts, 1, parts(), false)
+	g := New(facts, 1, parts(), false, nil)
 	var parked *job
 	a := asker{make(chan string, 10), func(left func()) {
 		left()
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"swiftreel/choice"
+	"swiftreel/internal/back"
 	"swiftreel/internal/check"
-	"swiftreel/internal/engine"
 	"swiftreel/internal/feed"
 )
 
@@ -15,7 +15,7 @@
 
 // listed is an engine of the list: its number, where it is, and when it was gone.
 type listed struct {
-	host engine.Host
+	host back.Host
 	id   choice.EngineID
 	line choice.Line
 	gone time.Time
@@ -39,7 +39,7 @@
 		for r.byID[id] != nil {
 			id++
 		}
-		l = &listed{id: id, host: engine.Host{Name: name}}
+		l = &listed{id: id, host: back.Host{Name: name}}
 		r.byName[name], r.byID[id] = l, l
 	}
 	return l
--- a/internal/gateway/rules.go
+++ b/internal/gateway/rules.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"swiftreel/choice"
-	"swiftreel/internal/engine"
+	"swiftreel/internal/back"
 )
 
 // After SIGTERM comes SIGKILL, no sooner than the longest job timeout, or this where it is longer, and some more.
@@ -81,11 +81,11 @@
 }
 
 // lane tells which connections a type's jobs go over.
-func (r rules) lane(t choice.TypeID) engine.Lane {
+func (r rules) lane(t choice.TypeID) back.Lane {
 	if int(t) < len(r.once) && r.once[t] {
-		return engine.MayNot
+		return back.MayNot
 	}
-	return engine.MayRepeat
+	return back.MayRepeat
 }
 
 // tables tells whether a type's group of tables bears on where it runs.
@@ -95,9 +95,9 @@
 }
 
 // results are the module's words for the ends of dispatches and probes.
-var results = map[engine.End]choice.Result{
-	engine.Done: choice.Done, engine.Failed: choice.Failed, engine.Full: choice.Full, engine.Moot: choice.Moot,
-	engine.NotConnected: choice.Unreachable, engine.Reset: choice.Reset, engine.TimedOut: choice.TimedOut,
+var results = map[back.End]choice.Result{
+	back.Done: choice.Done, back.Failed: choice.Failed, back.Full: choice.Full, back.Moot: choice.Moot,
+	back.NotConnected: choice.Unreachable, back.Reset: choice.Reset, back.TimedOut: choice.TimedOut,
 }
 
 // notes are its words for what news tells.
@@ -139,7 +139,7 @@
 }
 
 // bill packs what an answer tells of work and memory as the module reads it.
-func bill(r engine.Reply) uint32 {
+func bill(r back.Reply) uint32 {
 	work := min(math.Round(r.WorkMS), 1<<20-1)
 	room := min(math.Round(r.RoomMB/4), 1<<12-1)
 	return uint32(work)<<12 | uint32(room)
