--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 	go test -run '^$$' -fuzz FuzzMessages -fuzztime 10s ./internal/client
 	go test -run '^$$' -fuzz FuzzAnswers -fuzztime 10s ./internal/engine
 	go test -run '^$$' -fuzz FuzzParse -fuzztime 10s ./internal/sparql/syntax
+	go test -run '^$$' -fuzz FuzzReaders -fuzztime 10s ./internal/sparql/results
 	go test -run '^$$' -fuzz FuzzCommands -fuzztime 10s ./internal/engine
 	go test -run '^$$' -fuzz FuzzParse -fuzztime 10s ./internal/feed
 	go test -run '^$$' -fuzz FuzzGroup -fuzztime 10s ./internal/statement
