SPARQL endpoints behind the engines' interface: outcomes told apart as on the line protocol

Need: a refused dial or a 503 that states Not-Started never ran, a body cut short, a length that does not fit or a result that does not parse to its end may have run; an engine's own words on drains are heard. Found on the way: io.ReadFull tells a chunked body without its last chunk like one that ends, so that such an answer passed for whole. Nothing in the program names an endpoint yet.

--- /dev/null
+++ b/internal/sparql/endpoint/endpoint_test.go
@@ -0,0 +1,240 @@
+package endpoint
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"swiftreel/internal/back"
+	"swiftreel/internal/limits"
+	"swiftreel/internal/sparql/decide"
+)
+
+// town is a client and one scripted endpoint: what it reads of a request, and then writes or does, is the test's.
+type town struct {
+	t      *testing.T
+	client *Client
+	host   back.Host
+	bytes  *limits.Bytes
+	mu     sync.Mutex
+	words  []decide.Word
+}
+
+func newTown(t *testing.T, conns int64, serve func(net.Conn, *http.Request)) *town {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var running sync.WaitGroup
+	running.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			running.Go(func() {
+				defer c.Close()
+				for r := bufio.NewReader(c); ; {
+					request, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					request.ParseForm()
+					serve(c, request)
+				}
+			})
+		}
+	})
+	w := &town{t: t, host: back.Host{Name: "e1", Address: "http://" + l.Addr().String() + "/sparql", Protocol: Protocol}, bytes: new(limits.Bytes)}
+	w.bytes.Allow(1 << 20)
+	most := new(limits.Count)
+	most.Store(conns)
+	w.client = New(back.Bounds{Dial: time.Second, Idle: 10 * time.Second, Conns: most, Bytes: w.bytes}, func(_ string, word decide.Word) {
+		w.mu.Lock()
+		w.words = append(w.words, word)
+		w.mu.Unlock()
+	})
+	t.Cleanup(func() {
+		w.client.Close()
+		l.Close()
+		running.Wait()
+		if !w.bytes.All() {
+			t.Error("bytes are kept")
+		}
+		if open, given := w.client.Out("e1"); open+given != 0 || w.client.whole != 0 {
+			t.Errorf("%d open, %d given up, %d in all", open, given, w.client.whole)
+		}
+	})
+	return w
+}
+
+var query = Ask{Accept: "application/sparql-results+json", Form: url.Values{"query": {"SELECT * { ?s ?p ?o }"}, "default-graph-uri": {"http://g"}}}
+
+func (w *town) ask(a Ask) back.Reply {
+	w.t.Helper()
+	told := make(chan back.Reply, 2)
+	w.client.Start(w.host, back.Request{ID: []byte("7"), Statement: a.Statement(), WaitMS: 20000}, func(r back.Reply) { told <- r })
+	select {
+	case r := <-told:
+		return r
+	case <-time.After(20 * time.Second):
+		w.t.Fatal("no outcome")
+	}
+	return back.Reply{}
+}
+
+const good = `{"head":{"vars":["s"]},"results":{"bindings":[{"s":{"type":"uri","value":"http://a"}}]}}`
+
+func answer(status, fields, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n%s\r\n%s", status, len(body), fields, body)
+}
+
+const typed = "Content-Type: application/sparql-results+json; charset=utf-8\r\n"
+
+// Each outcome is told apart: what never ran, what may have, what is done.
+func TestOutcomesAreToldApart(t *testing.T) {
+	update := Ask{Update: true, Accept: "*/*", Form: url.Values{"update": {"CLEAR ALL"}}}
+	half := answer("200 OK", typed, good)
+	for name, c := range map[string]struct {
+		ask   Ask
+		write string
+		want  back.End
+	}{
+		"done":                          {query, answer("200 OK", typed+"Load: inflight:3\r\n", good), back.Done},
+		"chunked":                       {query, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + typed + "\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(good), good), back.Done},
+		"last chunk missing":            {query, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + typed + "\r\n" + fmt.Sprintf("%x\r\n%s\r\n", len(good), good), back.Reset},
+		"body cut":                      {query, half[:len(half)-5], back.Reset},
+		"head cut":                      {query, half[:20], back.Reset},
+		"nothing at all":                {query, "", back.Reset},
+		"breaks inside the JSON":        {query, answer("200 OK", typed, good[:len(good)-9]), back.Failed},
+		"more after the JSON":           {query, answer("200 OK", typed, good+good), back.Failed},
+		"another format":                {query, answer("200 OK", "Content-Type: text/html\r\n", "<html>"), back.Failed},
+		"said to be compressed":         {query, answer("200 OK", typed+"Content-Encoding: gzip\r\n", "\x1f\x8b"), back.Failed},
+		"full, and nothing began":       {query, answer("503 Service Unavailable", "Not-Started: ?1\r\n", ""), back.Full},
+		"too many, and nothing began":   {query, answer("429 Too Many Requests", "Not-Started: ?1\r\n", ""), back.Full},
+		"503 that says nothing":         {query, answer("503 Service Unavailable", "", ""), back.Failed},
+		"an error":                      {query, answer("500 Internal Server Error", "Not-Started: ?1\r\n", ""), back.Failed},
+		"sent elsewhere":                {query, answer("307 Temporary Redirect", "Location: /other\r\n", ""), back.Failed},
+		"no HTTP":                       {query, "220 mail\r\n\r\n", back.Reset},
+		"a header without end":          {query, "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 100<<10) + "\r\n\r\n", back.Reset},
+		"an update done":                {update, answer("204 No Content", "", ""), back.Done},
+		"an update done, with words":    {update, answer("200 OK", "Content-Type: text/plain\r\n", "done"), back.Done},
+		"an update's answer cut":        {update, strings.TrimSuffix(answer("200 OK", "", "done"), "e"), back.Failed},
+		"an update answered at length":  {update, answer("200 OK", "", strings.Repeat("x", 200<<10)), back.Failed},
+		"more than there is memory for": {query, answer("200 OK", typed, `{"head":{"vars":[]},"results":{"bindings":[`+strings.Repeat(" ", 2<<20)+"]}}"), back.Failed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTown(t, 8, func(conn net.Conn, r *http.Request) {
+				for field, want := range c.ask.Form {
+					if got := r.PostForm[field]; r.Method != "POST" || r.Header.Get("Job") != "7" || len(got) != 1 || got[0] != want[0] {
+						t.Errorf("asked %v", r)
+					}
+				}
+				io.WriteString(conn, c.write)
+				conn.Close()
+			})
+			r := w.ask(c.ask)
+			if r.End != c.want {
+				t.Errorf("end %d, want %d", r.End, c.want)
+			}
+			if r.End == back.Done && !c.ask.Update {
+				text, _ := io.ReadAll(Pages(r.Pages))
+				if string(text) != good || name == "done" && r.Load != "inflight:3" {
+					t.Errorf("%q, load %q", text, r.Load)
+				}
+			}
+			w.client.Free(r.Pages)
+		})
+	}
+}
+
+func TestARefusedDialNeverRan(t *testing.T) {
+	w := newTown(t, 8, func(net.Conn, *http.Request) {})
+	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	w.host.Address = "http://" + l.Addr().String()
+	l.Close()
+	if r := w.ask(query); r.End != back.NotConnected {
+		t.Errorf("end %d", r.End)
+	}
+	probed := make(chan back.Reply, 1)
+	w.client.Probe(w.host, true, time.Second, func(r back.Reply) { probed <- r })
+	if r := <-probed; r.End != back.NotConnected {
+		t.Errorf("a probe: end %d", r.End)
+	}
+	if r := w.ask(Ask{}); r.End != back.NotConnected {
+		t.Errorf("end %d", r.End)
+	}
+}
+
+// One given up is told nothing more; done comes once its connection is closed. It has no outcome twice.
+func TestGivenUpIsGivenUpOnce(t *testing.T) {
+	asked, closed := make(chan struct{}, 1), make(chan struct{})
+	w := newTown(t, 1, func(c net.Conn, _ *http.Request) {
+		asked <- struct{}{}
+		io.Copy(io.Discard, c) // until it is closed
+		close(closed)
+	})
+	told := make(chan back.Reply, 2)
+	d := w.client.Start(w.host, back.Request{ID: []byte("7"), Statement: query.Statement()}, func(r back.Reply) { told <- r })
+	<-asked
+	if open, _ := w.client.Out("e1"); open != 1 {
+		t.Errorf("%d open", open)
+	}
+	if r := w.ask(query); r.End != back.Full { // no connection is left: it never ran
+		t.Errorf("past the connections: end %d", r.End)
+	}
+	done := make(chan struct{})
+	if !d.GiveUp(func() { close(done) }) || d.GiveUp(nil) {
+		t.Error("not given up once")
+	}
+	<-done
+	<-closed
+	if len(told) != 0 {
+		t.Error("an outcome of what was given up")
+	}
+}
+
+func TestAnEnginesOwnWordsAreHeard(t *testing.T) {
+	var mu sync.Mutex
+	next := ""
+	w := newTown(t, 8, func(c net.Conn, _ *http.Request) {
+		mu.Lock()
+		io.WriteString(c, next)
+		mu.Unlock()
+	})
+	probe := func() back.Reply {
+		told := make(chan back.Reply, 1)
+		w.client.Probe(w.host, true, 20*time.Second, func(r back.Reply) { told <- r })
+		return <-told
+	}
+	ask := `{"head":{},"boolean":true}`
+	for _, c := range []struct {
+		write string
+		end   back.End
+		word  decide.Word
+	}{
+		{answer("200 OK", typed+"Load: inflight:2\r\n", ask), back.Done, decide.Serves},
+		{answer("200 OK", typed+"Draining: ?1\r\n", ask), back.Done, decide.Drains},
+		{answer("503 Service Unavailable", "", ""), back.Full, decide.Drains},
+		{answer("200 OK", typed, "{}"), back.Failed, decide.Serves},
+		{answer("200 OK", typed+"Connection: close\r\n", ask), back.Done, decide.Closes},
+	} {
+		mu.Lock()
+		next = c.write
+		mu.Unlock()
+		r := probe()
+		w.mu.Lock()
+		word := w.words[len(w.words)-1]
+		w.mu.Unlock()
+		if r.End != c.end || word != c.word {
+			t.Errorf("%q: end %d, word %d", c.write, r.End, word)
+		}
+	}
+}
