SPARQL over HTTP, first part: a front, endpoints of listed engines, one machine counted once

Need: SPARQL clients and engines through the same decisions. The operator's part sparql switches a listener on and names endpoints by host names; gateway reaches a machine by the job's protocol, the module learns which protocols an engine does not speak (one line of its gate). An engine's own word that it drains reaches the module. Off without that part.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -220,7 +220,7 @@
 		return
 	}
 	t := c.types[ev.Type]
-	j := &job{id: ev.Job, typ: t, key: ev.Key, tables: ev.Tables, arrived: c.now,
+	j := &job{id: ev.Job, typ: t, key: ev.Key, tables: ev.Tables, arrived: c.now, needs: ev.Needs,
 		lost: c.now + max(0, ev.Left), work: t.usual, worth: t.worth}
 	if ev.CostKnown && ev.Cost > 0 {
 		j.work = min(float64(ev.Cost)*math.Exp(t.costBias), float64(3600*second))
@@ -325,8 +325,8 @@
 	}
 }
 
-// follow says how far the plan still holds: less the more of its threads are out, or engines come that it does
-// not know; not at all from planMissing on, or where demand is off by its factor. It comes back at half.
+// follow says how far the plan still holds: less the more of its threads are out, or engines come that it
+// does not know; not at all from planMissing on, or where demand is off by its factor. It comes back at half.
 func (c *Controller) follow() {
 	there, strange := 0.0, 0.0
 	for _, e := range c.engines {
@@ -567,7 +567,8 @@
 		e.State != Ready,                   // rule 3, with no use of the grace
 		!c.coldRoom(j, e),                  // rule 4
 		!c.turn(j),                         // rule 5
-		t.zones != nil && !slices.Contains(t.zones, any(float64(e.Zone))), // rule 6
+		j.needs&e.Deaf != 0,                // rule 6, here and below
+		t.zones != nil && !slices.Contains(t.zones, any(float64(e.Zone))),
 		t.kinds != nil && !slices.Contains(t.kinds, any(float64(e.Kind))):
 		return false
 	}
--- a/choice/types.go
+++ b/choice/types.go
@@ -92,6 +92,9 @@
 	Draining
 )
 
+// Speech is a set of protocols. Which bit is which is the gateway's affair.
+type Speech uint8
+
 // Line is one engine in a list.
 type Line struct {
 	Engine    EngineID
@@ -101,6 +104,7 @@
 	State     EngineState
 	Size      float64
 	StartedAt Nanos
+	Deaf      Speech // to jobs that need one of these
 }
 
 // Event is something that happened; Kind says which of the fields count.
@@ -121,6 +125,7 @@
 	Write     bool
 	MemoryMB  float64
 	Tables    TableSet
+	Needs     Speech // protocols of which the engine must speak all
 
 	Seq     Seq // Answered, Noted, StreamBegan, Probed
 	Engine  EngineID
@@ -282,6 +287,7 @@
 	tables                    TableSet
 	arrived, ready, due, lost Nanos // ready: its key lets it go; due: the SLA time ends; lost: the job timeout
 	work, memory, worth       float64
+	needs                     Speech
 	dispatches                int
 	looks                     []*engine // engines that it may go to, drawn at looked
 	looked                    Nanos
--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -12,12 +12,10 @@
 	"time"
 
 	"swiftreel/choice"
-	"swiftreel/internal/back"
 	"swiftreel/internal/check"
 	"swiftreel/internal/cli"
 	"swiftreel/internal/client"
 	"swiftreel/internal/config"
-	"swiftreel/internal/engine"
 	"swiftreel/internal/feed"
 	"swiftreel/internal/gateway"
 	"swiftreel/internal/limits"
@@ -60,11 +58,6 @@
 	return run(file, listener, s, stop, reload)
 }
 
-// speak is what speaks with engines, by their protocol.
-var speak = map[back.Protocol]back.Make{
-	back.Line: func(b back.Bounds) back.Engines { return engine.NewPool(b) },
-}
-
 // run serves until it is told to stop and nothing is owed. At a reload both files are read anew.
 func run(file config.File, listener net.Listener, s cli.Serving, stop, reload <-chan os.Signal) error {
 	known, err := events(file)
@@ -75,9 +68,14 @@
 	if err != nil {
 		return err
 	}
+	side, err := newSide(own.SPARQL, file.Limits)
+	if err != nil {
+		return err
+	}
 	parts := new(limits.Parts)
-	parts.Apply(file.Limits)
-	gate := gateway.New(choice.Facts(file.Facts), file.Seed, parts, s.Trace, speak)
+	parts.Apply(side.leaves(file.Limits))
+	gate := gateway.New(choice.Facts(file.Facts), file.Seed, parts, s.Trace, side.speak())
+	side.join(gate)
 	for _, ev := range known {
 		gate.List(ev, true)
 	}
@@ -85,13 +83,14 @@
 		follow(gate, own)
 	}
 	follower := feed.Follow(file.Feed, file.Known.N, func(ev feed.Event) { gate.List(ev, false) })
-	reloads := reloader{file: file, own: own, follower: follower, parts: parts, load: func() (config.File, error) { return config.Load(os.Getenv) },
+	reloads := reloader{file: file, own: own, leaves: side.leaves, follower: follower, parts: parts, load: func() (config.File, error) { return config.Load(os.Getenv) },
 		operator: func() (operator.File, error) { return operator.Load(s.Operator) },
 		follow:   func(f operator.File) { follow(gate, f) },
 		done:     make(chan struct{}), ended: make(chan struct{})}
 	go reloads.run(reload)
 	front := client.NewFront(gate, parts)
 	go front.Serve(listener)
+	side.serve()
 	debug.FreeOSMemory() // what the libraries of the command line left behind when they were set up
 	gate.Start()
 	slog.Info("serving", "name", file.Name, "address", listener.Addr(), "events_known", file.Known.N)
@@ -103,13 +102,14 @@
 	for quiet, last := time.Duration(0), at; quiet < quietLast; {
 		time.Sleep(quietLook)
 		now := time.Now()
-		if quiet += quietLook; now.Sub(at) < lateArrivals || front.Owed() > 0 || now.Sub(last) > 5*quietLook {
+		if quiet += quietLook; now.Sub(at) < lateArrivals || front.Owed()+side.owed() > 0 || now.Sub(last) > 5*quietLook {
 			quiet = 0
 		}
 		last = now
 	}
 	listener.Close()
 	front.Close()
+	side.close()
 	reloads.close()
 	follower.Close()
 	gate.Close()
--- a/cmd/swiftreel/reload.go
+++ b/cmd/swiftreel/reload.go
@@ -20,6 +20,7 @@
 	file     config.File // as last taken over
 	load     func() (config.File, error)
 	own      operator.File // as last taken over
+	leaves   func(config.Limits) config.Limits
 	operator func() (operator.File, error)
 	follow   func(operator.File) // a file taken over
 	follower *feed.Follower
@@ -62,16 +63,20 @@
 		slog.Error("reload_failed", "reason", err)
 		return
 	}
+	restart := r.kept(file)
+	if !reflect.DeepEqual(own.SPARQL, r.own.SPARQL) {
+		restart, own.SPARQL = append(restart, "operator.sparql"), r.own.SPARQL
+	}
 	moved := r.follower.Move(file.Feed, known)
 	last, _ := r.follower.Last()
-	slog.Info("reloaded", "feed", file.Feed, "feed_moved", moved, "events", last, "needs_restart", strings.Join(r.kept(file), ","))
+	slog.Info("reloaded", "feed", file.Feed, "feed_moved", moved, "events", last, "needs_restart", strings.Join(restart, ","))
 	if file.Limits != r.file.Limits {
-		r.parts.Apply(file.Limits)
+		r.parts.Apply(r.leaves(file.Limits))
 	}
-	if !reflect.DeepEqual(own, r.own) { // the same plan once more is no new one
+	if !reflect.DeepEqual(own.Plan, r.own.Plan) { // the same plan once more is no new one
 		r.follow(own)
-		r.own = own
 	}
+	r.own = own
 	r.file.Feed, r.file.Known, r.file.Limits = file.Feed, file.Known, file.Limits
 	check.Count("reloads")
 }
--- /dev/null
+++ b/cmd/swiftreel/sparql_test.go
@@ -0,0 +1,237 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"swiftreel/internal/check"
+	"swiftreel/internal/toy"
+)
+
+// terms is a town with a SPARQL front and two endpoints beside two engines of the line protocol, all on the machines e1
+// and e2.
+func terms(t *testing.T) (w *town, at string, ends [2]*toy.Endpoint) {
+	var list []string
+	for i := range ends {
+		var err error
+		if ends[i], err = toy.StartEndpoint("127.0.0.1:0", [3]string{"<a>", "<p>", `"1"`}, [3]string{"<b>", "<p>", `"2"`}, [3]string{"<a>", "<q>", "<b>"}); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(ends[i].Close)
+		list = append(list, fmt.Sprintf(`"e%d":%q`, i+1, ends[i].URL()))
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at = l.Addr().String()
+	l.Close()
+	t.Setenv("ROUTER_OPERATOR", write(t, filepath.Join(t.TempDir(), "own.json"), fmt.Sprintf(`{"sparql":{"listen":%q,"tenant":"acme","endpoints":{%s},
+		"services":["http://far/"],"types":[{"forms":["UPDATE"],"type":"import"},{"type":"lookup"}]}}`, at, strings.Join(list, ","))))
+	w = newTown(t, "e1", "e2")
+	t.Cleanup(http.DefaultClient.CloseIdleConnections)
+	return w, "http://" + at + "/sparql", ends
+}
+
+// got asks and gives status, content type and body.
+func got(t *testing.T, r *http.Request) (int, http.Header, string) {
+	t.Helper()
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Body.Close()
+	body, err := io.ReadAll(a.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a.StatusCode, a.Header, string(body)
+}
+
+func asked(method, at, media, accept, body string) *http.Request {
+	r, _ := http.NewRequest(method, at, strings.NewReader(body))
+	if media != "" {
+		r.Header.Set("Content-Type", media)
+	}
+	if accept != "" {
+		r.Header.Set("Accept", accept)
+	}
+	return r
+}
+
+const (
+	formMedia = "application/x-www-form-urlencoded"
+	askText   = `SELECT * { ?s <p> ?o . ?s <q> ?x }`
+)
+
+func TestTheProtocolIsServed(t *testing.T) {
+	_, at, _ := terms(t)
+	q, json := url.QueryEscape(askText), `"s":{"type":"uri","value":"a"}`
+	for _, c := range []struct {
+		name   string
+		r      *http.Request
+		status int
+		media  string
+		body   string
+	}{
+		{"GET", asked("GET", at+"?query="+q, "", "", ""), 200, "application/sparql-results+json", json},
+		{"GET for a tenant", asked("GET", at+"/acme?query="+q, "", "", ""), 200, "application/sparql-results+json", json},
+		{"form", asked("POST", at, formMedia, "text/csv", "query="+q), 200, "text/csv", "o,s,x\r\n1,a,b\r\n"},
+		{"direct", asked("POST", at+"?default-graph-uri=http://g", "application/sparql-query", "application/sparql-results+xml", askText), 200, "application/sparql-results+xml", `<uri>a</uri>`},
+		{"TSV by weight", asked("GET", at+"?query="+q, "", "text/csv;q=0.1, text/tab-separated-values;q=0.2", ""), 200, "text/tab-separated-values", "?o\t?s\t?x\n\"1\"\t<a>\t<b>\n"},
+		{"ASK", asked("GET", at+"?query="+url.QueryEscape("ASK { <a> <p> ?o }"), "", "", ""), 200, "application/sparql-results+json", `"boolean":true`},
+		{"update by form", asked("POST", at, formMedia, "", "update="+url.QueryEscape("INSERT DATA { <c> <p> 3 }")), 204, "", ""},
+		{"direct update", asked("POST", at, "application/sparql-update; charset=utf-8", "", "INSERT DATA { <c> <p> 3 }"), 204, "", ""},
+		{"description", asked("GET", at, "", "", ""), 200, "text/turtle", "sd:Service"},
+		{"malformed", asked("GET", at+"?query="+url.QueryEscape("SELECT *\n{ ?s }"), "", "", ""), 400, "", "line 2 column 6"},
+		{"no query", asked("GET", at+"?q=1", "", "", ""), 400, "", "0 parameters query"},
+		{"two queries", asked("GET", at+"?query="+q+"&query="+q, "", "", ""), 400, "", "2 parameters query"},
+		{"update by GET", asked("GET", at+"?update=CLEAR+ALL", "", "", ""), 400, "", "POST"},
+		{"both", asked("POST", at, formMedia, "", "query="+q+"&update=CLEAR+ALL"), 400, "", "query and update"},
+		{"graphs of an update with a query", asked("GET", at+"?using-graph-uri=x&query="+q, "", "", ""), 400, "", "using-graph-uri"},
+		{"SERVICE", asked("GET", at+"?query="+url.QueryEscape("SELECT * { SERVICE <http://near/> { ?s ?p ?o } }"), "", "", ""), 400, "", "SERVICE <http://near/>"},
+		{"LOAD", asked("POST", at, formMedia, "", "update=LOAD+%3Chttp://x%3E"), 400, "", "LOAD"},
+		{"timeout", asked("GET", at+"?timeout=0&query="+q, "", "", ""), 400, "", "timeout"},
+		{"no such tenant", asked("GET", at+"/nobody?query="+q, "", "", ""), 400, "", "no such tenant"},
+		{"elsewhere", asked("GET", strings.TrimSuffix(at, "sparql")+"other", "", "", ""), 404, "", ""},
+		{"PUT", asked("PUT", at, "", "", "x"), 405, "", ""},
+		{"no format", asked("GET", at+"?query="+q, "", "image/png", ""), 406, "", "text/csv"},
+		{"ASK as CSV", asked("GET", at+"?query=ASK+%7B%7D", "", "text/csv", ""), 406, "", "offered"},
+		{"too large", asked("POST", at, "application/sparql-query", "", strings.Repeat(" ", 3<<20)), 413, "", ""},
+		{"another media type", asked("POST", at, "text/plain", "", askText), 415, "", "sparql-query"},
+		{"another charset", asked("POST", at, "application/sparql-query; charset=latin1", "", askText), 415, "", "utf-8"},
+	} {
+		status, header, body := got(t, c.r)
+		if status != c.status || !strings.Contains(body, c.body) || c.media != "" && header.Get("Content-Type") != c.media {
+			t.Errorf("%s: %d %s %q", c.name, status, header.Get("Content-Type"), body)
+		}
+		if status == 405 && header.Get("Allow") == "" {
+			t.Errorf("%s: no Allow", c.name)
+		}
+	}
+}
+
+// What may have run is not sent again, and is told as cancelled for good; what never ran goes elsewhere; malformed text
+// reaches no engine.
+func TestUpdatesRunOnceOverHTTPToo(t *testing.T) {
+	_, at, ends := terms(t)
+	update := func(n int) *http.Request {
+		return asked("POST", at, "application/sparql-update", "", fmt.Sprintf("INSERT DATA { GRAPH <g> { <n%d> <p> 1 } }", n))
+	}
+	var mu sync.Mutex
+	broke, refused := 0, 0
+	for i, e := range ends {
+		e.Script(func(w http.ResponseWriter, text string) bool { // begins, and breaks off
+			if strings.HasPrefix(text, "INSERT") {
+				mu.Lock()
+				broke = i
+				mu.Unlock()
+				panic(http.ErrAbortHandler)
+			}
+			return false
+		})
+	}
+	if status, _, body := got(t, update(1)); status != 502 || !strings.Contains(body, "cancelled for good") {
+		t.Errorf("broken off: %d %q", status, body)
+	}
+	mu.Lock()
+	other := 1 - broke // which is chosen more now
+	mu.Unlock()
+	ends[other].Script(func(w http.ResponseWriter, text string) bool { // full, and says that nothing began
+		mu.Lock()
+		defer mu.Unlock()
+		if strings.HasPrefix(text, "INSERT") {
+			refused++
+			w.Header().Set("Not-Started", "?1")
+			w.WriteHeader(503)
+			return true
+		}
+		return false
+	})
+	ends[1-other].Script(nil)
+	for n := range 6 {
+		if status, _, body := got(t, update(10+n)); status != 204 {
+			t.Errorf("%d: %d %q", n, status, body)
+		}
+	}
+	got(t, asked("POST", at, "application/sparql-update", "", "INSERT DATA { <x> }"))
+	seen := map[string]int{}
+	for _, e := range ends {
+		for _, text := range e.Seen() {
+			seen[text]++
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	for text, n := range seen {
+		if n > 1 || strings.Contains(text, "<x>") {
+			t.Errorf("%q ran %d times", text, n)
+		}
+	}
+	if len(seen) != 6 || refused == 0 {
+		t.Errorf("%d ran, %d were refused", len(seen), refused)
+	}
+}
+
+// A client that leaves with a query in hand takes it back; the engine's dispatch is given up, and nothing stays.
+func TestAClientThatLeavesTakesItsQueryBack(t *testing.T) {
+	w, at, ends := terms(t)
+	began, over := make(chan struct{}, 2), make(chan struct{})
+	var once sync.Once
+	for _, e := range ends {
+		e.Script(func(_ http.ResponseWriter, text string) bool {
+			if text == askText {
+				began <- struct{}{}
+				<-over
+			}
+			return false
+		})
+	}
+	t.Cleanup(func() { once.Do(func() { close(over) }) })
+	c, err := net.Dial("tcp", strings.TrimSuffix(strings.TrimPrefix(at, "http://"), "/sparql"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(c, "GET /sparql?query=%s HTTP/1.1\r\nHost: x\r\n\r\n", url.QueryEscape(askText))
+	<-began
+	c.Close()
+	before := check.Of("answers_overdue")
+	once.Do(func() { close(over) })
+	if status, _, _ := got(t, asked("GET", at+"?query="+url.QueryEscape("ASK { <a> <p> ?o }"), "", "", "")); status != 200 {
+		t.Error("served no more")
+	}
+	w.finish() // ends only with nothing owed
+	if check.Of("answers_overdue") != before {
+		t.Error("an answer was owed to who left")
+	}
+}
+
+// The machine says of itself, over either protocol, that it drains: nothing new goes there, whatever the list says.
+func TestADrainToldByTheEngineItselfHoldsForItsMachine(t *testing.T) {
+	_, at, ends := terms(t)
+	ends[0].Script(func(w http.ResponseWriter, text string) bool {
+		w.Header().Set("Draining", "?1")
+		return false
+	})
+	ask := func() { got(t, asked("GET", at+"?query="+url.QueryEscape(askText), "", "", "")) }
+	for stop := time.Now().Add(20 * time.Second); len(ends[0].Seen()) == 0; ask() {
+		if time.Now().After(stop) {
+			t.Fatal("the first is never asked")
+		}
+	}
+	before := len(ends[0].Seen())
+	for range 20 {
+		ask()
+	}
+	if n := len(ends[0].Seen()); n > before {
+		t.Errorf("%d jobs more after it said that it drains", n-before)
+	}
+}
--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -11,8 +11,11 @@
 // Protocol is what an engine speaks.
 type Protocol string
 
-// Line is the engines' line protocol, the platform's own; where nothing else is told, it is that.
-const Line Protocol = ""
+// The protocols. Line is the engines' line protocol, the platform's own; where nothing else is told, it is that.
+const (
+	Line   Protocol = ""
+	SPARQL Protocol = "sparql"
+)
 
 // Host is an engine by its name; its address may change, and may have been another's.
 type Host struct {
--- a/internal/gateway/belief.go
+++ b/internal/gateway/belief.go
@@ -34,6 +34,7 @@
 			return
 		case <-tick.C:
 			b.look(g)
+			g.drainsPass()
 			b.counters(bool(g.trace))
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"swiftreel/internal/back"
 	"swiftreel/internal/check"
 	"swiftreel/internal/limits"
+	"swiftreel/internal/sparql/decide"
 )
 
 // Gateway stands between clients, engines and the module.
@@ -32,6 +33,7 @@
 	module    choice.Controller
 	roster    roster
 	following following
+	drains    *decide.Drain         // nil: no engine says so itself
 	jobs      map[choice.JobID]*job // until their function returns
 	calls     map[string]struct{}   // the ids of those that are not answered, nor left by their client
 	lastID    choice.JobID
@@ -100,7 +102,7 @@
 		case choice.Probe:
 			g.probe(a.Engine)
 		case choice.CloseIdle:
-			if host, is := g.host(a.Engine); is {
+			if host, is := g.host(a.Engine, back.Line); is {
 				g.pool.CloseIdle(host.Name)
 			}
 		case choice.Track: // the feed is always followed: nothing was missed
@@ -134,11 +136,12 @@
 	}
 }
 
-func (g *Gateway) host(id choice.EngineID) (back.Host, bool) {
+// host is where an engine is reached by a protocol.
+func (g *Gateway) host(id choice.EngineID, by back.Protocol) (back.Host, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if l := g.roster.byID[id]; l != nil {
-		return l.host, true
+		return g.roster.reached(l, by), true
 	}
 	return back.Host{}, false
 }
@@ -149,7 +152,10 @@
 		g.tell(choice.Event{Kind: choice.Probed, Engine: id, Result: results[r.End], Latency: choice.Nanos(time.Since(at)),
 			Load: g.rules.load(r.Load)})
 	}
-	if host, is := g.host(id); is {
+	if host, is := g.host(id, back.Line); is {
+		if host.Address == "" { // it speaks nothing but SPARQL
+			host, _ = g.host(id, back.SPARQL)
+		}
 		go g.pool.Probe(host, g.rules.loadTold, g.rules.dial, told)
 	} else {
 		told(back.Reply{End: back.NotConnected})
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -18,9 +18,17 @@
 	Repeat                           bool          // a client's repeat
 	Work                             time.Duration // 0: no estimate
 	MemoryMB                         float64
+	Protocol                         back.Protocol // of the engines that can run it
+	Group                            uint32        // of tables; for the line protocol the statement tells it
 	From                             Asker
 }
 
+// Reasons of Failed that every front may put into its own words; any other tells why a call is unusable.
+const (
+	ForGood  = "cancelled for good"
+	TimedOut = "job timeout"
+)
+
 // Asker gets the one final answer of a job, and tells if the client leaves before it.
 type Asker interface {
 	Done(pages [][]byte) // keeps nothing of them
@@ -109,13 +117,16 @@
 	if a.MemoryMB > g.rules.mostMB {
 		return choice.Event{}, fmt.Errorf("more memory than any engine has")
 	}
-	tables, found := statement.Group(a.Statement)
+	tables, found := a.Group, true
+	if a.Protocol == back.Line {
+		tables, found = statement.Group(a.Statement)
+	}
 	if !found && g.rules.tables(t) {
 		return choice.Event{}, fmt.Errorf("the statement names no group of tables")
 	}
 	return choice.Event{Kind: choice.Arrived, Type: t, Tenant: tenant, Key: keyOf(a.Key),
 		Left: choice.Nanos(a.Left - min(travels, a.Left/10) - time.Since(a.At)), Cost: choice.Nanos(a.Work), CostKnown: a.Work > 0,
-		Repeat: a.Repeat, MemoryMB: a.MemoryMB, Tables: choice.TableSet(tables),
+		Repeat: a.Repeat, MemoryMB: a.MemoryMB, Tables: choice.TableSet(tables), Needs: needs(a.Protocol),
 		Write: int(t) < len(g.rules.writes) && g.rules.writes[t] == true}, nil
 }
 
@@ -174,7 +185,7 @@
 					g.overdue.Say("answer_overdue", "job", j.id, "call", string(j.ID), "late_ms", time.Since(lost).Milliseconds())
 					check.That(false, "answers_overdue")
 					g.tell(choice.Event{Kind: choice.ClientLeft, Job: j.id})
-					answer(func() { j.From.Failed("job timeout") })
+					answer(func() { j.From.Failed(TimedOut) })
 				}
 				timer.Reset(max(g.rules.slack/4, time.Until(limit)))
 			}
@@ -218,7 +229,7 @@
 		case m.order.Kind == choice.Dispatch:
 			s := &sent{seq: count, engine: m.order.Engine, at: time.Now()}
 			count++
-			host, is := g.host(s.engine)
+			host, is := g.host(s.engine, j.Protocol)
 			if check.That(is && now == nil, "dispatch_out_of_turn"); !is || now != nil || answered || !s.at.Before(lost) {
 				g.moot(j, s, answered)
 				break
@@ -245,7 +256,7 @@
 		case m.order.Kind == choice.Throttle:
 			answer(func() { j.From.Throttled(time.Duration(m.order.Span)) })
 		case m.order.Kind == choice.CancelForGood:
-			answer(func() { j.From.Failed("cancelled for good") })
+			answer(func() { j.From.Failed(ForGood) })
 		}
 	}
 }
--- a/internal/gateway/roster.go
+++ b/internal/gateway/roster.go
@@ -26,10 +26,11 @@
 type roster struct {
 	byName map[string]*listed
 	byID   map[choice.EngineID]*listed
+	urls   map[string]string // SPARQL endpoints by engine; nil: the protocol is off
 }
 
 func newRoster() roster {
-	return roster{map[string]*listed{}, map[choice.EngineID]*listed{}}
+	return roster{byName: map[string]*listed{}, byID: map[choice.EngineID]*listed{}}
 }
 
 func (r *roster) number(name string) *listed {
@@ -76,7 +77,7 @@
 			l.gone = now
 		}
 		l.line = choice.Line{Engine: l.id, Zone: n.zone(e.Site), Kind: n.kind(e.Kind), Cell: choice.CellID(e.Cell),
-			State: state, Size: e.Size, StartedAt: choice.Nanos(e.BornMS) * 1e6}
+			State: state, Size: e.Size, StartedAt: choice.Nanos(e.BornMS) * 1e6, Deaf: r.deaf(l.host)}
 		lines = append(lines, l.line)
 	}
 	for name, l := range r.byName {
@@ -102,6 +103,9 @@
 	}
 	g.mu.Lock()
 	lines, gone := g.roster.take(ev, g.names, time.Now())
+	if g.drains != nil {
+		lines = g.drains.Listed(g.clock.now(), lines)
+	}
 	rest := g.decide(choice.Event{Kind: choice.Listed, List: kind, Lines: lines})
 	g.mu.Unlock()
 	g.carry(rest)
--- /dev/null
+++ b/internal/gateway/speech.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+
+	"swiftreel/choice"
+	"swiftreel/internal/back"
+	"swiftreel/internal/check"
+	"swiftreel/internal/sparql/decide"
+)
+
+// The module's bits for protocols. One machine that runs engines of several is one engine to the module: its threads,
+// memory, load, warm-up and drain count once, whatever protocol a job comes over.
+const (
+	speechLine choice.Speech = 1 << iota
+	speechSPARQL
+)
+
+// needs are those that a job's engine must speak.
+func needs(p back.Protocol) choice.Speech {
+	if p == back.SPARQL {
+		return speechSPARQL
+	}
+	return speechLine
+}
+
+// deaf are those that an engine does not speak. Where SPARQL is off nothing is said: no job needs it, and an engine
+// without an address was always taken as one that cannot be reached.
+func (r *roster) deaf(h back.Host) (d choice.Speech) {
+	if r.urls == nil {
+		return 0
+	}
+	if r.urls[h.Name] == "" {
+		d |= speechSPARQL
+	}
+	if h.Address == "" {
+		d |= speechLine
+	}
+	return d
+}
+
+// reached is where an engine is by a protocol.
+func (r *roster) reached(l *listed, by back.Protocol) back.Host {
+	if by == back.SPARQL {
+		return back.Host{Name: l.host.Name, Address: r.urls[l.host.Name], Protocol: by}
+	}
+	return l.host
+}
+
+// drainStale is for how long an engine's own word that it drains counts without another: the list has followed by then.
+const drainStale = choice.Nanos(20e9)
+
+// Endpoints says where engines are reached over SPARQL, by their names. It comes before any list.
+func (g *Gateway) Endpoints(urls map[string]string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.roster.urls, g.drains = urls, decide.NewDrain(drainStale)
+}
+
+// Heard takes what an engine says of itself, which the list may not say, or not yet.
+func (g *Gateway) Heard(name string, w decide.Word) {
+	g.mu.Lock()
+	var rest []choice.Action
+	if l := g.roster.byName[name]; l != nil && g.drains != nil {
+		if line, changed := g.drains.Said(g.clock.now(), l.id, w); changed {
+			check.Count("drains_heard")
+			rest = g.decide(choice.Event{Kind: choice.Listed, List: choice.ListChanges, Lines: []choice.Line{line}})
+		}
+	}
+	g.mu.Unlock()
+	g.carry(rest)
+}
+
+// drainsPass lets own words grow old.
+func (g *Gateway) drainsPass() {
+	g.mu.Lock()
+	var rest []choice.Action
+	if g.drains != nil {
+		ids := slices.Sorted(maps.Keys(g.roster.byID))
+		if lines := g.drains.Pass(g.clock.now(), ids); len(lines) > 0 {
+			rest = g.decide(choice.Event{Kind: choice.Listed, List: choice.ListChanges, Lines: lines})
+		}
+	}
+	g.mu.Unlock()
+	g.carry(rest)
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -12,7 +12,8 @@
 
 // File is the operator's file with what it names.
 type File struct {
-	Plan *Plan `json:"plan"`
+	Plan   *Plan   `json:"plan"`
+	SPARQL *SPARQL `json:"sparql"`
 }
 
 // Plan is a plan to follow.
@@ -34,6 +35,11 @@
 	if err := document.Read(path, document.Operator, &f); err != nil {
 		return File{}, err
 	}
+	if f.SPARQL != nil {
+		if list := f.SPARQL.complete(); len(list) > 0 {
+			return File{}, &document.Faults{File: path, List: list}
+		}
+	}
 	if f.Plan != nil {
 		if f.Plan.DemandFactor == 0 {
 			f.Plan.DemandFactor = usualFactor
--- a/internal/sparql/endpoint/endpoint.go
+++ b/internal/sparql/endpoint/endpoint.go
@@ -22,9 +22,6 @@
 	"swiftreel/internal/sparql/results"
 )
 
-// Protocol is the engines' that speak this.
-const Protocol = back.Protocol("sparql")
-
 // Headers of engines, structured fields (RFC 9651): the first says that a 503 or 429 began nothing, the second that the
 // engine drains, the third is its load report.
 const (
--- a/internal/sparql/endpoint/endpoint_test.go
+++ b/internal/sparql/endpoint/endpoint_test.go
@@ -52,7 +52,7 @@
 			})
 		}
 	})
-	w := &town{t: t, host: back.Host{Name: "e1", Address: "http://" + l.Addr().String() + "/sparql", Protocol: Protocol}, bytes: new(limits.Bytes)}
+	w := &town{t: t, host: back.Host{Name: "e1", Address: "http://" + l.Addr().String() + "/sparql", Protocol: back.SPARQL}, bytes: new(limits.Bytes)}
 	w.bytes.Allow(1 << 20)
 	most := new(limits.Count)
 	most.Store(conns)
