Updates with a mark run once, and a burst of one protocol leaves the other its places

Need: the same update sent twice on two connections must run once; a flood of SPARQL must not have MessagePack calls turned away before a bucket is asked. Idempotency-Key is read, remembered within a bound and a window, and handed to endpoints; the guard stands before places for jobs in hand. Both off without the operator's part sparql.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -276,8 +276,8 @@
 	return true
 }
 
-// notWorth tells whether a job cannot end before its job timeout, or before we stop, or its billed value for
-// the work (late, once past its SLA time) is under the price of an overload: for bursts, costly jobs, slowness.
+// notWorth tells whether a job cannot end before its job timeout, or before we stop, or its billed value for its
+// work (late, once past its SLA time) is under the price of an overload: for bursts, costly jobs, slowness.
 func (c *Controller) notWorth(j *job) bool {
 	t, left, worth := j.typ, j.work/j.typ.threads, j.worth
 	if c.late(j) || c.now+Nanos(0.8*left) > min(j.lost, c.until) {
--- a/cmd/swiftreel/sparql.go
+++ b/cmd/swiftreel/sparql.go
@@ -76,7 +76,8 @@
 	g.Endpoints(s.o.Endpoints)
 	s.front = front.New(front.Options{Path: s.o.Path, Tenant: s.o.Tenant, TenantHeader: s.o.TenantHeader, Rules: s.o.Rules(),
 		Usual: time.Duration(s.o.TimeoutMS) * time.Millisecond, Most: time.Duration(s.o.MostTimeoutMS) * time.Millisecond,
-		Services: s.o.Services, Conns: s.o.Connections, Shapes: mostShapes}, g)
+		Services: s.o.Services, Conns: s.o.Connections, Shapes: mostShapes, Marks: s.o.Marks,
+		Window: time.Duration(s.o.MarkWindowMS) * time.Millisecond}, g)
 }
 
 func (s *side) serve() {
--- a/cmd/swiftreel/sparql_test.go
+++ b/cmd/swiftreel/sparql_test.go
@@ -235,3 +235,61 @@
 		t.Errorf("%d jobs more after it said that it drains", n-before)
 	}
 }
+
+// The same update sent twice, on two connections, at once and later: it runs once, whatever became of the first.
+func TestAMarkedUpdateRunsOnce(t *testing.T) {
+	_, at, ends := terms(t)
+	began, over := make(chan struct{}, 4), make(chan struct{})
+	t.Cleanup(sync.OnceFunc(func() { close(over) }))
+	for _, e := range ends {
+		e.Script(func(_ http.ResponseWriter, text string) bool {
+			switch {
+			case strings.Contains(text, "<slow>"):
+				began <- struct{}{}
+				<-over
+			case strings.Contains(text, "<breaks>"):
+				panic(http.ErrAbortHandler)
+			}
+			return false
+		})
+	}
+	send := func(mark, text string) int {
+		r := asked("POST", at, "application/sparql-update", "", "INSERT DATA { "+text+" <p> 1 }")
+		r.Header.Set("Idempotency-Key", mark)
+		status, _, _ := got(t, r)
+		return status
+	}
+	first := make(chan int, 1)
+	go func() { first <- send(`"m1"`, "<slow>") }()
+	<-began
+	if s := send("m1", "<slow>"); s != 409 {
+		t.Errorf("while the first is in hand: %d", s)
+	}
+	if s := send("m1", "<other>"); s != 422 {
+		t.Errorf("another text: %d", s)
+	}
+	over <- struct{}{}
+	if s := <-first; s != 204 {
+		t.Errorf("the first: %d", s)
+	}
+	if s := send("m1", "<slow>"); s != 204 {
+		t.Errorf("once more, after it was done: %d", s)
+	}
+	if a, b := send("m2", "<breaks>"), send("m2", "<breaks>"); a != 502 || b != 502 {
+		t.Errorf("one that may have run: %d, then %d", a, b)
+	}
+	if s := send("a b", "<x>"); s != 400 {
+		t.Errorf("no mark: %d", s)
+	}
+	slow := 0
+	for _, e := range ends {
+		for _, text := range e.Seen() {
+			if strings.Contains(text, "<slow>") {
+				slow++
+			}
+		}
+	}
+	if slow != 1 {
+		t.Errorf("it ran %d times", slow)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,7 @@
 	roster    roster
 	following following
 	drains    *decide.Drain         // nil: no engine says so itself
+	guard     *decide.Guard         // nil: there is one protocol
 	jobs      map[choice.JobID]*job // until their function returns
 	calls     map[string]struct{}   // the ids of those that are not answered, nor left by their client
 	lastID    choice.JobID
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -73,7 +73,7 @@
 	j := &job{Ask: a, in: newInbox()}
 	g.mu.Lock()
 	_, twice := g.calls[string(a.ID)]
-	if many := len(g.jobs) >= min(g.rules.open, g.parts.Jobs.Most()); many || twice {
+	if twice || !g.place(a.Protocol) {
 		g.mu.Unlock()
 		if twice { // engines tell dispatches apart by this id
 			check.Count("calls_twice")
@@ -288,5 +288,8 @@
 		return false
 	}
 	delete(g.jobs, j.id)
+	if g.guard != nil {
+		g.guard.Give(lane(j.Protocol))
+	}
 	return true
 }
--- a/internal/gateway/names_test.go
+++ b/internal/gateway/names_test.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"swiftreel/choice"
 	"swiftreel/internal/back"
+	"swiftreel/internal/check"
 	"swiftreel/internal/config"
 	"swiftreel/internal/feed"
 	"swiftreel/internal/limits"
@@ -156,3 +158,35 @@
 		t.Errorf("not read: %+v; %d jobs, %d answers", m.order, len(g.jobs), len(a.said))
 	}
 }
+
+// A flood of one protocol takes what nobody used of late, and leaves the other its part.
+func TestAFloodOfOneProtocolLeavesTheOtherItsPlaces(t *testing.T) {
+	facts := choice.Facts{"classes": []any{map[string]any{"name": "lookup", "idempotency": "repeatable", "aim_ns": 5e8}},
+		"limits": map[string]any{"max_open": 40.0}}
+	g := New(facts, 1, parts(), false, nil)
+	defer g.Close()
+	g.Endpoints(map[string]string{"e1": "http://127.0.0.1:1/"})
+	a, n := asker{make(chan string, 200), func(func()) {}}, 0
+	take := func(p back.Protocol, times int) {
+		for range times { // no engine: they are parked until it is late
+			n++
+			g.Take(Ask{Type: []byte("lookup"), ID: []byte(fmt.Sprint(n)), At: time.Now(), Left: 20 * time.Second, Protocol: p, From: a})
+		}
+	}
+	before := check.Of("turned_away")
+	take(back.SPARQL, 60)
+	flood := 60 - int(check.Of("turned_away")-before)
+	before = check.Of("turned_away")
+	take(back.Line, 5)
+	if turned := check.Of("turned_away") - before; flood < 20 || flood > 35 || turned > 0 {
+		t.Errorf("a flood takes %d of 40, %d of 5 calls of the other protocol are turned away", flood, turned)
+	}
+	for id := range n { // all leave, which empties every table
+		g.mu.Lock()
+		j := g.jobs[choice.JobID(id+1)]
+		g.mu.Unlock()
+		if j != nil {
+			j.in.put(message{left: true})
+		}
+	}
+}
--- a/internal/gateway/speech.go
+++ b/internal/gateway/speech.go
@@ -55,7 +55,7 @@
 func (g *Gateway) Endpoints(urls map[string]string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.roster.urls, g.drains = urls, decide.NewDrain(drainStale)
+	g.roster.urls, g.drains, g.guard = urls, decide.NewDrain(drainStale), decide.NewGuard(2)
 }
 
 // Heard takes what an engine says of itself, which the list may not say, or not yet.
@@ -85,3 +85,18 @@
 	g.mu.Unlock()
 	g.carry(rest)
 }
+
+// lane is a protocol's place in the guard.
+func lane(p back.Protocol) int {
+	if p == back.SPARQL {
+		return 1
+	}
+	return 0
+}
+
+// place takes a place for one more job. With two protocols a burst of one leaves the other what it used of late. The
+// lock is held.
+func (g *Gateway) place(p back.Protocol) bool {
+	most := min(g.rules.open, g.parts.Jobs.Most())
+	return len(g.jobs) < most && (g.guard == nil || g.guard.Take(g.clock.now(), lane(p), most))
+}
--- a/internal/operator/sparql.go
+++ b/internal/operator/sparql.go
@@ -19,6 +19,7 @@
 	Types        []struct {
 		Type        string   `json:"type"`
 		Forms       []string `json:"forms"`
+		Marked      bool     `json:"marked"`
 		LeastWorkMS int64    `json:"least_work_ms"`
 		MostWorkMS  int64    `json:"most_work_ms"`
 	} `json:"types"`
@@ -27,6 +28,8 @@
 	Services      []string          `json:"services"`
 	Endpoints     map[string]string `json:"endpoints"`
 	Connections   int               `json:"connections"`
+	Marks         int               `json:"marks"`
+	MarkWindowMS  int64             `json:"mark_window_ms"`
 }
 
 // complete fills in what is absent, and names what a schema does not see.
@@ -43,6 +46,12 @@
 	if s.Connections == 0 {
 		s.Connections = 32
 	}
+	if s.Marks == 0 {
+		s.Marks = 4096
+	}
+	if s.MarkWindowMS == 0 {
+		s.MarkWindowMS = 600_000
+	}
 	if _, _, err := net.SplitHostPort(s.Listen); err != nil {
 		faults = append(faults, "/sparql/listen: "+err.Error())
 	}
@@ -66,7 +75,7 @@
 // Rules map texts to reservation types.
 func (s *SPARQL) Rules() (list []decide.Rule) {
 	for _, t := range s.Types {
-		list = append(list, decide.Rule{Forms: t.Forms, Least: choice.Nanos(t.LeastWorkMS) * 1e6, Most: choice.Nanos(t.MostWorkMS) * 1e6, Type: t.Type})
+		list = append(list, decide.Rule{Forms: t.Forms, Marked: t.Marked, Least: choice.Nanos(t.LeastWorkMS) * 1e6, Most: choice.Nanos(t.MostWorkMS) * 1e6, Type: t.Type})
 	}
 	return list
 }
--- a/internal/sparql/decide/class.go
+++ b/internal/sparql/decide/class.go
@@ -10,14 +10,15 @@
 // Rule maps texts to a reservation type: those of its forms whose guessed work is within its bounds.
 type Rule struct {
 	Forms       []string // SELECT, CONSTRUCT, DESCRIBE, ASK, UPDATE; none: all
+	Marked      bool     // only updates that have a mark
 	Least, Most choice.Nanos
 	Type        string
 }
 
 // Classify gives the reservation type of the first rule that fits.
-func Classify(rules []Rule, s *syntax.Statement, work choice.Nanos) (string, bool) {
+func Classify(rules []Rule, s *syntax.Statement, work choice.Nanos, marked bool) (string, bool) {
 	for _, r := range rules {
-		if (len(r.Forms) == 0 || slices.Contains(r.Forms, s.Form.String())) && work >= r.Least && (r.Most == 0 || work < r.Most) {
+		if (marked || !r.Marked) && (len(r.Forms) == 0 || slices.Contains(r.Forms, s.Form.String())) && work >= r.Least && (r.Most == 0 || work < r.Most) {
 			return r.Type, true
 		}
 	}
--- a/internal/sparql/endpoint/endpoint.go
+++ b/internal/sparql/endpoint/endpoint.go
@@ -29,12 +29,15 @@
 	headerDraining   = "Draining"
 	headerLoad       = "Load"
 	isTrue           = "?1"
+	// HeaderMark is of clients, and handed on to engines (draft-ietf-httpapi-idempotency-key-header).
+	HeaderMark = "Idempotency-Key"
 )
 
 // Ask is what a job's statement is on this protocol: how it is encoded for back.Request is this package's affair.
 type Ask struct {
 	Update bool
 	Accept string     // the media type wanted of the engine
+	Mark   string     // Idempotency-Key, by which engines drop repeats; "": none
 	Form   url.Values // query or update, and the graphs
 }
 
@@ -44,16 +47,18 @@
 	if a.Update {
 		kind = "update"
 	}
-	return []byte(kind + "\n" + a.Accept + "\n" + a.Form.Encode())
+	return []byte(kind + "\n" + a.Accept + "\n" + url.QueryEscape(a.Mark) + "\n" + a.Form.Encode())
 }
 
-func parseAsk(statement []byte) (update bool, accept string, form []byte, err error) {
-	kind, rest, _ := bytes.Cut(statement, []byte("\n"))
-	media, form, is := bytes.Cut(rest, []byte("\n"))
-	if !is {
-		return false, "", nil, errors.New("no statement of this protocol")
+// parseAsk reads it, but for the form, which goes out as it is.
+func parseAsk(statement []byte) (a Ask, form []byte, err error) {
+	parts := bytes.SplitN(statement, []byte("\n"), 4)
+	if len(parts) != 4 {
+		return a, nil, errors.New("no statement of this protocol")
 	}
-	return string(kind) == "update", string(media), form, nil
+	a.Update, a.Accept = string(parts[0]) == "update", string(parts[1])
+	a.Mark, err = url.QueryUnescape(string(parts[2]))
+	return a, parts[3], err
 }
 
 // mostHeader bounds an answer's header; pageSize is what a result is held in.
@@ -113,7 +118,7 @@
 		d.finish(back.Reply{End: back.Full}, false) // it never ran, and the engine refused nothing
 		return d
 	}
-	update, accept, form, err := parseAsk(r.Statement)
+	ask, form, err := parseAsk(r.Statement)
 	if check.That(err == nil, "statement_of_another_protocol"); err != nil {
 		d.finish(back.Reply{End: back.Moot}, true)
 		return d
@@ -123,7 +128,7 @@
 		go func() { <-ctx.Done(); stop.Stop() }()
 	}
 	go func() {
-		d.finish(c.carry(ctx, to, string(r.ID), update, accept, form), true)
+		d.finish(c.carry(ctx, to, string(r.ID), ask, form), true)
 		cancel()
 	}()
 	return d
@@ -167,8 +172,8 @@
 func (d *dispatch) Renice(uint8) {}
 
 // carry sends and reads one answer.
-func (c *Client) carry(ctx context.Context, to back.Host, id string, update bool, accept string, form []byte) back.Reply {
-	answer, got, err := c.post(ctx, to, id, accept, form)
+func (c *Client) carry(ctx context.Context, to back.Host, id string, ask Ask, form []byte) back.Reply {
+	answer, got, err := c.post(ctx, to, id, ask, form)
 	if err != nil {
 		if !got {
 			return back.Reply{End: back.NotConnected}
@@ -182,18 +187,18 @@
 	case (answer.StatusCode == http.StatusServiceUnavailable || answer.StatusCode == http.StatusTooManyRequests) &&
 		answer.Header.Get(headerNotStarted) == isTrue:
 		return back.Reply{End: back.Full, Load: load}
-	case update && answer.StatusCode/100 == 2:
+	case ask.Update && answer.StatusCode/100 == 2:
 		return back.Reply{End: c.drained(answer), Load: load}
 	case answer.StatusCode != http.StatusOK:
 		check.Count("endpoint_statuses_bad")
 		return back.Reply{End: back.Failed, Load: load}
 	}
-	pages, end := c.read(answer, accept)
+	pages, end := c.read(answer, ask.Accept)
 	return back.Reply{End: end, Pages: pages, Load: load}
 }
 
 // post sends a form. got: a connection was up, so that any of it may have been read.
-func (c *Client) post(ctx context.Context, to back.Host, id, accept string, form []byte) (answer *http.Response, got bool, err error) {
+func (c *Client) post(ctx context.Context, to back.Host, id string, ask Ask, form []byte) (answer *http.Response, got bool, err error) {
 	var up sync.Mutex
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
 		up.Lock()
@@ -206,7 +211,10 @@
 	}
 	r.GetBody = nil // never sent a second time by the library once a byte of it went out
 	r.Header.Set("Content-Type", "application/x-www-form-urlencoded")
-	r.Header.Set("Accept", accept)
+	r.Header.Set("Accept", ask.Accept)
+	if ask.Mark != "" {
+		r.Header.Set(HeaderMark, ask.Mark)
+	}
 	r.Header.Set("User-Agent", "swiftreel")
 	if id != "" {
 		r.Header.Set("Job", id)
@@ -319,7 +327,7 @@
 	defer c.leave("", false)
 	ctx, cancel := context.WithTimeout(c.ctx, limit)
 	defer cancel()
-	answer, got, err := c.post(ctx, to, "", results.JSON.MediaType(), []byte(probeText))
+	answer, got, err := c.post(ctx, to, "", Ask{Accept: results.JSON.MediaType()}, []byte(probeText))
 	switch {
 	case err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		reply(back.Reply{End: back.TimedOut})
--- a/internal/sparql/front/front.go
+++ b/internal/sparql/front/front.go
@@ -38,6 +38,8 @@
 	Services     []string      // that SERVICE may name
 	Conns        int           // of clients in hand
 	Shapes       int
+	Marks        int           // remembered
+	Window       time.Duration // after their update ended
 }
 
 // The states of a connection have their limits: headers, body, an answer that is not read, idleness.
@@ -63,14 +65,17 @@
 	places chan struct{}
 	owed   atomic.Int64
 
+	start   time.Time
 	mu      sync.Mutex
 	guesses *decide.Guesses
+	marks   *decide.Marks
 	bad     check.Grumble
 }
 
 // New serves a taker. Serve begins it.
 func New(o Options, taker Taker) *Front {
-	f := &Front{o: o, taker: taker, places: make(chan struct{}, max(1, o.Conns)), guesses: decide.NewGuesses(max(1, o.Shapes))}
+	f := &Front{o: o, taker: taker, places: make(chan struct{}, max(1, o.Conns)), guesses: decide.NewGuesses(max(1, o.Shapes)),
+		start: time.Now(), marks: decide.NewMarks(o.Marks, choice.Nanos(o.Window))}
 	f.server = &http.Server{Handler: f, ReadHeaderTimeout: headersWithin, IdleTimeout: idleWithin, MaxHeaderBytes: mostHeader,
 		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug)}
 	return f
@@ -148,7 +153,19 @@
 		f.refused(w, err)
 		return
 	}
-	f.ask(a, q, s, tenant, at)
+	mark, err := readMark(r, tenant, q.update)
+	if err != nil {
+		f.refused(w, err)
+		return
+	}
+	if !f.remembered(a, q, mark) {
+		return
+	}
+	if f.ask(a, q, s, mark, tenant, at); mark.Text != "" {
+		f.mu.Lock()
+		f.marks.End(f.now(), mark, a.ends)
+		f.mu.Unlock()
+	}
 }
 
 // tenant is told by the path, a header or the user of basic authentication, in this order.
@@ -211,12 +228,13 @@
 )
 
 // ask takes the job to the gateway and waits for its answer, or for the client's leave.
-func (f *Front) ask(a *answer, q request, s *syntax.Statement, tenant string, at time.Time) {
+func (f *Front) ask(a *answer, q request, s *syntax.Statement, mark decide.Mark, tenant string, at time.Time) {
 	f.mu.Lock()
 	work, _ := f.guesses.Of(s)
 	f.mu.Unlock()
-	typ, known := decide.Classify(f.o.Rules, s, work)
+	typ, known := decide.Classify(f.o.Rules, s, work, mark.Text != "")
 	if !known {
+		a.ends = decide.NeverRan
 		f.refused(a.w, refuse(http.StatusBadRequest, "no reservation type takes this"))
 		return
 	}
@@ -232,7 +250,7 @@
 	f.owed.Add(1)
 	defer f.owed.Add(-1)
 	f.taker.Take(gateway.Ask{Type: []byte(typ), ID: []byte(hex.EncodeToString(id[:])), Tenant: []byte(tenant), Key: []byte(decide.OrderKey(s)),
-		Statement: endpoint.Ask{Update: q.update, Accept: a.wants, Form: form}.Statement(), Left: q.left, At: at, Work: time.Duration(work),
+		Statement: endpoint.Ask{Update: q.update, Accept: a.wants, Mark: mark.Text, Form: form}.Statement(), Left: q.left, At: at, Work: time.Duration(work),
 		Protocol: back.SPARQL, From: a})
 	a.wait()
 	if a.took > 0 {
@@ -265,6 +283,7 @@
 	gives  string // and that of the answer
 	began  time.Time
 	took   time.Duration
+	ends   decide.Ends // the handler's: how an update ended, as far as is known
 
 	come  chan outcome
 	over  chan struct{} // the handler ends
@@ -280,11 +299,12 @@
 	status int
 	text   string
 	wait   time.Duration
+	never  bool // nothing of it ran
 }
 
 // answerFor negotiates.
 func (f *Front) answerFor(w http.ResponseWriter, r *http.Request, s *syntax.Statement) (*answer, error) {
-	a := &answer{w: w, r: r, update: s.Form == syntax.Update, ask: s.Form == syntax.Ask, began: time.Now(), come: make(chan outcome, 1),
+	a := &answer{w: w, r: r, update: s.Form == syntax.Update, ask: s.Form == syntax.Ask, began: time.Now(), ends: decide.MayHaveRun, come: make(chan outcome, 1),
 		over: make(chan struct{}), wrote: make(chan struct{})}
 	offered := tables
 	switch s.Form {
@@ -311,7 +331,7 @@
 
 // Throttled implements gateway.Asker.
 func (a *answer) Throttled(wait time.Duration) {
-	a.hand(outcome{status: http.StatusServiceUnavailable, text: "throttled: trying again is harmless", wait: max(wait, time.Second)})
+	a.hand(outcome{status: http.StatusServiceUnavailable, text: "throttled: trying again is harmless", wait: max(wait, time.Second), never: true})
 }
 
 // Failed implements gateway.Asker.
@@ -323,7 +343,7 @@
 	case gateway.TimedOut:
 		status = http.StatusGatewayTimeout
 	}
-	a.hand(outcome{status: status, text: reason})
+	a.hand(outcome{status: status, text: reason, never: status == http.StatusBadRequest})
 }
 
 func (a *answer) hand(o outcome) {
@@ -356,6 +376,12 @@
 	defer close(a.over)
 	select {
 	case o := <-a.come:
+		switch {
+		case o.status == http.StatusOK:
+			a.ends = decide.WasDone
+		case o.never:
+			a.ends = decide.NeverRan
+		}
 		a.write(o)
 	case <-a.r.Context().Done():
 		a.mu.Lock()
