--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # build, test, lint, run. .ci/run does what lint, build and test do, with the test command of README.md.
 
-.PHONY: all build test race fuzz lint run clean proof-solve
+.PHONY: all build test race fuzz lint run clean proof-solve proof-sparql
 
 all: lint build test
 
@@ -39,5 +39,8 @@
 proof-solve: build
 	go run ./internal/proof/solve
 
+proof-sparql: build
+	go run ./internal/proof/sparql
+
 clean:
 	rm -rf bin
