--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # build, test, lint, run. .ci/run does what lint, build and test do, with the test command of README.md.
 
-.PHONY: all build test race fuzz lint run clean proof-solve proof-sparql
+.PHONY: all build test race fuzz lint run clean proof-solve proof-sparql sparql
 
 all: lint build test
 
@@ -42,5 +42,9 @@
 proof-sparql: build
 	go run ./internal/proof/sparql
 
+# The SPARQL example, until interrupted; it says how to ask.
+sparql: build
+	go run ./example sparql
+
 clean:
 	rm -rf bin
--- a/example/main.go
+++ b/example/main.go
@@ -3,6 +3,7 @@
 //	go run ./example serve            toys for example/config.json, until interrupted; reads "lose e1" and "back e1"
 //	go run ./example send STATEMENT   sends one job to the controller at 127.0.0.1:9090 and prints its answer
 //	go run ./example demo             all of it with bin/swiftreel: a job served, one throttled, an engine lost
+//	go run ./example sparql           bin/swiftreel beside toy engines of both protocols, to be asked with curl
 package main
 
 import (
@@ -33,7 +34,7 @@
 
 func main() {
 	log.SetFlags(0)
-	err := fmt.Errorf("usage: example serve | send [flags] STATEMENT | demo")
+	err := fmt.Errorf("usage: example serve | send [flags] STATEMENT | demo | sparql")
 	if len(os.Args) > 1 {
 		switch os.Args[1] {
 		case "serve":
@@ -42,6 +43,8 @@
 			err = send(os.Args[2:])
 		case "demo":
 			err = demo()
+		case "sparql":
+			err = sparql()
 		}
 	}
 	if err != nil {
