--- a/internal/proof/sparql/main.go
+++ b/internal/proof/sparql/main.go
@@ -28,7 +28,7 @@
 		places <- struct{}{}
 		wait.Go(func() {
 			defer func() { <-places }()
-			t, err := play(*program, day{seed: seed, faults: true, calls: 300, queries: 150, pause: 4 * time.Millisecond})
+			t, err := play(*program, day{seed: seed, faults: true, calls: 300, queries: 150, pause: 4 * time.Millisecond, lanes: 8})
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
@@ -60,14 +60,14 @@
 func flood(program string) bool {
 	const most = 0.03
 	var share [2]float64
-	for i, queries := range []int{30, 3000} {
-		t, err := play(program, day{seed: 99, calls: 1500, queries: queries, pause: 2 * time.Millisecond})
+	for i, queries := range []int{30, 10_000} {
+		t, err := play(program, day{seed: 99, calls: 1500, queries: queries, pause: 2 * time.Millisecond, lanes: []int{1, 48}[i]})
 		if err != nil || len(t.broken) > 0 {
 			fmt.Printf("FAILED: %v %v\n", err, t.broken)
 			return false
 		}
 		share[i] = float64(t.lookupsDone) / float64(max(1, t.lookups))
-		fmt.Printf("MessagePack lookups beside %4d SPARQL texts: %d, done %.2f%%; SPARQL done %d of %d\n", queries, t.lookups, 100*share[i], t.textsDone, t.texts)
+		fmt.Printf("MessagePack lookups beside %5d SPARQL texts: %d, done %.2f%%; SPARQL done %d, throttled %d of %d\n", queries, t.lookups, 100*share[i], t.textsDone, t.throttled, t.texts)
 	}
 	if share[0]-share[1] > most {
 		fmt.Printf("FAILED: the flood costs lookups more than %.0f points\n", 100*most)
--- a/internal/proof/sparql/play.go
+++ b/internal/proof/sparql/play.go
@@ -1,16 +1,13 @@
 package main
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/url"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -27,6 +24,7 @@
 	faults         bool
 	calls, queries int
 	pause          time.Duration // between a client's calls
+	lanes          int           // connections of a SPARQL client
 }
 
 type tally struct {
@@ -62,8 +60,7 @@
 	feed   *toy.Feed
 	lines  map[string]*toy.Engine
 	ends   map[string]*toy.Endpoint
-	nodes  []*exec.Cmd
-	said   []*bytes.Buffer
+	nodes  []*node
 	client [2]string // addresses
 	sparql [2]string
 }
@@ -166,56 +163,40 @@
 	}
 	known := w.feed.Add(true, "["+strings.Join(hosts, ",")+"]")
 	for n := range 2 {
-		if w.client[n], err = free(); err != nil {
-			return err
-		}
-		if w.sparql[n], err = free(); err != nil {
-			return err
-		}
 		config, own := filepath.Join(dir, fmt.Sprintf("n%d.json", n)), filepath.Join(dir, fmt.Sprintf("own%d.json", n))
-		text := fmt.Sprintf(`{"name":"n%d","listen":%q,"seed":"%x","limits":{"cores":1,"memory_mb":192,"sockets":1024},"feed":%q,"known":{"n":1,"events":[%s]},"settings":%s}`,
-			n, w.client[n], d.seed*2+uint64(n)+1, w.feed.Address(), known, fmt.Sprintf(settings, n))
-		side := fmt.Sprintf(`{"sparql":{"listen":%q,"tenant":"terms","types":[{"forms":["UPDATE"],"type":"update"},{"type":"query"}],"endpoints":{%s},"connections":64}}`,
-			w.sparql[n], strings.Join(urls, ","))
+		text := fmt.Sprintf(`{"name":"n%d","listen":"127.0.0.1:0","seed":"%x","limits":{"cores":1,"memory_mb":192,"sockets":1024},"feed":%q,"known":{"n":1,"events":[%s]},"settings":%s}`,
+			n, d.seed*2+uint64(n)+1, w.feed.Address(), known, fmt.Sprintf(settings, n))
+		side := fmt.Sprintf(`{"sparql":{"listen":"127.0.0.1:0","tenant":"terms","types":[{"forms":["UPDATE"],"type":"update"},{"type":"query"}],"endpoints":{%s},"connections":128}}`,
+			strings.Join(urls, ","))
 		if err := errors.Join(os.WriteFile(config, []byte(text), 0o600), os.WriteFile(own, []byte(side), 0o600)); err != nil {
 			return err
 		}
-		node := exec.Command(program)
-		node.Env = append(os.Environ(), "ROUTER_CONFIG="+config, "ROUTER_OPERATOR="+own)
-		said := new(bytes.Buffer)
-		node.Stderr = said
-		if err := node.Start(); err != nil {
+		node, err := startNode(program, config, own)
+		if err != nil {
 			return err
 		}
-		w.nodes, w.said = append(w.nodes, node), append(w.said, said)
+		w.nodes = append(w.nodes, node)
 	}
 	for n := range 2 {
 		for stop := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-			if c, err := toy.Dial(w.client[n]); err == nil {
-				ready, err := c.Ready()
-				c.Conn.Close()
-				if ready && err == nil {
-					break
+			var is bool
+			if w.client[n], w.sparql[n], is = w.nodes[n].addresses(); is {
+				if c, err := toy.Dial(w.client[n]); err == nil {
+					ready, err := c.Ready()
+					c.Conn.Close()
+					if ready && err == nil {
+						break
+					}
 				}
 			}
 			if time.Now().After(stop) {
-				return fmt.Errorf("controller %d does not start: %s", n, w.said[n])
+				return fmt.Errorf("controller %d does not start: %s", n, w.nodes[n].log())
 			}
 		}
 	}
 	return nil
 }
 
-// free is an address that nobody has.
-func free() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // list tells the feed of an engine's state, and the book after: the grace counts from what controllers could know.
 func (w *town) list(name, state string) {
 	dial := ""
@@ -230,11 +211,11 @@
 func (w *town) stop() (err error) {
 	for i, n := range w.nodes {
 		n.Process.Signal(syscall.SIGTERM)
-		if e := n.Wait(); e != nil {
-			err = errors.Join(err, fmt.Errorf("controller %d: %w: %s", i, e, w.said[i]))
+		if e := n.wait(); e != nil {
+			err = errors.Join(err, fmt.Errorf("controller %d: %w: %s", i, e, n.log()))
 		}
-		if strings.Contains(w.said[i].String(), "answers_overdue") {
-			err = errors.Join(err, fmt.Errorf("controller %d: %s", i, w.said[i]))
+		if strings.Contains(n.log(), "answers_overdue") {
+			err = errors.Join(err, fmt.Errorf("controller %d: %s", i, n.log()))
 		}
 	}
 	w.nodes = nil
@@ -244,7 +225,7 @@
 func (w *town) close() {
 	for _, n := range w.nodes {
 		n.Process.Kill()
-		n.Wait()
+		n.wait()
 	}
 	for _, e := range w.lines {
 		e.Close()
@@ -300,12 +281,11 @@
 // texts is a SPARQL client: a text at a time, every tenth an update. Many texts come over several connections.
 func (w *town) texts(node int, name string, d day) {
 	var wait sync.WaitGroup
-	const lanes = 8
-	for lane := range lanes {
+	for lane := range d.lanes {
 		wait.Go(func() {
 			h := &http.Client{Transport: &http.Transport{}}
 			defer h.CloseIdleConnections()
-			for n := lane; n < d.queries/4; n += lanes {
+			for n := lane; n < d.queries/4; n += d.lanes {
 				w.text(h, node, fmt.Sprintf("s%s%06d", name, n), n%10 == 9)
 				time.Sleep(d.pause)
 			}
