A mark never stays in hand, and graphs named twice are told by the grammar

Found reading the change once more: a request that ended by panic left its Idempotency-Key in hand for ever, and an update with using-graph-uri was refused for the word USING anywhere in its text, also inside a literal. The mark now ends with the request; the reader says whether the text names graphs itself.

--- a/cmd/swiftreel/sparql_test.go
+++ b/cmd/swiftreel/sparql_test.go
@@ -97,6 +97,8 @@
 		{"update by GET", asked("GET", at+"?update=CLEAR+ALL", "", "", ""), 400, "", "POST"},
 		{"both", asked("POST", at, formMedia, "", "query="+q+"&update=CLEAR+ALL"), 400, "", "query and update"},
 		{"graphs of an update with a query", asked("GET", at+"?using-graph-uri=x&query="+q, "", "", ""), 400, "", "using-graph-uri"},
+		{"graphs named twice", asked("POST", at+"?using-graph-uri=http://g", "application/sparql-update", "", "WITH <g> DELETE { ?s <p> 1 } WHERE { ?s <p> 1 }"), 400, "", "USING or WITH"},
+		{"graphs named once, and a word that looks like it", asked("POST", at+"?using-graph-uri=http://g", "application/sparql-update", "", `INSERT DATA { <c> <p> "using" }`), 204, "", ""},
 		{"SERVICE", asked("GET", at+"?query="+url.QueryEscape("SELECT * { SERVICE <http://near/> { ?s ?p ?o } }"), "", "", ""), 400, "", "SERVICE <http://near/>"},
 		{"LOAD", asked("POST", at, formMedia, "", "update=LOAD+%3Chttp://x%3E"), 400, "", "LOAD"},
 		{"timeout", asked("GET", at+"?timeout=0&query="+q, "", "", ""), 400, "", "timeout"},
--- a/internal/sparql/front/front.go
+++ b/internal/sparql/front/front.go
@@ -161,11 +161,14 @@
 	if !f.remembered(a, q, mark) {
 		return
 	}
-	if f.ask(a, q, s, mark, tenant, at); mark.Text != "" {
-		f.mu.Lock()
-		f.marks.End(f.now(), mark, a.ends)
-		f.mu.Unlock()
-	}
+	if mark.Text != "" {
+		defer func() { // whatever ends the request: a mark that stayed in hand would stay for ever
+			f.mu.Lock()
+			f.marks.End(f.now(), mark, a.ends)
+			f.mu.Unlock()
+		}()
+	}
+	f.ask(a, q, s, mark, tenant, at)
 }
 
 // tenant is told by the path, a header or the user of basic authentication, in this order.
@@ -202,8 +205,8 @@
 	if s.Loads {
 		return nil, refuse(http.StatusBadRequest, "LOAD is not allowed here")
 	}
-	if q.update && len(q.graphs) > 0 && strings.Contains(strings.ToUpper(q.text), "USING") && len(s.Reads) > 0 {
-		return nil, refuse(http.StatusBadRequest, "USING, and using-graph-uri")
+	if q.update && len(q.graphs) > 0 && s.Dataset { // section 2.2.3 of the protocol
+		return nil, refuse(http.StatusBadRequest, "USING or WITH in the text, and using-graph-uri")
 	}
 	return s, nil
 }
--- a/internal/sparql/syntax/parser.go
+++ b/internal/sparql/syntax/parser.go
@@ -279,6 +279,7 @@
 // DatasetClause ::= 'FROM' ( iri | 'NAMED' iri ), and UsingClause
 func (p *parser) dataset(word string) {
 	for p.hasWord(word) {
+		p.s.Dataset = true
 		p.hasWord("NAMED")
 		p.reads(p.iri())
 	}
--- a/internal/sparql/syntax/statement.go
+++ b/internal/sparql/syntax/statement.go
@@ -38,6 +38,7 @@
 	ReadsAny, WritesAny         bool
 	ReadsDefault, WritesDefault bool
 	Services                    []string // endpoints of SERVICE; "" for one named by a variable
+	Dataset                     bool     // FROM, USING or WITH names graphs in the text
 	Loads                       bool     // LOAD fetches from elsewhere
 
 	Shape uint64 // the same for texts that differ in literals, numbers, names of variables and white space only
--- a/internal/sparql/syntax/update.go
+++ b/internal/sparql/syntax/update.go
@@ -71,6 +71,7 @@
 		}
 	case p.hasWord("WITH"):
 		with := p.iri()
+		p.s.Dataset = true
 		insert := p.isWord("INSERT")
 		if !insert && !p.isWord("DELETE") {
 			p.unexpected("INSERT or DELETE")
