--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -66,6 +66,9 @@
 		if err := json.Unmarshal(rec.Info, &rec.Event.Facts); err != nil {
 			return fmt.Errorf("settings of instance %d: %w", rec.Instance, err)
 		}
+		if err := checkFacts(rec.Event.Facts); err != nil {
+			return fmt.Errorf("settings of instance %d: %w", rec.Instance, err)
+		}
 		h.instances[rec.Instance] = new(choice.Controller)
 	}
 	if rec.Event.Kind == choice.Listed {
--- a/cmd/adapter/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -3,7 +3,11 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"encoding/json"
+	"strings"
 	"testing"
+
+	"swiftreel/choice"
 )
 
 // record lays out a 48-byte event: its code, the instance, then pairs of offset and big-endian bytes.
@@ -62,3 +66,26 @@
 		}
 	}
 }
+
+func TestFactsNamedByField(t *testing.T) {
+	for text, want := range map[string]string{
+		`{"classes": [{"kinds_only": ["type-a"]}]}`:             "classes.0.kinds_only.0",
+		`{"classes": [{}, {"allowed_in": [1.5]}]}`:              "classes.1.allowed_in.0",
+		`{"classes": [], "telemetry": {"fields": [3]}}`:         "telemetry.fields.0",
+		`{"classes": [], "invariants": {"further_ratio": "x"}}`: "invariants.further_ratio",
+		`{"classes": [], "invariants": {"budget_free": -1}}`:    "invariants.budget_free",
+	} {
+		var f choice.Facts
+		if err := json.Unmarshal([]byte(text), &f); err != nil {
+			t.Fatal(err)
+		}
+		if err := checkFacts(f); err == nil || !strings.Contains(err.Error(), want+":") {
+			t.Errorf("%s: got %v, want an error naming %s", text, err, want)
+		}
+	}
+	var f choice.Facts
+	_ = json.Unmarshal([]byte(`{"classes": [{"kinds_only": [0, 2]}], "telemetry": {"fields": ["util"]}}`), &f)
+	if err := checkFacts(f); err != nil {
+		t.Errorf("a readable file refused: %v", err)
+	}
+}
--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", file.Listen)
+	listener, err := net.Listen("tcp4", file.Listen)
 	if err != nil {
 		return err
 	}
--- a/cmd/swiftreel/sparql.go
+++ b/cmd/swiftreel/sparql.go
@@ -43,7 +43,7 @@
 	}
 	s.conns.Store(int64(o.Connections))
 	var err error
-	s.listener, err = net.Listen("tcp", o.Listen)
+	s.listener, err = net.Listen("tcp4", o.Listen)
 	return s, err
 }
 
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -286,7 +286,7 @@
 func (p *Pool) dial(c *conn) (net.Conn, error) {
 	until := time.Now().Add(p.bounds.Dial)
 	for try := 1; ; try++ {
-		nc, err := p.dialer("tcp", c.address, max(time.Millisecond, time.Until(until)))
+		nc, err := p.dialer("tcp4", c.address, max(time.Millisecond, time.Until(until)))
 		if err == nil {
 			return nc, nil
 		}
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -63,7 +63,7 @@
 
 // call follows one connection to its end.
 func (s *source) call() error {
-	nc, err := net.DialTimeout("tcp", s.address, dialTimeout)
+	nc, err := net.DialTimeout("tcp4", s.address, dialTimeout)
 	if err != nil {
 		return err
 	}
--- a/internal/sparql/endpoint/endpoint.go
+++ b/internal/sparql/endpoint/endpoint.go
@@ -86,11 +86,14 @@
 // New makes a client. What engines say of themselves beside their answers is told to heard.
 func New(b back.Bounds, heard func(name string, w decide.Word)) *Client {
 	dialer := &net.Dialer{Timeout: b.Dial}
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) { // IPv4 only, as the fleet allows
+		return dialer.DialContext(ctx, "tcp4", address)
+	}
 	c := &Client{bounds: b, heard: heard, out: map[string]*count{}}
 	c.ctx, c.end = context.WithCancel(context.Background())
 	c.http = &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: b.Idle * 2 / 3,
+		Transport: &http.Transport{DialContext: dial, DisableCompression: true, IdleConnTimeout: b.Idle * 2 / 3,
 			MaxResponseHeaderBytes: mostHeader, MaxIdleConnsPerHost: 4, MaxIdleConns: 64},
 	}
 	return c
