Settings restated live: the operator's shape over ROUTER_CONFIG, taken over by SIGHUP

Change: the operator's file gains a part shape (schema in deploy/): cancel, peer_messages, grants_count, takes_priority, says_cost, the budget of further dispatches, and by type kinds_only and waits_for_loads. It stands above the settings; errors name the path (/shape/types/X/...). At SIGHUP a changed shape goes to the module as the event Restated: the module reads its settings anew (read, split out of start), keeping jobs, dispatches and what types learned.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -117,6 +117,8 @@
 		c.until = c.now + ev.Left
 	case Planned:
 		c.takePlan(ev.Plan)
+	case Restated:
+		c.read(ev.Facts)
 	case TimerDue:
 		if ev.Mark == c.tick { // a timer that is not the last one set would start a second chain of them
 			c.sweep()
@@ -133,39 +135,48 @@
 }
 
 func (c *Controller) start(ev Event) {
-	f := ev.Facts
-	c.facts, c.chance = f, pcg(ev.Seed)
+	c.chance = pcg(ev.Seed)
 	c.booted, c.swept, c.refused, c.until = c.now, c.now, c.now-outageLasts, math.MaxInt64
+	c.jobs, c.lines, c.tenants = map[JobID]*job{}, map[Key]*keyLine{}, map[TenantID]*tenantSeen{}
+	c.read(ev.Facts)
+	c.share, c.slowMean, c.probesLeft, c.reach = c.even, 1, probesMost, looksLeast
+	c.arm()
+}
+
+// read takes the settings, at the start and when restated. A reservation type keeps what its jobs taught; one
+// that the settings no longer name keeps its settings, for the jobs that were taken.
+func (c *Controller) read(f Facts) {
+	c.facts = f
 	c.controllers, c.me = max(1, int(f.num("balancers", 1))), int(f.num("me", 0))
-	c.even, c.slowMean = 1/float64(c.controllers), 1
-	c.share, c.mostTries = c.even, max(1, int(f.num("limits.most_tries", 1)))
+	c.even, c.mostTries = 1/float64(c.controllers), max(1, int(f.num("limits.most_tries", 1)))
 	c.zone, c.crossing = ZoneID(f.num("locality", 0)), f.num("tariffs.cross_zone", 0)
 	c.probes, c.cancels = f.flag("limits.probes"), f.flag("limits.cancel")
 	c.warmWithin = f.span("invariants.warm_within_ns")
 	c.swaps, c.step = f.text("domain.memory_short") == "swap", f.span("step_ns")
 	c.period, c.grantMost = f.span("domain.note_period_ns"), f.num("domain.max_grant_share", 1)
 	c.concurrentAt = slices.Index(f.list("telemetry.fields"), any("concurrent"))
-	c.probesLeft, c.reach = probesMost, looksLeast
-	if f.flag("limits.retry_after") {
+	if c.retryAfter = 0; f.flag("limits.retry_after") {
 		c.retryAfter = f.span("limits.max_retry_after_ns")
 	}
-	c.jobs, c.lines, c.tenants = map[JobID]*job{}, map[Key]*keyLine{}, map[TenantID]*tenantSeen{}
 	for i := range f.list("classes") {
 		at := func(name string) string { return fmt.Sprintf("classes.%d.%s", i, name) }
 		of := func(name string) string { return fmt.Sprintf("domain.%s.%d", name, i) }
-		t := &jobType{
+		terms := typeTerms{
 			id: TypeID(i), threads: math.Max(1, f.num(of("class_threads"), 1)), aim: f.span(at("aim_ns")),
 			stretch: f.num(at("aim_stretch"), 0), worth: f.num(at("gain"), 1), late: f.num(at("late_worth"), 0),
 			repeatable: f.text(at("idempotency")) == "repeatable", keyed: f.text(at("idempotency")) == "by_key",
 			scope: f.text(at("key_scope")), window: f.span(at("repeat_window_ns")),
 			ordered: f.flag(at("fifo_by_key")), holds: f.flag(of("writes_tables")),
-			waits: f.flag(of("waits_for_loads")), zones: f.list(at("allowed_in")),
-			kinds: f.list(at("kinds_only")), best: 1, slow: 1,
+			waits: f.flag(of("waits_for_loads")), zones: f.list(at("allowed_in")), kinds: f.list(at("kinds_only")),
+		}
+		if i < len(c.types) {
+			c.types[i].typeTerms = terms
+			continue
 		}
+		t := &jobType{typeTerms: terms, best: 1, slow: 1}
 		t.usual = math.Max(float64(t.aim)*t.threads/2, float64(ms)) // until jobs tell better
 		c.types = append(c.types, t)
 	}
-	c.arm()
 }
 
 func (c *Controller) arm() {
@@ -276,8 +287,8 @@
 	return true
 }
 
-// notWorth tells whether a job cannot end before its job timeout, or before we stop, or its billed value for its
-// work (late, once past its SLA time) is under the price of an overload: for bursts, costly jobs, slowness.
+// notWorth tells whether a job cannot end before its job timeout, or before we stop, or its billed value for
+// its work (late, once past its SLA time) is under the price of an overload: bursts, costly jobs, slowness.
 func (c *Controller) notWorth(j *job) bool {
 	t, left, worth := j.typ, j.work/j.typ.threads, j.worth
 	if c.late(j) || c.now+Nanos(0.8*left) > min(j.lost, c.until) {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -494,3 +494,21 @@
 	s.c.report(s.c.engines[0], []float64{0})
 	want(t, s.c.warmth(s.c.engines[0]) == 1, "cold again")
 }
+
+// Settings restated in a running controller hold from the next decision on, in both directions; what was taken in
+// and what types have learned stay.
+func TestRestatedSettingsHoldAtOnceBothWays(t *testing.T) {
+	s := newStage(t, plainFacts(), 2)
+	out := s.arrive(1, 0, 1)
+	usual := s.c.types[1].usual
+	barred := plainFacts().set("limits.cancel", false)
+	barred["classes"].([]any)[1].(map[string]any)["kinds_only"] = []any{1.0}
+	s.tell(Event{Kind: Restated, Facts: barred})
+	want(t, s.c.jobs[out].flight != nil && s.c.types[1].usual == usual && !s.c.cancels, "what was out or learned is lost")
+	held := s.arrive(1, 0, 1)
+	want(t, len(s.sentTo(held)) == 0, "sent to an engine of a kind that the restated settings bar")
+	s.tell(Event{Kind: Restated, Facts: plainFacts()})
+	s.pass(lookAgain)
+	want(t, len(s.sentTo(held)) == 1 && s.c.cancels, "the way back does not hold at once")
+	want(t, len(s.sentTo(out)) == 1, "what was out is sent twice")
+}
--- a/choice/types.go
+++ b/choice/types.go
@@ -41,6 +41,7 @@
 	Heard
 	Stopping // this controller is about to end
 	Planned  // a plan is to be followed from now on, or none any more
+	Restated // the settings anew (Facts); what was taken in and learned stays
 )
 
 // Result is how a dispatch or a probe ended.
@@ -261,8 +262,8 @@
 	Weight float64
 }
 
-// jobType is what is known of a reservation type: its settings, and what answers taught.
-type jobType struct {
+// typeTerms are a reservation type's settings, read at the start and again when they are restated.
+type typeTerms struct {
 	id                    TypeID
 	threads               float64
 	aim, window           Nanos
@@ -271,6 +272,11 @@
 	scope                 string
 	ordered, holds, waits bool
 	zones, kinds          []any
+}
+
+// jobType is what is known of a reservation type: its settings, and what answers taught.
+type jobType struct {
+	typeTerms
 	parked                int
 	usual, usualN         float64 // mean work of a job, ns
 	costBias, costN       float64 // log of true work over estimate
--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"fmt"
 	"log/slog"
 	"net"
 	"os"
@@ -74,7 +75,11 @@
 	}
 	parts := new(limits.Parts)
 	parts.Apply(side.leaves(file.Limits))
-	gate := gateway.New(choice.Facts(file.Facts), file.Seed, parts, s.Trace, side.speak())
+	facts, err := own.Shape.Over(file.Facts)
+	if err != nil {
+		return fmt.Errorf("%s: %w", s.Operator, err)
+	}
+	gate := gateway.New(choice.Facts(facts), file.Seed, parts, s.Trace, side.speak())
 	side.join(gate)
 	for _, ev := range known {
 		gate.List(ev, true)
@@ -86,6 +91,7 @@
 	reloads := reloader{file: file, own: own, leaves: side.leaves, follower: follower, parts: parts, load: func() (config.File, error) { return config.Load(os.Getenv) },
 		operator: func() (operator.File, error) { return operator.Load(s.Operator) },
 		follow:   func(f operator.File) { follow(gate, f) },
+		restate:  func(facts map[string]any) { gate.Restate(facts) },
 		done:     make(chan struct{}), ended: make(chan struct{})}
 	go reloads.run(reload)
 	front := client.NewFront(gate, parts)
--- a/cmd/swiftreel/reload.go
+++ b/cmd/swiftreel/reload.go
@@ -23,6 +23,7 @@
 	leaves   func(config.Limits) config.Limits
 	operator func() (operator.File, error)
 	follow   func(operator.File) // a file taken over
+	restate  func(facts map[string]any)
 	follower *feed.Follower
 	parts    *limits.Parts
 
@@ -58,6 +59,10 @@
 	if err == nil {
 		own, err = r.operator()
 	}
+	var facts map[string]any
+	if err == nil {
+		facts, err = own.Shape.Over(r.file.Facts) // the settings as at the start: others need a restart
+	}
 	if err != nil {
 		check.Count("reloads_failed")
 		slog.Error("reload_failed", "reason", err)
@@ -73,6 +78,9 @@
 	if file.Limits != r.file.Limits {
 		r.parts.Apply(r.leaves(file.Limits))
 	}
+	if !reflect.DeepEqual(own.Shape, r.own.Shape) {
+		r.restate(facts)
+	}
 	if !reflect.DeepEqual(own.Plan, r.own.Plan) { // the same plan once more is no new one
 		r.follow(own)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -177,3 +177,10 @@
 	check.That(len(g.jobs) == 0 && len(g.calls) == 0, "jobs_left")
 	check.That(g.parts.Reads.All() && g.parts.Bytes.All(), "bytes_left")
 }
+
+// Restate tells the module its settings anew, between two decisions: jobs taken in and dispatches out stay. What
+// concerns carrying out (names, time limits, fields of load reports) stays as at the start.
+func (g *Gateway) Restate(facts choice.Facts) {
+	g.tell(choice.Event{Kind: choice.Restated, Facts: facts})
+	slog.Info("settings_restated")
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -14,6 +14,7 @@
 type File struct {
 	Plan   *Plan   `json:"plan"`
 	SPARQL *SPARQL `json:"sparql"`
+	Shape  *Shape  `json:"shape"`
 }
 
 // Plan is a plan to follow.
--- /dev/null
+++ b/internal/operator/shape_test.go
@@ -0,0 +1,45 @@
+package operator
+
+import (
+	"encoding/json"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+const settings = `{"kinds":["type-a","type-b"],"classes":[{"name":"lookup"},{"name":"report"}],
+"limits":{"cancel":true},"domain":{"grants_count":true,"waits_for_loads":[false]}}`
+
+func TestAShapeStandsOverTheSettingsAndLeavesThemBe(t *testing.T) {
+	var given, before map[string]any
+	json.Unmarshal([]byte(settings), &given)
+	json.Unmarshal([]byte(settings), &before)
+	no, ratio, window := false, 0.1, int64(10000)
+	s := &Shape{Cancel: &no, GrantsCount: &no, FurtherRatio: &ratio, BudgetWindowMS: &window,
+		Types: map[string]ShapeType{"report": {KindsOnly: []string{"type-a"}, WaitsForLoads: &no}}}
+	f, err := s.Over(given)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(given, before) {
+		t.Errorf("the settings given were changed: %v", given)
+	}
+	got, _ := json.Marshal(f)
+	for _, part := range []string{`"cancel":false`, `"grants_count":false`, `"further_ratio":0.1`, `"extra_window_ns":10000000000`,
+		`{"kinds_only":[0],"name":"report"}`, `"waits_for_loads":[false,false]`} {
+		if !strings.Contains(string(got), part) {
+			t.Errorf("%s lacks %s", got, part)
+		}
+	}
+	if f, _ := (*Shape)(nil).Over(given); !reflect.DeepEqual(f, before) {
+		t.Errorf("no shape changed the settings: %v", f)
+	}
+	for types, told := range map[string]string{`{"import":{}}`: "/shape/types/import:",
+		`{"report":{"kinds_only":["type-a","type-c"]}}`: "/shape/types/report/kinds_only/1:"} {
+		var s Shape
+		json.Unmarshal([]byte(`{"types":`+types+`}`), &s)
+		if _, err := s.Over(given); err == nil || !strings.Contains(err.Error(), told) {
+			t.Errorf("%s: %v, not %s", types, err, told)
+		}
+	}
+}
