--- a/cmd/swiftreel/main_test.go
+++ b/cmd/swiftreel/main_test.go
@@ -202,6 +202,15 @@
 	return command{}
 }
 
+// rewrite writes the operator's file anew, sends SIGHUP and waits until the counter tells that it was read.
+func (w *town) rewrite(path, counter, text string) {
+	w.t.Helper()
+	write(w.t, path, text)
+	before := check.Of(counter)
+	w.reload <- syscall.SIGHUP
+	settle(w.t, "not read anew", func() bool { return check.Of(counter) > before })
+}
+
 func (w *town) answer(id uint32, word string) client.Answer {
 	w.t.Helper()
 	a, err := w.caller.Read(20 * time.Second)
--- a/cmd/swiftreel/plan_test.go
+++ b/cmd/swiftreel/plan_test.go
@@ -64,13 +64,7 @@
 			w.answer(id, "")
 		}
 	}
-	reload := func(counter, text string) {
-		t.Helper()
-		write(t, own, text)
-		before := check.Of(counter)
-		w.reload <- syscall.SIGHUP
-		settle(t, "not read anew", func() bool { return check.Of(counter) > before })
-	}
+	reload := func(counter, text string) { t.Helper(); w.rewrite(own, counter, text) }
 	done("")
 	reload("reloads", `{"plan":{"file":"plan.json"}}`)
 	done("e1")
--- a/cmd/swiftreel/shape_test.go
+++ b/cmd/swiftreel/shape_test.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"net"
+	"os"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
+	"time"
 
-	"swiftreel/internal/check"
+	"swiftreel/internal/cli"
+	"swiftreel/internal/config"
 )
 
 // The shape of the deployment is taken over by SIGHUP and given back the same way, in a running controller with a
@@ -16,17 +19,16 @@
 	own := write(t, filepath.Join(dir, "own.json"), `{}`)
 	t.Setenv("ROUTER_OPERATOR", own)
 	w := newTown(t, "e1")
-	reload := func(counter, text string) {
-		t.Helper()
-		write(t, own, text)
-		before := check.Of(counter)
-		w.reload <- syscall.SIGHUP
-		settle(t, "not read anew", func() bool { return check.Of(counter) > before })
-	}
+	reload := func(counter, text string) { t.Helper(); w.rewrite(own, counter, text) }
+	fetched := map[string]bool{} // a job sent twice would show as a fetch of an id seen before
 	fetch := func(granted bool) (uint32, command) {
 		t.Helper()
 		id := w.job("lookup", "20000")
 		c := w.got("fetch")
+		if fetched[c.ID] {
+			t.Fatalf("fetch of %s sent twice", c.ID)
+		}
+		fetched[c.ID] = true
 		if strings.Contains(c.Fields, "allot=") != granted {
 			t.Errorf("fetch %q: a grant should be named: %v", c.Fields, granted)
 		}
@@ -53,3 +55,29 @@
 	reload("reloads", `{}`)
 	served(true)
 }
+
+// A shape that names what the settings do not know keeps the controller from starting, and the error names the file
+// and the part.
+func TestABadShapeAtTheStartIsRefused(t *testing.T) {
+	own := write(t, filepath.Join(t.TempDir(), "own.json"), `{"shape":{"types":{"nonesuch":{"waits_for_loads":true}}}}`)
+	file, err := config.Parse([]byte(`{"name":"n0","listen":"-","seed":"1","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+		"feed":"127.0.0.1:1","settings":` + facts + `}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	ended := make(chan error, 1)
+	go func() { ended <- run(file, l, cli.Serving{Operator: own}, make(chan os.Signal), make(chan os.Signal)) }()
+	select {
+	case err = <-ended:
+	case <-time.After(20 * time.Second):
+		t.Fatal("it serves")
+	}
+	if err == nil || !strings.Contains(err.Error(), own) || !strings.Contains(err.Error(), "/shape/types/nonesuch") {
+		t.Errorf("started, or the error %v names not the file and the part", err)
+	}
+}
