Memory granted in reports tells what siblings hold; a look pays for the probes it can bear

`report` reads x0 (memory granted) where no jobs are counted: beyond our own grants, by the memory a thread of the jobs out and of the estimates of those taken, weighed by time in hand. A look probes as many engines as its job bears. Without any word our part of the cores counts as four at least, so that one long job does not stand for a full fleet.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -49,6 +49,9 @@
 
 	coldSafety, turnPart, swapPart = 0.6, 0.75, 0.8   // of what a cold engine stands; in turns; of paged memory
 	emptied, outageLasts           = 0.15, 5 * second // of jobs usual: fewer, it just started; after a refusal
+
+	// Jobs out that weigh as those taken do; cores under which our part tells little; granted over an estimate.
+	fewOut, fewCores, ownGrant = 2.0, 4.0, 1.25
 )
 
 // meanOf moves the usual work: a plain mean at first, which a fresh controller needs, then a moving one.
@@ -71,12 +74,13 @@
 	priced, pressed, tracked             bool
 	even, share                          float64 // 1/controllers, and what we carry by the reports where more
 	mostTries, controllers, me           int
-	reach, concurrentAt                  int     // engines looked at; place of jobs in hand in a report
+	reach, concurrentAt, grantedAt       int     // engines looked at; places in a report: jobs in hand, memory
 	crossing, grantMost                  float64 // price of crossing; part of a memory that a job gets at most
 	cores, crowd                         float64 // of ready engines; threads a core over the fleet, by reports
 	outJobs, outThreads, outGrants       float64 // ours out of late
 	slowMean, badMean                    float64 // of engines not aside: latency over best, part lost or failed
 	arrivals, price, worthMean, workMean float64 // price: in mean billed values for a second of work
+	spanMean, holdMean                   float64 // of jobs taken: work/threads, and memory times that
 	probesLeft, spare                    float64 // probes, and further dispatches of what may have run, paid for
 	types                                []*jobType
 	engines                              []*engine                // by id; a gone one leaves once nothing is out
@@ -155,6 +159,7 @@
 	c.swaps, c.step = f.text("domain.memory_short") == "swap", f.span("step_ns")
 	c.period, c.grantMost = f.span("domain.note_period_ns"), f.num("domain.max_grant_share", 1)
 	c.concurrentAt = slices.Index(f.list("telemetry.fields"), any("concurrent"))
+	c.grantedAt = slices.Index(f.list("telemetry.fields"), any("x0"))
 	if c.retryAfter = 0; f.flag("limits.retry_after") {
 		c.retryAfter = f.span("limits.max_retry_after_ns")
 	}
@@ -255,6 +260,8 @@
 	c.arrivals = min(100, c.arrivals+1)
 	c.worthMean += (j.worth - c.worthMean) / c.arrivals
 	c.workMean += (j.work - c.workMean) / c.arrivals
+	c.spanMean += (j.work/t.threads - c.spanMean) / c.arrivals
+	c.holdMean += (j.memory*math.Exp(t.memBias)*j.work/t.threads - c.holdMean) / c.arrivals
 	if !c.withinShare(ev.Tenant) {
 		j.worth *= c.facts.num("over_share_worth", 1)
 	}
@@ -429,8 +436,10 @@
 		return
 	}
 	j.looked, j.looks = c.now, j.looks[:0]
-	bears := c.probes && c.concurrentAt >= 0 && float64(min(c.reach, len(c.engines)))*
-		c.facts.num("tariffs.probe", 0)*c.worthMean <= probeBears*j.typ.worth
+	bears := 0.0
+	if c.probes && max(c.concurrentAt, c.grantedAt) >= 0 {
+		bears = probeBears * j.typ.worth / max(1e-9, c.facts.num("tariffs.probe", 0)*c.worthMean)
+	}
 	add := func(e *engine) {
 		if e.State == Ready && !e.aside && !slices.Contains(j.looks, e) {
 			j.looks = append(j.looks, e)
@@ -445,8 +454,9 @@
 		add(c.engines[int(c.chance.unit()*float64(len(c.engines)))])
 	}
 	for _, e := range j.looks {
-		if old := c.now-max(e.reported, e.probed) >= probeEvery; bears && old && !e.asked && c.probesLeft >= 1 {
-			c.probesLeft--
+		old := c.now-max(e.reported, e.probed) >= probeEvery
+		if old && !e.asked && bears >= 1 && c.probesLeft >= 1 {
+			bears, c.probesLeft = bears-1, c.probesLeft-1
 			c.probe(e)
 		}
 	}
@@ -505,9 +515,18 @@
 // held is the memory of an engine that all controllers' jobs hold, as far as is known.
 func (c *Controller) held(e *engine) float64 { return e.grants + e.others*c.grantEach() }
 
-// threadsEach and grantEach are our own means of threads a job and memory a thread, taken for siblings' too.
-func (c *Controller) threadsEach() float64 { return (c.outThreads + 0.1) / (c.outJobs + 0.1) }
-func (c *Controller) grantEach() float64   { return c.outGrants / (c.outThreads + 0.1) }
+// threadsEach and grantEach are our own means of threads a job and memory a thread, taken for siblings' too: of
+// the jobs out, and by the estimates of those taken, weighed by their time in hand, where few are out.
+func (c *Controller) threadsEach() float64 {
+	each := 1.0
+	if c.spanMean > 0 {
+		each = c.workMean / c.spanMean
+	}
+	return (c.outThreads + fewOut*each) / (c.outJobs + fewOut)
+}
+func (c *Controller) grantEach() float64 {
+	return (c.outGrants + fewOut*c.holdMean/max(1, c.workMean)) / (c.outThreads + fewOut)
+}
 
 // need is the memory that a job is thought to use on an engine.
 func (c *Controller) need(j *job, e *engine) float64 {
@@ -850,18 +869,27 @@
 	}
 }
 
-// report reads an engine's load report: jobs in hand beyond ours, in threads by our own mean.
+// report reads an engine's load report: jobs in hand beyond ours, in threads by our own mean. Where it counts
+// no jobs, the memory granted beyond ours tells: jobs that stand still hold it too, and keep no core busy.
 func (c *Controller) report(e *engine, load []float64) {
-	if c.concurrentAt < 0 || c.concurrentAt >= len(load) || !(load[c.concurrentAt] >= 0) {
+	told := func(at int) bool { return at >= 0 && at < len(load) && load[at] >= 0 }
+	if told(c.concurrentAt) {
+		holds, usual := min(load[c.concurrentAt], 1e6), c.crowd*e.cores/c.threadsEach()
+		long := c.started(e) == 0 || c.now-c.started(e) >= 2*c.warmWithin // one just warm is empty by our restraint
+		if holds < emptied*usual && usual > e.cores/4 && !e.aside && long {
+			c.fresh(e, fmt.Sprintf("holds %.0f jobs where %.0f are usual", holds, usual))
+		}
+		e.others = max(0, holds-float64(len(e.flights))) * c.threadsEach()
+	} else if each := c.grantEach(); told(c.grantedAt) && each > 0 {
+		held := min(load[c.grantedAt], 1e3) * e.memory
+		if !c.facts.flag("domain.grants_count") {
+			held /= ownGrant
+		}
+		e.others = max(0, held-e.grants) / each
+	} else {
 		return
 	}
-	holds, usual := min(load[c.concurrentAt], 1e6), c.crowd*e.cores/c.threadsEach()
-	long := c.started(e) == 0 || c.now-c.started(e) >= 2*c.warmWithin // one just warm is empty by our restraint
-	if holds < emptied*usual && usual > e.cores/4 && !e.aside && long {
-		c.fresh(e, fmt.Sprintf("holds %.0f jobs where %.0f are usual", holds, usual))
-	}
 	c.reportedLast, e.reported = c.now, c.now
-	e.others = max(0, holds-float64(len(e.flights))) * c.threadsEach()
 	c.crowd += 0.2 * ((e.threads+e.others)/e.cores - c.crowd)
 }
 
@@ -937,7 +965,7 @@
 	}
 	// A front that is uneven, or siblings gone, leave one controller more than its even share of the work.
 	if c.now-c.reportedLast >= reportFresh { // no word: siblings are thought to hold what we hold
-		c.crowd += outStep * (c.outThreads/max(1, c.even*c.cores) - c.crowd)
+		c.crowd += outStep * (c.outThreads/max(fewCores, c.even*c.cores) - c.crowd)
 	}
 	if c.crowd > 0 {
 		c.share += 0.05 * (min(1, max(c.even, c.outThreads/max(1, c.crowd*c.cores))) - c.share)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -512,3 +512,31 @@
 	want(t, len(s.sentTo(held)) == 1 && s.c.cancels, "the way back does not hold at once")
 	want(t, len(s.sentTo(out)) == 1, "what was out is sent twice")
 }
+
+// The failure: where reports do not count jobs nothing of them was read, and siblings were thought to hold a multiple of
+// what we hold: a fleet that had drained stayed refused for 15 s.
+func TestMemoryGrantedTellsWhatSiblingsHoldWhereNoReportCountsJobs(t *testing.T) {
+	for _, own := range []bool{true, false} { // whether grants are ours, or each engine's: a quarter over the estimate
+		f := plainFacts().set("telemetry.fields", []any{"load_share", "x0"}).set("domain.grants_count", own)
+		s := newStage(t, f.set("balancers", 20.0), 1)
+		id, e := s.arrive(1, 0, 1), s.c.engines[0]
+		s.now += 100 * ms
+		s.c.now = s.now
+		granted := 1.0
+		if !own {
+			granted = 1.25
+		}
+		s.c.report(e, []float64{0.1, granted * (e.grants + 800) / e.memory}) // jobs here are 200 MB on two threads
+		want(t, e.others > 7.9 && e.others < 8.1 && e.reported == s.now, "others %v of 8", e.others)
+		s.c.report(e, []float64{1, granted * e.grants / e.memory})
+		want(t, e.others < 0.01, "all busy, by ours alone: %v", e.others)
+		s.finish(id, Done)
+		s.c.report(e, []float64{0, 2 * granted})
+		want(t, len(s.sentTo(s.arrive(1, 0, 2))) == 0, "twice its memory is granted")
+		s.c.report(e, []float64{1, 0})
+		want(t, len(s.sentTo(s.arrive(1, 0, 3))) == 1, "drained, and used again at the first word of it")
+	}
+	s := newStage(t, plainFacts().set("telemetry.fields", []any{"load_share"}), 1)
+	s.c.report(s.c.engines[0], []float64{1})
+	want(t, s.c.engines[0].reported == 0, "busy cores alone tell nothing of jobs in hand")
+}
