A price for each set of engines: heads of a type bound to full ones cost no others

Change: reprice works for each type by the heads of types that may go wherever it may. Where no type is bound decisions are the same, to the byte.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -79,7 +79,7 @@
 	cores, crowd                         float64 // of ready engines; threads a core over the fleet, by reports
 	outJobs, outThreads, outGrants       float64 // ours out of late
 	slowMean, badMean                    float64 // of engines not aside: latency over best, part lost or failed
-	arrivals, price, worthMean, workMean float64 // price: in mean billed values for a second of work
+	arrivals, worthMean, workMean        float64
 	spanMean, holdMean                   float64 // of jobs taken: work/threads, and memory times that
 	probesLeft, spare                    float64 // probes, and further dispatches of what may have run, paid for
 	types                                []*jobType
@@ -306,7 +306,7 @@
 			return true
 		}
 	}
-	return worth/j.work < c.price*c.worthMean/c.workMean
+	return worth/j.work < t.price*c.worthMean/c.workMean
 }
 
 func (c *Controller) bucketOf(t *jobType, tenant TenantID) *bucket {
@@ -931,12 +931,14 @@
 			c.callBack(f)
 		}
 	}
-	waited := 0.0
+	for _, t := range c.types {
+		t.waited = 0
+	}
 	for _, b := range c.buckets {
 		if j := c.head(b); j != nil && !slices.ContainsFunc(j.looks, func(e *engine) bool {
 			return c.allowed(j, e) && c.room(j, e)
 		}) { // what has room but waits for a load on its tables is no sign of overload
-			waited = max(waited, float64(c.now-j.ready)/float64(max(b.typ.aim, ms)))
+			b.typ.waited = max(b.typ.waited, float64(c.now-j.ready)/float64(max(b.typ.aim, ms)))
 		}
 	}
 	jobs, threads, grants, slow, bad, n, pressed := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0
@@ -970,7 +972,7 @@
 	if c.crowd > 0 {
 		c.share += 0.05 * (min(1, max(c.even, c.outThreads/max(1, c.crowd*c.cores))) - c.share)
 	}
-	c.reprice(waited)
+	c.reprice()
 	c.offered -= c.offered * float64(sweepEvery) / float64(offeredOver)
 	if c.plan != nil {
 		c.follow()
@@ -996,20 +998,37 @@
 // late tells that a job's final answer is due: the next sweep would come after its job timeout.
 func (c *Controller) late(j *job) bool { return c.now+sweepEvery+2*c.step >= j.lost }
 
-// reprice moves the price of a second of work by how long heads wait.
-func (c *Controller) reprice(waited float64) {
-	step := float64(sweepEvery) / float64(second)
-	if waited > waitShare {
-		c.price = min(priceMost, c.price+priceStep*step)
-	} else if waited < waitShare/3 {
-		c.price = max(0, c.price-priceStep*step)
+// reprice moves the price of a second of work by how long heads wait: for each type by those of all types that
+// may go wherever it may, so that a type bound to full engines costs none that others have room for.
+func (c *Controller) reprice() {
+	step, most, waited := float64(sweepEvery)/float64(second), 0.0, 0.0
+	for _, t := range c.types {
+		wait := 0.0
+		for _, o := range c.types {
+			if within(t.zones, o.zones) && within(t.kinds, o.kinds) {
+				wait = max(wait, o.waited)
+			}
+		}
+		if wait > waitShare {
+			t.price = min(priceMost, t.price+priceStep*step)
+		} else if wait < waitShare/3 {
+			t.price = max(0, t.price-priceStep*step)
+		}
+		most, waited = max(most, t.price), max(waited, wait)
 	}
-	if on := c.price > 0; on != c.priced {
+	if on := most > 0; on != c.priced {
 		c.priced = on
-		c.log("overload=%v price=%.2f head waited=%.2f of SLA time", on, c.price, waited)
+		c.log("overload=%v price=%.2f head waited=%.2f of SLA time", on, most, waited)
 	}
 }
 
+// within tells whether all places that a type is bound to (nil: none) are open to one bound to others.
+func within(places, others []any) bool {
+	return others == nil || (places != nil && !slices.ContainsFunc(places, func(p any) bool {
+		return !slices.Contains(others, p)
+	}))
+}
+
 func (c *Controller) tidy() {
 	window := c.facts.span("invariants.fall_ns")
 	c.engines = slices.DeleteFunc(c.engines, func(e *engine) bool { // one that flaps keeps its cold budget
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -102,7 +102,7 @@
 	s.finish(id, Reset)
 	s.pass(20 * ms)
 	want(t, len(s.sentTo(id)) == 1, "sent %v", s.sentTo(id))
-	want(t, s.c.jobs[id].parked && s.c.price == 0, "price %v", s.c.price)
+	want(t, s.c.jobs[id].parked && s.c.types[1].price == 0, "price %v", s.c.types[1].price)
 }
 
 // The failure: a job that comes with next to no time left outlived it until the next sweep.
@@ -208,7 +208,7 @@
 		s.arrive(2, 5, 1)
 	}
 	s.pass(2 * second)
-	want(t, s.c.price == 0, "price %v", s.c.price)
+	want(t, s.c.types[1].price == 0, "price %v", s.c.types[1].price)
 }
 
 // The failure: a load stood still behind another load on its tables, and held memory and its key there.
@@ -349,7 +349,7 @@
 	}
 	want(t, !s.jobs[id].sends[0].called, "called back for our own stall")
 	s.finish(id, Done)
-	want(t, s.c.slowMean < 1.1 && s.c.price == 0, "latency/best %v, price %v", s.c.slowMean, s.c.price)
+	want(t, s.c.slowMean < 1.1 && s.c.types[1].price == 0, "latency/best %v, price %v", s.c.slowMean, s.c.types[1].price)
 }
 
 // The failure: after a stall, a job that had not yet been a head seemed to have waited since the clock's zero.
@@ -368,7 +368,7 @@
 	}
 	s.finish(ids[0], Done) // the head goes, and the next is one from now on
 	s.pass(40 * ms)
-	want(t, s.c.price == 0 && !strings.Contains(s.texts, "overload"), "price %v: %s", s.c.price, s.texts)
+	want(t, s.c.types[1].price == 0 && !strings.Contains(s.texts, "overload"), "price %v: %s", s.c.types[1].price, s.texts)
 }
 
 // The failure: engines without a fresh report stayed as full as when last seen, and nothing was sent to look again.
