A job is refused where its type's usual slowness would end it after its client gave up

Change: the usual one for both, from 1 to 2; a type of which no answer came for 5 s forgets its slowness as engines do, or what is refused for it would keep it for ever.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,6 +44,7 @@
 	probeBears, probePoints = 0.05, 0.008         // of billed value for a look's probes; points for a job's
 	blindPart, quickPart    = 0.6, 1.25           // of an engine filled without a fresh report; by quick types
 	outStep, outFaster      = 0.005, 10.0         // of means, a sweep; times that with many jobs out
+	forgets, untaught       = 0.002, 5 * second   // of slowness, a sweep; a type, with no answer so long
 
 	planPull, planMissing, planBack, offeredOver = 1.0, 0.2, 0.5, 10 * second // threads a core; part gone, back
 
@@ -297,11 +298,12 @@
 // notWorth tells whether a job cannot end before its job timeout, or before we stop, or its billed value for
 // its work (late, once past its SLA time) is under the price of an overload: bursts, costly jobs, slowness.
 func (c *Controller) notWorth(j *job) bool {
-	t, left, worth := j.typ, j.work/j.typ.threads, j.worth
-	if c.late(j) || c.now+Nanos(0.8*left) > min(j.lost, c.until) {
+	t, worth := j.typ, j.worth
+	ends := c.now + Nanos(j.work/t.threads*min(max(1, t.slow), 2))
+	if c.late(j) || ends > min(j.lost, c.until) {
 		return true
 	}
-	if c.now+Nanos(left*min(t.slow, 2)) > j.due {
+	if ends > j.due {
 		if worth *= t.late; worth == 0 {
 			return true
 		}
@@ -846,7 +848,7 @@
 		rate = 0.1
 	}
 	t.best += rate * (min(took, 2*t.best) - t.best)
-	t.slow += 0.05 * (min(took, 10) - t.slow)
+	t.taught, t.slow = c.now, t.slow+0.05*(min(took, 10)-t.slow)
 	ratio := min(took/t.best, 10)
 	e.slow += min(0.25, max(0.02, work/float64(4*second))) * (ratio - e.slow)
 	if ratio < nearBest && c.now-e.stepped >= widenEvery {
@@ -947,7 +949,7 @@
 		if c.now-e.reported >= reportFresh { // what is not known is thought like the rest of the fleet, not empty
 			e.others += 0.02 * (max(0, c.crowd*e.cores-e.threads) - e.others)
 		}
-		e.slow, e.bad = e.slow+0.002*(1-e.slow), 0.999*e.bad
+		e.slow, e.bad = e.slow+forgets*(1-e.slow), 0.999*e.bad
 		c.pressure(e)
 		c.watch(e)
 		if e.State == Ready && !e.aside {
@@ -1014,7 +1016,9 @@
 		} else if wait < waitShare/3 {
 			t.price = max(0, t.price-priceStep*step)
 		}
-		most, waited = max(most, t.price), max(waited, wait)
+		if most, waited = max(most, t.price), max(waited, wait); c.now-t.taught >= untaught {
+			t.slow += forgets * (1 - t.slow) // or what is refused for it would keep it
+		}
 	}
 	if on := most > 0; on != c.priced {
 		c.priced = on
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -540,3 +540,38 @@
 	s.c.report(s.c.engines[0], []float64{1})
 	want(t, s.c.engines[0].reported == 0, "busy cores alone tell nothing of jobs in hand")
 }
+
+// The failure: jobs whose clients wait little were sent to engines too slow for them, timed out and were wasted; and what
+// is refused for the slowness of its type teaches nothing, so that it was refused for ever.
+func TestWhatItsTypesSlownessWouldLoseIsRefusedAndNotForEver(t *testing.T) {
+	s := newStage(t, plainFacts(), 2)
+	s.c.types[1].slow, s.c.types[1].taught = 3, s.now
+	short := func() JobID {
+		return s.arriveAs(Event{Type: 1, Left: 1500 * ms, Cost: 2 * second, CostKnown: true})
+	}
+	id := short() // 2 s on two threads
+	want(t, s.jobs[id].by == Throttle && len(s.sentTo(id)) == 0, "sent %v", s.sentTo(id))
+	want(t, len(s.sentTo(s.arrive(1, 0, 1))) == 1, "one with time is sent")
+	s.pass(3 * second)
+	id = short()
+	want(t, len(s.sentTo(id)) == 0, "sent while its type is known to be slow")
+	s.pass(22 * second) // the first is given up at its job timeout
+	want(t, len(s.sentTo(short())) == 1, "slow %v still, untaught", s.c.types[1].slow)
+}
+
+// The failure: heads of a type bound to full engines made the price of all jobs rise, also of those others had room for.
+func TestTheWaitOfABoundTypeCostsOnlyTypesBoundAsItIs(t *testing.T) {
+	f := plainFacts()
+	f.list("classes")[1].(map[string]any)["kinds_only"] = []any{1.0}
+	s := newStage(t, f.set("domain.cpu_of_kind", []any{8.0, 8.0}).set("domain.size_mb", []any{16000.0, 16000.0}), 2)
+	s.list(ListChanges, Line{Engine: 101, State: Ready, Kind: 1, Zone: 1})
+	s.c.engines[1].fullUntil = s.now + 100*second
+	id := s.arrive(1, 0, 1)
+	s.pass(2 * second)
+	want(t, len(s.sentTo(id)) == 0 && s.c.types[1].price > 0, "bound type: sent %v, price %v", s.sentTo(id), s.c.types[1].price)
+	want(t, s.c.types[0].price == 0 && s.c.types[2].price == 0, "prices %v %v", s.c.types[0].price, s.c.types[2].price)
+	s.c.engines[0].fullUntil = s.now + 100*second
+	s.arrive(2, 0, 2)
+	s.pass(2 * second)
+	want(t, s.c.types[0].price > 0, "all engines are full: price %v", s.c.types[0].price)
+}
--- a/choice/types.go
+++ b/choice/types.go
@@ -278,6 +278,7 @@
 type jobType struct {
 	typeTerms
 	parked                int
+	taught                Nanos   // when an answer last told of its slowness
 	usual, usualN         float64 // mean work of a job, ns
 	costBias, costN       float64 // log of true work over estimate
 	memBias, memDev, memN float64 // log of true memory over estimate, its mean deviation
