Where no probe can be paid for, the fleet's mean fills an engine whole; long jobs look first

Lookups spent the probes, though quick types go to a quarter over full anyhow.

The 0.6 holds only while a look can be paid for; a second without (dryAfter) the mean of reports must do, whole. Quick jobs leave half of the probes saved up to long ones.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,6 +44,7 @@
 	probeBears, probePoints = 0.05, 0.008         // of billed value for a look's probes; points for a job's
 	blindPart, quickPart    = 0.6, 1.25           // of an engine filled without a fresh report; by quick types
 	outStep, outFaster      = 0.005, 10.0         // of means, a sweep; times that with many jobs out
+	dryAfter                = second              // without a probe paid for, the fleet's mean must do
 	forgets, untaught       = 0.002, 5 * second   // of slowness, a sweep; a type, with no answer so long
 
 	planPull, planMissing, planBack, offeredOver = 1.0, 0.2, 0.5, 10 * second // threads a core; part gone, back
@@ -69,6 +70,7 @@
 	tick                                 Mark  // of the last timer set
 	now, booted, swept, asked, until     Nanos // asked: for changes of the list; until: we stop
 	outage, refused, reportedLast        Nanos // engines refuse since, and last did; last report
+	saved                                Nanos // when a probe was last paid for
 	warmWithin, step, period, retryAfter Nanos // step: between batches; period: between notes
 	zone                                 ZoneID
 	probes, cancels, swaps               bool
@@ -455,9 +457,13 @@
 	for tries := 2 * c.reach; tries > 0 && len(j.looks) < min(c.reach, len(c.engines)); tries-- {
 		add(c.engines[int(c.chance.unit()*float64(len(c.engines)))])
 	}
+	kept := 1.0 // quick jobs leave half of the probes saved up to long ones, which an engine feels for longer
+	if c.quick(j.typ) {
+		kept = probesMost / 2
+	}
 	for _, e := range j.looks {
 		old := c.now-max(e.reported, e.probed) >= probeEvery
-		if old && !e.asked && bears >= 1 && c.probesLeft >= 1 {
+		if old && !e.asked && bears >= 1 && c.probesLeft >= kept {
 			bears, c.probesLeft = bears-1, c.probesLeft-1
 			c.probe(e)
 		}
@@ -502,7 +508,7 @@
 		part, fill := 1.0, 1.0
 		if c.quick(j.typ) {
 			part = quickPart
-		} else if c.now-e.reported >= reportFresh {
+		} else if c.now-e.reported >= reportFresh && (c.now-c.saved < dryAfter || c.reportedLast == 0) {
 			part = blindPart
 		}
 		if c.swaps {
@@ -914,6 +920,9 @@
 // sweep drops what has given up, calls back what is overdue, moves the price and watches the engines.
 func (c *Controller) sweep() {
 	c.arm()
+	if c.probesLeft >= 1 {
+		c.saved = c.now
+	}
 	c.live = slices.DeleteFunc(c.live, func(j *job) bool { return j.over && j.flight == nil })
 	c.stood(c.now - c.swept - sweepEvery)
 	for _, j := range c.live {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -575,3 +575,42 @@
 	s.pass(2 * second)
 	want(t, s.c.types[0].price > 0, "all engines are full: price %v", s.c.types[0].price)
 }
+
+// The failure: at a probe's price of 0.08 no job bore the probes of all engines that it looked at, so none was made, and
+// each waiting head was refused by a guess: all engines alike, and fuller than they were.
+func TestALookPaysForTheProbesItCanBearAndWithoutThemTheFleetsMeanMustDo(t *testing.T) {
+	s := newStage(t, plainFacts().set("balancers", 60.0).set("tariffs", map[string]any{"probe": 0.08}), 30)
+	s.slowProbes = true
+	for range 9 { // worth 1 each: a probe costs more than they are worth
+		s.finish(s.arrive(0, 0, 1), Done)
+	}
+	want(t, len(s.probes) == 0, "a light job bears none: %v", s.probes)
+	id := s.arrive(1, 0, 1)
+	want(t, len(s.probes) == 3, "a heavy one bears three: %v", s.probes)
+	for _, e := range s.probes {
+		s.tell(Event{Kind: Probed, Engine: e, Result: Done, Load: []float64{16}})
+	}
+	s.pass(50 * ms)
+	want(t, len(s.sentTo(id)) == 1, "not sent to what nobody filled")
+	s.finish(id, Done)
+	crowd := func() { // those reported are full, the others thought to be all alike, over a thread a core
+		for s.c.crowd = 1.45; len(s.probes) > 0; s.probes = s.probes[1:] {
+			s.tell(Event{Kind: Probed, Engine: s.probes[0], Result: Done, Load: []float64{20}})
+		}
+		for _, e := range s.c.engines {
+			if e.others = 1.45 * e.cores; s.now-e.reported < reportFresh {
+				e.others = 2 * e.cores
+			}
+		}
+		s.c.crowd = 1.45
+	}
+	crowd()
+	s.c.probesLeft = 2
+	for id = s.arrive(1, 0, 1); s.c.probesLeft >= 1; crowd() {
+		want(t, len(s.sentTo(id)) == 0, "sent while probes can be had")
+		s.pass(350 * ms)
+	}
+	want(t, len(s.sentTo(id)) == 0, "sent though it might have looked")
+	s.pass(dryAfter)
+	want(t, len(s.sentTo(id)) == 1, "refused on a guess though nobody can look: %+v", s.jobs[id])
+}
