An engine is filled to what counts as crowded, not past it: 1.75 threads a core for all controllers

Cause: two figures for one thing. Past 1.75 threads a core (crowded) an engine counts as pressed, yet where shares hold no job the whole-engine check let all controllers fill it to 2, lookups to 2.5. Change: `room` fills a whole engine to crowded, lookups to a quarter more as before.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -514,7 +514,7 @@
 		if c.swaps {
 			fill = swapPart
 		}
-		return e.threads+e.others+half <= 2*part*e.cores*c.warmth(e) &&
+		return e.threads+e.others+half <= crowded*part*e.cores*c.warmth(e) &&
 			(e.memory == 0 || c.held(e)+need <= fill*part*e.memory)
 	}
 	return e.threads+half <= most && (e.memory == 0 || e.grants+need <= memory)
