--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -614,3 +614,20 @@
 	s.pass(dryAfter)
 	want(t, len(s.sentTo(id)) == 1, "refused on a guess though nobody can look: %+v", s.jobs[id])
 }
+
+// The failure: after a burst of 5 s the guess of what siblings hold outlived it; for 15 s engines that had drained were
+// refused, nothing was sent and so nothing heard.
+func TestAfterABurstTheGuessOfSiblingsFallsWithTheirJobs(t *testing.T) {
+	for _, probes := range []bool{true, false} {
+		f := plainFacts().set("telemetry.fields", []any{"load_share", "x0"}).set("domain.says_cost", false)
+		s := newStage(t, f.set("balancers", 40.0).set("limits.probes", probes).set("tariffs", map[string]any{"probe": 0.01}), 12)
+		before := s.hums(6*second, 0.04)
+		want(t, before == 0, "%d refused in calm", before)
+		burst := s.hums(5*second, 0.25)
+		want(t, burst > 20, "%d refused in the burst, is it one?", burst)
+		drained := s.hums(3*second, 0.04)
+		after := s.hums(6*second, 0.04)
+		want(t, after == before, "probes %v: refused %d before, %d in the burst, %d and then %d after it", probes, before, burst,
+			drained, after)
+	}
+}
--- a/choice/stage_test.go
+++ b/choice/stage_test.go
@@ -401,3 +401,51 @@
 		s.t.Fatalf("%d entries stay in tables after all is over", n)
 	}
 }
+
+// hums plays load on engines whose reports tell the memory granted alone: each 100 ms a short job and now and then a long
+// one, answered after their work; all the while siblings hold a part of each engine's memory. It returns how many of the
+// jobs taken were throttled.
+func (s *stage) hums(span Nanos, siblings float64) (refused int) {
+	first := s.nextID + 1
+	s.slowProbes = true
+	load := func(id EngineID) []float64 {
+		granted := 0.0
+		for _, j := range s.jobs {
+			for _, d := range j.sends {
+				if d.engine == id && !d.over {
+					granted += 200
+				}
+			}
+		}
+		return []float64{1, siblings + granted/s.facts.num("domain.size_mb.0", 1)}
+	}
+	for end, i := s.now+span, 0; s.now < end; i++ {
+		typ := TypeID(0)
+		if i%4 == 0 {
+			typ = 1
+		}
+		s.arrive(typ, 0, TableSet(i%7))
+		for range 5 {
+			s.pass(20 * ms)
+			for _, e := range s.probes {
+				s.tell(Event{Kind: Probed, Engine: e, Result: Done, Load: load(e)})
+			}
+			s.probes = nil
+			for _, j := range slices.Clone(s.taken) {
+				for n, d := range j.sends {
+					if took := s.now - d.at; !d.over && took >= j.ev.Cost/2 {
+						d.over, d.result, j.ended, j.by = true, Done, true, Dispatch
+						s.tell(Event{Kind: Answered, Job: j.ev.Job, Seq: Seq(n), Engine: d.engine, Result: Done, Latency: took,
+							Final: true, Load: load(d.engine)})
+					}
+				}
+			}
+		}
+	}
+	for id := first; id <= s.nextID; id++ {
+		if s.jobs[id].by == Throttle {
+			refused++
+		}
+	}
+	return refused
+}
