--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -631,3 +631,40 @@
 			drained, after)
 	}
 }
+
+// The failure: jobs joined others of ours that stood still behind a sibling's load, which only their notes tell of.
+func TestAJobIsNotSentWhereOursWaitForALoadOnItsTables(t *testing.T) {
+	f := plainFacts().set("domain.waits_for_loads", []any{true, true, false}).set("limits.cancel", false)
+	s := newStage(t, f, 1)
+	id, e := s.arrive(1, 0, 3), s.c.engines[0].Engine
+	waits := func(kind NoteKind, amount float64) {
+		s.tell(Event{Kind: Noted, Job: id, Engine: e, Note: kind, Amount: amount})
+	}
+	waits(Waiting, 1)
+	want(t, len(s.sentTo(s.arrive(0, 0, 3))) == 1, "it waits for memory, not for a load")
+	waits(Waiting, 2)
+	held := s.arrive(0, 0, 3)
+	want(t, len(s.sentTo(held)) == 0 && len(s.sentTo(s.arrive(1, 0, 4))) == 1, "only jobs of its tables keep away")
+	waits(Progress, 0.5)
+	want(t, len(s.sentTo(held)) == 1, "the load is over")
+}
+
+// The failure: the price of an overload rose on what a controller held back by its own caution towards unheard engines.
+func TestTheWaitForOurOwnCautionCostsNothing(t *testing.T) {
+	s := newStage(t, plainFacts().set("balancers", 60.0), 1)
+	e := s.c.engines[0]
+	hold := func(reported bool) (price float64) {
+		s.slowProbes, e.others = true, 15
+		id := s.arrive(1, 0, 1)
+		for range 20 {
+			if e.others, s.c.crowd = 11, 11.0/8; reported {
+				e.others, e.reported = 15, s.now
+			}
+			s.pass(20 * ms)
+		}
+		want(t, len(s.sentTo(id)) == 0, "sent with %v threads there", e.others)
+		return s.c.types[1].price
+	}
+	want(t, hold(false) == 0, "price %v on a guess", s.c.types[1].price)
+	want(t, hold(true) > 0, "no price though it is known to be full")
+}
