What a report told grows old at once, towards the fleet's mean, not after 1.5 s

A report is 0.2 to 0.7 s old when it comes and was taken as true for 1.5 s more; at some 30 jobs a second an engine, all controllers fill what one report showed empty. Change: the guess for each engine moves to the mean of reports from the report on, at the pace (1 s) at which an unheard one did.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -953,9 +953,8 @@
 	jobs, threads, grants, slow, bad, n, pressed := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0
 	for _, e := range c.engines {
 		jobs, threads, grants = jobs+float64(len(e.flights)), threads+e.threads, grants+e.grants
-		if c.now-e.reported >= reportFresh { // what is not known is thought like the rest of the fleet, not empty
-			e.others += 0.02 * (max(0, c.crowd*e.cores-e.threads) - e.others)
-		}
+		// What is not known is thought like the rest of the fleet, not empty; what is, grows old as jobs come and go.
+		e.others += 0.02 * (max(0, c.crowd*e.cores-e.threads) - e.others)
 		e.slow, e.bad = e.slow+forgets*(1-e.slow), 0.999*e.bad
 		c.pressure(e)
 		c.watch(e)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -668,3 +668,19 @@
 	want(t, hold(false) == 0, "price %v on a guess", s.c.types[1].price)
 	want(t, hold(true) > 0, "no price though it is known to be full")
 }
+
+// The failure: an engine that a report showed empty stayed empty for 1.5 s in the eyes of 51 controllers, all of which sent
+// it their jobs: up to 119 threads on 16 cores.
+func TestWhatAReportToldGrowsOldTowardsTheFleetsMean(t *testing.T) {
+	s := newStage(t, plainFacts().set("balancers", 50.0), 2)
+	empty, full := s.c.engines[0], s.c.engines[1]
+	s.c.now, s.c.crowd = s.now, 1.5
+	s.c.report(empty, []float64{4})
+	s.c.report(full, []float64{20})
+	mean := s.c.crowd * empty.cores
+	was, over := empty.others, full.others
+	s.pass(700 * ms)
+	want(t, s.now-empty.reported < reportFresh, "the reports are young")
+	want(t, empty.others-was > (mean-was)/3 && over-full.others > (over-mean)/3, "empty %v -> %v, full %v -> %v, mean %v", was,
+		empty.others, over, full.others, mean)
+}
