--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -511,6 +511,16 @@
 	s.pass(lookAgain)
 	want(t, len(s.sentTo(held)) == 1 && s.c.cancels, "the way back does not hold at once")
 	want(t, len(s.sentTo(out)) == 1, "what was out is sent twice")
+	e := s.c.engines[1]
+	memory := plainFacts().set("telemetry.fields", []any{"load_share", "x0"})
+	for range 2 { // from counts of jobs to memory granted, and back
+		s.tell(Event{Kind: Restated, Facts: memory})
+		s.tell(Event{Kind: Probed, Engine: e.Engine, Result: Done, Load: []float64{0, (e.grants + 800) / e.memory}})
+		want(t, e.others > 6 && e.others < 10, "others %v of 8 by memory", e.others)
+		s.tell(Event{Kind: Restated, Facts: plainFacts()})
+		s.tell(Event{Kind: Probed, Engine: e.Engine, Result: Done, Load: []float64{float64(len(e.flights))}})
+		want(t, e.others == 0, "others %v of 0 by count", e.others)
+	}
 }
 
 // The failure: where reports do not count jobs nothing of them was read, and siblings were thought to hold a multiple of
--- a/internal/gateway/names_test.go
+++ b/internal/gateway/names_test.go
@@ -78,6 +78,10 @@
 			t.Errorf("%q: %v", text, got)
 		}
 	}
+	r.fields = []string{"depth", "load_share", "x0"} // no count of jobs
+	if got := r.load("util:0.5;x0:1.25;queue:3"); !slices.Equal(got, []float64{3, 0.5, 1.25}) {
+		t.Errorf("memory granted: %v", got)
+	}
 	if got := bill(back.Reply{WorkMS: 35, RoomMB: 76}); got != 35*4096+19 {
 		t.Errorf("bill %d", got)
 	}
