--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,15 +44,16 @@
 	probeBears, probePoints = 0.05, 0.008         // of billed value for a look's probes; points for a job's
 	blindPart, quickPart    = 0.6, 1.25           // of an engine filled without a fresh report; by quick types
 	outStep, outFaster      = 0.005, 10.0         // of means, a sweep; times that with many jobs out
-	dryAfter, untaught      = second, 5 * second  // no probe is paid for: the mean must do; no answer of a type
-	forgets                 = 0.002               // of slowness, a sweep: an engine, or a type untaught
+	dryAfter                = second              // without a probe paid for, the fleet's mean must do
+	forgets, untaught       = 0.002, 5 * second   // of slowness, a sweep; a type, with no answer so long
 
 	planPull, planMissing, planBack, offeredOver = 1.0, 0.2, 0.5, 10 * second // threads a core; part gone, back
 
 	coldSafety, turnPart, swapPart = 0.6, 0.75, 0.8   // of what a cold engine stands; in turns; of paged memory
 	emptied, outageLasts           = 0.15, 5 * second // of jobs usual: fewer, it just started; after a refusal
 
-	fewOut, fewCores, ownGrant = 2.0, 4.0, 1.25 // jobs, cores: fewer tell little; granted over an estimate
+	// Jobs out that weigh as those taken do; cores under which our part tells little; granted over an estimate.
+	fewOut, fewCores, ownGrant = 2.0, 4.0, 1.25
 )
 
 // meanOf moves the usual work: a plain mean at first, which a fresh controller needs, then a moving one.
@@ -146,7 +147,6 @@
 	c.jobs, c.lines, c.tenants = map[JobID]*job{}, map[Key]*keyLine{}, map[TenantID]*tenantSeen{}
 	c.read(ev.Facts)
 	c.share, c.slowMean, c.probesLeft, c.reach = c.even, 1, probesMost, looksLeast
-	c.workMean, c.spanMean = 1, 1 // until the first job
 	c.arm()
 }
 
@@ -488,10 +488,7 @@
 
 // room tells whether an engine takes a job. Its bound binds under pressure, and always a borrower; else
 // twice its start does. Memory counts like threads, so that nothing waits, spills or pages there.
-func (c *Controller) room(j *job, e *engine) bool { return c.fits(j, e, blindPart) }
-
-// fits is room with an engine without a fresh report filled to a part of the whole.
-func (c *Controller) fits(j *job, e *engine, blind float64) bool {
+func (c *Controller) room(j *job, e *engine) bool {
 	if e.aside || c.now < e.fullUntil {
 		return false
 	}
@@ -512,7 +509,7 @@
 		if c.quick(j.typ) {
 			part = quickPart
 		} else if c.now-e.reported >= reportFresh && (c.now-c.saved < dryAfter || c.reportedLast == 0) {
-			part = blind
+			part = blindPart
 		}
 		if c.swaps {
 			fill = swapPart
@@ -526,13 +523,17 @@
 // held is the memory of an engine that all controllers' jobs hold, as far as is known.
 func (c *Controller) held(e *engine) float64 { return e.grants + e.others*c.grantEach() }
 
-// threadsEach and grantEach are our means of threads a job and memory a thread, taken for siblings' too: of
+// threadsEach and grantEach are our own means of threads a job and memory a thread, taken for siblings' too: of
 // the jobs out, and by the estimates of those taken, weighed by their time in hand, where few are out.
 func (c *Controller) threadsEach() float64 {
-	return (c.outThreads + fewOut*c.workMean/c.spanMean) / (c.outJobs + fewOut)
+	each := 1.0
+	if c.spanMean > 0 {
+		each = c.workMean / c.spanMean
+	}
+	return (c.outThreads + fewOut*each) / (c.outJobs + fewOut)
 }
 func (c *Controller) grantEach() float64 {
-	return (c.outGrants + fewOut*c.holdMean/c.workMean) / (c.outThreads + fewOut)
+	return (c.outGrants + fewOut*c.holdMean/max(1, c.workMean)) / (c.outThreads + fewOut)
 }
 
 // need is the memory that a job is thought to use on an engine.
@@ -569,9 +570,9 @@
 			continue
 		}
 		if (j.typ.holds || j.typ.waits) && slices.ContainsFunc(e.flights, func(f *flight) bool {
-			return (f.job.typ.holds || f.behind) && f.job.tables == j.tables
+			return f.job.typ.holds && f.job.tables == j.tables
 		}) {
-			continue // it would stand still behind a load, and hold its memory
+			continue // it would stand still behind the load, and hold its memory
 		}
 		load := (e.threads + e.others + j.typ.threads) / (e.cores * c.warmth(e))
 		load = load*min(3, max(0.5, e.slow/c.slowMean)) + 4*e.bad
@@ -760,7 +761,6 @@
 		return
 	}
 	f, took := j.flight, float64(c.now-j.flight.sent-j.flight.still)
-	f.behind = ev.Note == Waiting && ev.Amount == 2
 	if f.noted, f.engine.heard = c.now, c.now; ev.Note == Progress {
 		if whole := took / max(ev.Amount, 0.01); whole > badPlanTimes*f.expect && whole-took > 1.5*f.expect {
 			c.callBack(f)
@@ -942,19 +942,22 @@
 			c.callBack(f)
 		}
 	}
+	for _, t := range c.types {
+		t.waited = 0
+	}
 	for _, b := range c.buckets {
-		b.waited = 0
 		if j := c.head(b); j != nil && !slices.ContainsFunc(j.looks, func(e *engine) bool {
-			return c.allowed(j, e) && c.fits(j, e, 1)
-		}) { // what waits for a load on its tables, or for our own caution, is no sign of overload
-			b.waited = float64(c.now-j.ready) / float64(max(b.typ.aim, ms))
+			return c.allowed(j, e) && c.room(j, e)
+		}) { // what has room but waits for a load on its tables is no sign of overload
+			b.typ.waited = max(b.typ.waited, float64(c.now-j.ready)/float64(max(b.typ.aim, ms)))
 		}
 	}
 	jobs, threads, grants, slow, bad, n, pressed := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0
 	for _, e := range c.engines {
 		jobs, threads, grants = jobs+float64(len(e.flights)), threads+e.threads, grants+e.grants
-		// What is not known is thought like the rest of the fleet, not empty; what is, grows old as jobs come and go.
-		e.others += 0.02 * (max(0, c.crowd*e.cores-e.threads) - e.others)
+		if c.now-e.reported >= reportFresh { // what is not known is thought like the rest of the fleet, not empty
+			e.others += 0.02 * (max(0, c.crowd*e.cores-e.threads) - e.others)
+		}
 		e.slow, e.bad = e.slow+forgets*(1-e.slow), 0.999*e.bad
 		c.pressure(e)
 		c.watch(e)
@@ -1006,15 +1009,15 @@
 // late tells that a job's final answer is due: the next sweep would come after its job timeout.
 func (c *Controller) late(j *job) bool { return c.now+sweepEvery+2*c.step >= j.lost }
 
-// reprice moves the price of a second of work by how long heads wait: for each type by those of all types
-// that may go wherever it may, so that a type bound to full engines costs none that others have room for.
+// reprice moves the price of a second of work by how long heads wait: for each type by those of all types that
+// may go wherever it may, so that a type bound to full engines costs none that others have room for.
 func (c *Controller) reprice() {
 	step, most, waited := float64(sweepEvery)/float64(second), 0.0, 0.0
 	for _, t := range c.types {
 		wait := 0.0
-		for _, b := range c.buckets {
-			if within(t.zones, b.typ.zones) && within(t.kinds, b.typ.kinds) {
-				wait = max(wait, b.waited)
+		for _, o := range c.types {
+			if within(t.zones, o.zones) && within(t.kinds, o.kinds) {
+				wait = max(wait, o.waited)
 			}
 		}
 		if wait > waitShare {
--- a/choice/types.go
+++ b/choice/types.go
@@ -283,7 +283,7 @@
 	costBias, costN       float64 // log of true work over estimate
 	memBias, memDev, memN float64 // log of true memory over estimate, its mean deviation
 	best, slow            float64 // latency over (work / threads): the best seen, and lately
-	price                 float64 // in mean billed values for a second of work
+	waited, price         float64 // its heads, in SLA times; price: in mean billed values for a second of work
 }
 
 // job is a job taken that is not over, or has a dispatch out.
@@ -316,7 +316,6 @@
 	still          Nanos // of its time that this controller itself stood still
 	expect, memory float64
 	called, blamed bool // retracted; counted as lost
-	behind         bool // by its last note it stands still behind a load
 }
 
 // engine is what is known of an engine.
@@ -351,7 +350,6 @@
 	used   float64 // threads out
 	fifo   []*job
 	seen   Nanos
-	waited float64 // its head, for room, in SLA times
 }
 
 // keyLine is the order of one key.
