--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,16 +44,14 @@
 	probeBears, probePoints = 0.05, 0.008         // of billed value for a look's probes; points for a job's
 	blindPart, quickPart    = 0.6, 1.25           // of an engine filled without a fresh report; by quick types
 	outStep, outFaster      = 0.005, 10.0         // of means, a sweep; times that with many jobs out
-	dryAfter                = second              // without a probe paid for, the fleet's mean must do
-	forgets, untaught       = 0.002, 5 * second   // of slowness, a sweep; a type, with no answer so long
+	dryAfter, untaught      = second, 5 * second  // no probe is paid for: the mean must do; no answer of a type
+	forgets                 = 0.002               // of slowness, a sweep: an engine, or a type untaught
 
 	planPull, planMissing, planBack, offeredOver = 1.0, 0.2, 0.5, 10 * second // threads a core; part gone, back
 
 	coldSafety, turnPart, swapPart = 0.6, 0.75, 0.8   // of what a cold engine stands; in turns; of paged memory
 	emptied, outageLasts           = 0.15, 5 * second // of jobs usual: fewer, it just started; after a refusal
-
-	// Jobs out that weigh as those taken do; cores under which our part tells little; granted over an estimate.
-	fewOut, fewCores, ownGrant = 2.0, 4.0, 1.25
+	fewOut, fewCores, ownGrant     = 2.0, 4.0, 1.25   // jobs, cores: fewer tell little; granted over an estimate
 )
 
 // meanOf moves the usual work: a plain mean at first, which a fresh controller needs, then a moving one.
@@ -73,7 +71,7 @@
 	saved                                Nanos // when a probe was last paid for
 	warmWithin, step, period, retryAfter Nanos // step: between batches; period: between notes
 	zone                                 ZoneID
-	probes, cancels, swaps               bool
+	probes, cancels, swaps, grants       bool // grants: ours are heeded
 	priced, pressed, tracked             bool
 	even, share                          float64 // 1/controllers, and what we carry by the reports where more
 	mostTries, controllers, me           int
@@ -147,6 +145,7 @@
 	c.jobs, c.lines, c.tenants = map[JobID]*job{}, map[Key]*keyLine{}, map[TenantID]*tenantSeen{}
 	c.read(ev.Facts)
 	c.share, c.slowMean, c.probesLeft, c.reach = c.even, 1, probesMost, looksLeast
+	c.workMean, c.spanMean = 1, 1 // until the first job
 	c.arm()
 }
 
@@ -162,7 +161,7 @@
 	c.swaps, c.step = f.text("domain.memory_short") == "swap", f.span("step_ns")
 	c.period, c.grantMost = f.span("domain.note_period_ns"), f.num("domain.max_grant_share", 1)
 	c.concurrentAt = slices.Index(f.list("telemetry.fields"), any("concurrent"))
-	c.grantedAt = slices.Index(f.list("telemetry.fields"), any("x0"))
+	c.grantedAt, c.grants = slices.Index(f.list("telemetry.fields"), any("x0")), f.flag("domain.grants_count")
 	if c.retryAfter = 0; f.flag("limits.retry_after") {
 		c.retryAfter = f.span("limits.max_retry_after_ns")
 	}
@@ -523,17 +522,13 @@
 // held is the memory of an engine that all controllers' jobs hold, as far as is known.
 func (c *Controller) held(e *engine) float64 { return e.grants + e.others*c.grantEach() }
 
-// threadsEach and grantEach are our own means of threads a job and memory a thread, taken for siblings' too: of
-// the jobs out, and by the estimates of those taken, weighed by their time in hand, where few are out.
+// threadsEach and grantEach are our means of threads a job and memory a thread, taken for siblings' too: of
+// the jobs out and, where few are, by the estimates of those taken, weighed by their time in hand.
 func (c *Controller) threadsEach() float64 {
-	each := 1.0
-	if c.spanMean > 0 {
-		each = c.workMean / c.spanMean
-	}
-	return (c.outThreads + fewOut*each) / (c.outJobs + fewOut)
+	return (c.outThreads + fewOut*c.workMean/c.spanMean) / (c.outJobs + fewOut)
 }
 func (c *Controller) grantEach() float64 {
-	return (c.outGrants + fewOut*c.holdMean/max(1, c.workMean)) / (c.outThreads + fewOut)
+	return (c.outGrants + fewOut*c.holdMean/c.workMean) / (c.outThreads + fewOut)
 }
 
 // need is the memory that a job is thought to use on an engine.
@@ -667,7 +662,7 @@
 		priority = 2 // others stand still behind it
 	}
 	grant, held := 0.0, c.need(j, e)
-	if c.facts.flag("domain.grants_count") && j.memory > 0 {
+	if c.grants && j.memory > 0 {
 		// Spare memory buys safety from a low estimate; where only what is used counts, safety is free.
 		safety := min(2.2, max(0.6, 2.5*(1-max(c.held(e), e.grants/c.share)/max(1, e.memory))))
 		if c.swaps {
@@ -677,7 +672,7 @@
 			held = grant
 		}
 	}
-	if c.facts.flag("domain.grants_count") || c.facts.flag("domain.takes_priority") {
+	if c.grants || c.facts.flag("domain.takes_priority") {
 		c.do(Action{Kind: Terms, Job: j.id, Priority: priority, MemoryMB: grant})
 	}
 	c.do(Action{Kind: Dispatch, Job: j.id, Engine: e.Engine})
@@ -888,9 +883,9 @@
 			c.fresh(e, fmt.Sprintf("holds %.0f jobs where %.0f are usual", holds, usual))
 		}
 		e.others = max(0, holds-float64(len(e.flights))) * c.threadsEach()
-	} else if each := c.grantEach(); told(c.grantedAt) && each > 0 {
+	} else if each := c.grantEach(); told(c.grantedAt) && each*e.memory > 0 {
 		held := min(load[c.grantedAt], 1e3) * e.memory
-		if !c.facts.flag("domain.grants_count") {
+		if !c.grants {
 			held /= ownGrant
 		}
 		e.others = max(0, held-e.grants) / each
@@ -942,14 +937,12 @@
 			c.callBack(f)
 		}
 	}
-	for _, t := range c.types {
-		t.waited = 0
-	}
 	for _, b := range c.buckets {
+		b.waited = 0
 		if j := c.head(b); j != nil && !slices.ContainsFunc(j.looks, func(e *engine) bool {
 			return c.allowed(j, e) && c.room(j, e)
 		}) { // what has room but waits for a load on its tables is no sign of overload
-			b.typ.waited = max(b.typ.waited, float64(c.now-j.ready)/float64(max(b.typ.aim, ms)))
+			b.waited = float64(c.now-j.ready) / float64(max(b.typ.aim, ms))
 		}
 	}
 	jobs, threads, grants, slow, bad, n, pressed := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0
@@ -1009,15 +1002,15 @@
 // late tells that a job's final answer is due: the next sweep would come after its job timeout.
 func (c *Controller) late(j *job) bool { return c.now+sweepEvery+2*c.step >= j.lost }
 
-// reprice moves the price of a second of work by how long heads wait: for each type by those of all types that
-// may go wherever it may, so that a type bound to full engines costs none that others have room for.
+// reprice moves the price of a second of work by how long heads wait: for each type by those of all types
+// that may go wherever it may, so that a type bound to full engines costs none that others have room for.
 func (c *Controller) reprice() {
 	step, most, waited := float64(sweepEvery)/float64(second), 0.0, 0.0
 	for _, t := range c.types {
 		wait := 0.0
-		for _, o := range c.types {
-			if within(t.zones, o.zones) && within(t.kinds, o.kinds) {
-				wait = max(wait, o.waited)
+		for _, b := range c.buckets {
+			if within(t.zones, b.typ.zones) && within(t.kinds, b.typ.kinds) {
+				wait = max(wait, b.waited)
 			}
 		}
 		if wait > waitShare {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -546,9 +546,13 @@
 		s.c.report(e, []float64{1, 0})
 		want(t, len(s.sentTo(s.arrive(1, 0, 3))) == 1, "drained, and used again at the first word of it")
 	}
-	s := newStage(t, plainFacts().set("telemetry.fields", []any{"load_share"}), 1)
-	s.c.report(s.c.engines[0], []float64{1})
-	want(t, s.c.engines[0].reported == 0, "busy cores alone tell nothing of jobs in hand")
+	for _, f := range []Facts{plainFacts().set("telemetry.fields", []any{"load_share"}), // busy cores alone
+		plainFacts().set("telemetry.fields", []any{"load_share", "x0"}).set("domain.size_mb", []any{})} { // a share of what?
+		s := newStage(t, f, 1)
+		s.arrive(1, 0, 1)
+		s.c.report(s.c.engines[0], []float64{1, 1})
+		want(t, s.c.engines[0].reported == 0, "taken for a report: others %v", s.c.engines[0].others)
+	}
 }
 
 // The failure: jobs whose clients wait little were sent to engines too slow for them, timed out and were wasted; and what
--- a/choice/stage_test.go
+++ b/choice/stage_test.go
@@ -30,6 +30,7 @@
 	acts       []Action // of the last event
 	texts      string   // logged
 	heard      func(Event, []Action)
+	load       func(EngineID) []float64 // what reports tell, where they come
 }
 
 type staged struct {
@@ -139,7 +140,7 @@
 	}
 	for _, a := range own {
 		if a.Kind == Probe && !s.slowProbes {
-			s.tell(Event{Kind: Probed, Engine: a.Engine, Result: Done})
+			s.tell(Event{Kind: Probed, Engine: a.Engine, Result: Done, Load: s.reported(a.Engine)})
 			own = append(own, s.acts...)
 		}
 	}
@@ -185,7 +186,7 @@
 			bill = uint32(j.ev.Cost/ms)<<12 | uint32(j.ev.MemoryMB/4)&4095
 		}
 		s.tell(Event{Kind: Answered, Job: id, Seq: Seq(i), Engine: d.engine, Result: r,
-			Latency: s.now - d.at, Final: final, Bill: bill})
+			Latency: s.now - d.at, Final: final, Bill: bill, Load: s.reported(d.engine)})
 		return
 	}
 }
@@ -402,42 +403,37 @@
 	}
 }
 
-// hums plays load on engines whose reports tell the memory granted alone: each 100 ms a short job and now and then a long
-// one, answered after their work; all the while siblings hold a part of each engine's memory. It returns how many of the
-// jobs taken were throttled.
+func (s *stage) reported(id EngineID) []float64 {
+	if s.load == nil {
+		return nil
+	}
+	return s.load(id)
+}
+
+// hums plays a short job each 100 ms, each fourth a long one, answered after their work, while siblings hold a part of each
+// engine's memory, of which alone reports tell. It returns how many of the jobs taken were throttled.
 func (s *stage) hums(span Nanos, siblings float64) (refused int) {
-	first := s.nextID + 1
-	s.slowProbes = true
-	load := func(id EngineID) []float64 {
-		granted := 0.0
-		for _, j := range s.jobs {
-			for _, d := range j.sends {
-				if d.engine == id && !d.over {
-					granted += 200
-				}
+	s.load = func(id EngineID) []float64 {
+		granted := siblings * s.facts.num("domain.size_mb.0", 1)
+		for _, j := range s.taken {
+			if j.out() && j.sends[len(j.sends)-1].engine == id {
+				granted += j.ev.MemoryMB
 			}
 		}
-		return []float64{1, siblings + granted/s.facts.num("domain.size_mb.0", 1)}
+		return []float64{1, granted / s.facts.num("domain.size_mb.0", 1)}
 	}
-	for end, i := s.now+span, 0; s.now < end; i++ {
+	first, end := s.nextID+1, s.now+span
+	for s.now < end {
 		typ := TypeID(0)
-		if i%4 == 0 {
+		if s.nextID%4 == 0 {
 			typ = 1
 		}
-		s.arrive(typ, 0, TableSet(i%7))
+		s.arrive(typ, 0, TableSet(s.nextID%7))
 		for range 5 {
 			s.pass(20 * ms)
-			for _, e := range s.probes {
-				s.tell(Event{Kind: Probed, Engine: e, Result: Done, Load: load(e)})
-			}
-			s.probes = nil
 			for _, j := range slices.Clone(s.taken) {
-				for n, d := range j.sends {
-					if took := s.now - d.at; !d.over && took >= j.ev.Cost/2 {
-						d.over, d.result, j.ended, j.by = true, Done, true, Dispatch
-						s.tell(Event{Kind: Answered, Job: j.ev.Job, Seq: Seq(n), Engine: d.engine, Result: Done, Latency: took,
-							Final: true, Load: load(d.engine)})
-					}
+				if j.out() && s.now-j.sends[len(j.sends)-1].at >= j.ev.Cost/2 {
+					s.finish(j.ev.Job, Done)
 				}
 			}
 		}
--- a/choice/types.go
+++ b/choice/types.go
@@ -283,7 +283,7 @@
 	costBias, costN       float64 // log of true work over estimate
 	memBias, memDev, memN float64 // log of true memory over estimate, its mean deviation
 	best, slow            float64 // latency over (work / threads): the best seen, and lately
-	waited, price         float64 // its heads, in SLA times; price: in mean billed values for a second of work
+	price                 float64 // in mean billed values for a second of work
 }
 
 // job is a job taken that is not over, or has a dispatch out.
@@ -348,6 +348,7 @@
 	typ    *jobType
 	tenant TenantID
 	used   float64 // threads out
+	waited float64 // its head, for room, in SLA times
 	fifo   []*job
 	seen   Nanos
 }
