Bad plans and overdue dispatches are judged by how far estimates scatter, as answers show

Lines: note, lost.

Holds against any cause of a wrong estimate; hurts where engines are so uneven that the error is theirs: a bad plan of 5 times then runs on.

Calling a bad plan back once only changed nothing.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,7 +32,8 @@
 	waitShare            = 0.15     // of the SLA time, waited by a head: from here the price of a thread rises
 	priceStep, priceMost = 0.5, 2.0 // a second, up or down, in mean billed values for a second of work
 
-	overdueTimes, badPlanTimes = 4.0, 3.0  // times its expected time: overdue, or projected so by its notes
+	overdueTimes, badPlanTimes = 4.0, 3.0  // times its expected time, and more where estimates scatter
+	offWide                    = 2.5       // mean errors of the expected time that a good dispatch may be off
 	badStep                    = 0.05      // of the part of an engine's dispatches that are lost or fail
 	spareShare, spareMost      = 0.2, 10.0 // further dispatches of what may have run, a job taken; at once
 	strikesOut, probesBack     = 3.0, 2    // failures in a row that set an engine aside; probes that lead back
@@ -79,6 +80,7 @@
 	crossing, grantMost                  float64 // price of crossing; part of a memory that a job gets at most
 	cores, crowd                         float64 // of ready engines; threads a core over the fleet, by reports
 	outJobs, outThreads, outGrants       float64 // ours out of late
+	off, offN                            float64 // of answers: log of the time taken over the time expected
 	slowMean, badMean                    float64 // of engines not aside: latency over best, part lost or failed
 	arrivals, worthMean, workMean        float64
 	spanMean, holdMean                   float64 // of jobs taken: work/threads, and memory times that
@@ -145,7 +147,7 @@
 	c.jobs, c.lines, c.tenants = map[JobID]*job{}, map[Key]*keyLine{}, map[TenantID]*tenantSeen{}
 	c.read(ev.Facts)
 	c.share, c.slowMean, c.probesLeft, c.reach = c.even, 1, probesMost, looksLeast
-	c.workMean, c.spanMean = 1, 1 // until the first job
+	c.workMean, c.spanMean, c.off = 1, 1, 0.4 // until the first job
 	c.arm()
 }
 
@@ -757,7 +759,7 @@
 	}
 	f, took := j.flight, float64(c.now-j.flight.sent-j.flight.still)
 	if f.noted, f.engine.heard = c.now, c.now; ev.Note == Progress {
-		if whole := took / max(ev.Amount, 0.01); whole > badPlanTimes*f.expect && whole-took > 1.5*f.expect {
+		if whole := took / max(ev.Amount, 0.01); whole > badPlanTimes*c.scatter()*f.expect && whole-took > 1.5*f.expect {
 			c.callBack(f)
 		}
 	}
@@ -766,9 +768,12 @@
 // lost tells that a dispatch ran far over its expected time, or that its notes stopped. It counts against its
 // engine like an error: one that loses a part is chosen less, a silent one set aside.
 func (c *Controller) lost(f *flight) bool {
-	return c.silent(f) || float64(c.now-f.sent-f.still) > max(overdueTimes*f.expect, float64(f.job.typ.aim)/2)
+	return c.silent(f) || float64(c.now-f.sent-f.still) > max(overdueTimes*c.scatter()*f.expect, float64(f.job.typ.aim)/2)
 }
 
+// scatter is how far over those times a good dispatch may run because its estimate was low, as answers show.
+func (c *Controller) scatter() float64 { return max(1, math.Exp(offWide*c.off)/badPlanTimes) }
+
 // silent tells that a dispatch's notes stopped, though they should come.
 func (c *Controller) silent(f *flight) bool { return c.period > 0 && c.now-f.noted > 5*c.period/2 }
 
@@ -843,6 +848,8 @@
 	if f.still > 0 {
 		return // its latency tells of us, not of the engine
 	}
+	c.offN = min(c.offN+1, 100)
+	c.off += (min(2, math.Abs(math.Log(max(1, float64(ev.Latency))/f.expect))) - c.off) / max(c.offN, 10)
 	took := float64(ev.Latency) / (work / t.threads)
 	rate := 0.0005
 	if took < t.best {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -201,6 +201,28 @@
 	want(t, len(s.sentTo(id)) == 2, "not sent again")
 }
 
+// The failure: with rough estimates a third of what was called back as a bad plan or overdue was a job larger than its
+// estimate, which runs as long again.
+func TestWhatEstimatesScatterIsNoBadPlan(t *testing.T) {
+	for _, rough := range []bool{false, true} {
+		s := newStage(t, plainFacts(), 2)
+		s.c.spare = 5
+		for i := range 60 {
+			id := s.arrive(1, 0, TableSet(i)) // a second is expected
+			if s.now += 500 * ms; rough && i%2 == 0 {
+				s.now += 1500 * ms
+			} else if !rough {
+				s.now += 500 * ms
+			}
+			s.finish(id, Done)
+		}
+		id := s.arrive(1, 0, 1)
+		s.now += Nanos(2 * s.c.jobs[id].flight.expect)
+		s.tell(Event{Kind: Noted, Job: id, Note: Progress, Amount: 0.5}) // four times in all
+		want(t, s.jobs[id].sends[0].called != rough, "rough=%v: called back=%v, scatter %v", rough, !rough, s.c.scatter())
+	}
+}
+
 // The failure: waiting for a key's turn counted as overload, and other types were throttled for it.
 func TestAKeysLineIsNoOverload(t *testing.T) {
 	s := newStage(t, plainFacts(), 3)
