Controllers tell where their jobs are; a map of the fleet stands in for reports that lack

Wrong belief: siblings hold what we hold. Assumed for earlier deployments only: that controllers cannot talk (limits.peer_messages was read by nothing).

Change: each tells two or three gatherers, by number, which engines its threads are on and how its dispatches ended; a gatherer sends all a map of it, which counts as a report where the engine sent none of late (say, hear; bytes in word.go). Within 0.01 points a job for words, and again for maps, by tariffs.peer; the next gatherer steps in after a second; a map lost, or all of them, leaves today's guess. It may hurt where words come late by more than a job lasts.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,11 +1,9 @@
-// Package choice holds every decision of a swiftreel controller.
-//
-// How it is invoked: one Controller for each instance; Decide is told each event in order, with the clock,
-// and returns the actions to carry out in order (valid until its next call). The first event is Started, with
-// the settings. The interface - ids, events, actions - and the records kept are defined in types.go.
+// Package choice holds every decision of a swiftreel controller: one Controller for each instance. Decide is
+// told each event in order, with the clock, and returns the actions to carry out in order, valid until its
+// next call. The first is Started, with the settings. Ids, events, actions and records are in types.go.
 //
 // The file follows a job: start, list of engines, arrival, bucket and queue, look, engine bound and choice,
-// the gates for dispatches and replies, notes, answer, reports, sweep, health. docs/design.md says why.
+// gates for dispatches and replies, notes, answer, reports, words, sweep, health. docs/design.md says why.
 package choice
 
 import (
@@ -33,8 +31,7 @@
 	priceStep, priceMost = 0.5, 2.0 // a second, up or down, in mean billed values for a second of work
 
 	overdueTimes, badPlanTimes = 4.0, 3.0  // times its expected time, and more where estimates scatter
-	offWide                    = 2.5       // mean errors of the expected time that a good dispatch may be off
-	badStep                    = 0.05      // of the part of an engine's dispatches that are lost or fail
+	offWide, badStep           = 2.5, 0.05 // mean errors of that time that are chance; of the part that fails
 	spareShare, spareMost      = 0.2, 10.0 // further dispatches of what may have run, a job taken; at once
 	strikesOut, probesBack     = 3.0, 2    // failures in a row that set an engine aside; probes that lead back
 	restFirst, restMost        = second, 8 * second
@@ -53,6 +50,10 @@
 	coldSafety, turnPart, swapPart = 0.6, 0.75, 0.8   // of what a cold engine stands; in turns; of paged memory
 	emptied, outageLasts           = 0.15, 5 * second // of jobs usual: fewer, it just started; after a refusal
 	fewOut, fewCores, ownGrant     = 2.0, 4.0, 1.25   // jobs, cores: fewer tell little; granted over an estimate
+
+	gatherers, wordPoints, mapsMost = 3, 0.01, 20.0           // of words; points for a job's, and maps; saved up
+	wordAgain, wordLasts            = 4 * second, 10 * second // a word is said anew; a sibling's is forgotten
+	mapEvery, mapLate, endsFade     = 100 * ms, second, 0.95  // at most; the next steps in; of ends told, a map
 )
 
 // meanOf moves the usual work: a plain mean at first, which a fresh controller needs, then a moving one.
@@ -61,42 +62,6 @@
 	t.usual += (work - t.usual) / (t.usualN + 1)
 }
 
-// Controller decides for one instance.
-type Controller struct {
-	facts                                Facts
-	chance                               pcg
-	acts                                 []Action
-	tick                                 Mark  // of the last timer set
-	now, booted, swept, asked, until     Nanos // asked: for changes of the list; until: we stop
-	outage, refused, reportedLast        Nanos // engines refuse since, and last did; last report
-	saved                                Nanos // when a probe was last paid for
-	warmWithin, step, period, retryAfter Nanos // step: between batches; period: between notes
-	zone                                 ZoneID
-	probes, cancels, swaps, grants       bool // grants: ours are heeded
-	priced, pressed, tracked             bool
-	even, share                          float64 // 1/controllers, and what we carry by the reports where more
-	mostTries, controllers, me           int
-	reach, concurrentAt, grantedAt       int     // engines looked at; places in a report: jobs in hand, memory
-	crossing, grantMost                  float64 // price of crossing; part of a memory that a job gets at most
-	cores, crowd                         float64 // of ready engines; threads a core over the fleet, by reports
-	outJobs, outThreads, outGrants       float64 // ours out of late
-	off, offN                            float64 // of answers: log of the time taken over the time expected
-	slowMean, badMean                    float64 // of engines not aside: latency over best, part lost or failed
-	arrivals, worthMean, workMean        float64
-	spanMean, holdMean                   float64 // of jobs taken: work/threads, and memory times that
-	probesLeft, spare                    float64 // probes, and further dispatches of what may have run, paid for
-	types                                []*jobType
-	engines                              []*engine                // by id; a gone one leaves once nothing is out
-	jobs                                 map[JobID]*job           // until over and nothing is out
-	live                                 []*job                   // the same, in order of arrival
-	buckets                              []*bucket                // emptied by completions, dropped once idle
-	lines                                map[Key]*keyLine         // dropped when empty and rested
-	tenants                              map[TenantID]*tenantSeen // dropped after tenantMemory
-	taken, further                       []Nanos                  // inside the rationing window
-	plan                                 *Plan                    // worked out ahead; nil: none
-	hold, offered                        float64                  // how far it is followed; threads asked of us
-}
-
 // Decide is told what happened and returns what to do.
 func (c *Controller) Decide(now Nanos, ev Event) []Action {
 	c.now, c.acts = now, c.acts[:0]
@@ -120,6 +85,8 @@
 		}
 	case Probed:
 		c.probed(ev)
+	case Heard:
+		c.hear(int(ev.Peer), ev.Said)
 	case Stopping:
 		c.until = c.now + ev.Left
 	case Planned:
@@ -143,7 +110,7 @@
 
 func (c *Controller) start(ev Event) {
 	c.chance = pcg(ev.Seed)
-	c.booted, c.swept, c.refused, c.until = c.now, c.now, c.now-outageLasts, math.MaxInt64
+	c.booted, c.swept, c.mapAt, c.refused, c.until = c.now, c.now, c.now, c.now-outageLasts, math.MaxInt64
 	c.jobs, c.lines, c.tenants = map[JobID]*job{}, map[Key]*keyLine{}, map[TenantID]*tenantSeen{}
 	c.read(ev.Facts)
 	c.share, c.slowMean, c.probesLeft, c.reach = c.even, 1, probesMost, looksLeast
@@ -157,6 +124,9 @@
 	c.facts = f
 	c.controllers, c.me = max(1, int(f.num("balancers", 1))), int(f.num("me", 0))
 	c.even, c.mostTries = 1/float64(c.controllers), max(1, int(f.num("limits.most_tries", 1)))
+	if c.words = nil; f.flag("limits.peer_messages") {
+		c.words = make([]word, c.controllers)
+	}
 	c.zone, c.crossing = ZoneID(f.num("locality", 0)), f.num("tariffs.cross_zone", 0)
 	c.probes, c.cancels = f.flag("limits.probes"), f.flag("limits.cancel")
 	c.warmWithin = f.span("invariants.warm_within_ns")
@@ -198,8 +168,7 @@
 	c.tracked = ev.List != ListFailed && (c.tracked || ev.List != CachedList)
 	if ev.List == ListFailed {
 		return
-	}
-	if ev.List != ListChanges {
+	} else if ev.List != ListChanges {
 		for _, e := range c.engines {
 			e.State = Gone
 		}
@@ -225,7 +194,6 @@
 		}
 	}
 	c.reach = max(looksLeast, int(math.Ceil(c.cores*c.even)))
-	c.know()
 }
 
 func (c *Controller) find(id EngineID) (int, bool) {
@@ -260,6 +228,7 @@
 	}
 	c.taken = append(c.taken, c.now)
 	c.spare = min(spareMost, c.spare+spareShare)
+	c.wordsLeft, c.untold = min(10*wordPoints, c.wordsLeft+wordPoints), c.untold+1
 	c.probesLeft = min(probesMost, c.probesLeft+min(2, probePoints/max(1e-9, c.facts.num("tariffs.probe", 0))))
 	c.arrivals = min(100, c.arrivals+1)
 	c.worthMean += (j.worth - c.worthMean) / c.arrivals
@@ -336,27 +305,19 @@
 func (c *Controller) takePlan(p *Plan) {
 	if c.plan, c.hold = p.indexed(c.now), 0; p != nil {
 		c.hold, c.offered = 1, p.Demand*c.share
-		c.know()
 		c.follow()
 	}
 }
 
-// know notes at each engine what the plan has for it.
-func (c *Controller) know() {
-	for _, e := range c.engines {
-		e.meant, e.counted, e.strange = c.plan.of(e.Engine)
-	}
-}
-
 // follow says how far the plan still holds: less the more of its threads are out, or engines come that it
 // does not know; not at all from planMissing on, or where demand is off by its factor. It comes back at half.
 func (c *Controller) follow() {
 	there, strange := 0.0, 0.0
 	for _, e := range c.engines {
-		if e.State == Ready && e.strange {
+		if _, threads, unknown := c.plan.of(e.Engine); e.State == Ready && unknown {
 			strange += e.cores
 		} else if e.State == Ready && !e.aside {
-			there += e.counted
+			there += threads
 		}
 	}
 	gone, off := max(1-there/c.plan.all, strange/max(1, c.cores)), c.plan.Factor
@@ -451,7 +412,7 @@
 		}
 	}
 	for _, e := range c.engines {
-		if c.reach >= len(c.engines) || (!c.probes && c.now-e.reported < reportFresh) {
+		if c.reach >= len(c.engines) || (!c.probes && c.now-e.loaded < reportFresh) {
 			add(e)
 		}
 	}
@@ -583,8 +544,8 @@
 		if j.typ.holds && (e.place+int(j.tables))%c.controllers != c.me {
 			load += 3 // each controller has engines of its own for a group's loads, as they stand still behind others
 		}
-		if c.hold > 0 && int(j.typ.id) < len(e.meant) {
-			load -= c.hold * planPull * e.meant[j.typ.id]
+		if meant, _, _ := c.plan.of(e.Engine); c.hold > 0 && int(j.typ.id) < len(meant) {
+			load -= c.hold * planPull * meant[j.typ.id]
 		}
 		if load += 0.02 * c.chance.unit(); load < least {
 			best, least = e, load
@@ -759,7 +720,8 @@
 	}
 	f, took := j.flight, float64(c.now-j.flight.sent-j.flight.still)
 	if f.noted, f.engine.heard = c.now, c.now; ev.Note == Progress {
-		if whole := took / max(ev.Amount, 0.01); whole > badPlanTimes*c.scatter()*f.expect && whole-took > 1.5*f.expect {
+		whole := took / max(ev.Amount, 0.01)
+		if whole > badPlanTimes*c.scatter()*f.expect && whole-took > 1.5*f.expect {
 			c.callBack(f)
 		}
 	}
@@ -768,7 +730,8 @@
 // lost tells that a dispatch ran far over its expected time, or that its notes stopped. It counts against its
 // engine like an error: one that loses a part is chosen less, a silent one set aside.
 func (c *Controller) lost(f *flight) bool {
-	return c.silent(f) || float64(c.now-f.sent-f.still) > max(overdueTimes*c.scatter()*f.expect, float64(f.job.typ.aim)/2)
+	most := max(overdueTimes*c.scatter()*f.expect, float64(f.job.typ.aim)/2)
+	return c.silent(f) || float64(c.now-f.sent-f.still) > most
 }
 
 // scatter is how far over those times a good dispatch may run because its estimate was low, as answers show.
@@ -889,20 +852,80 @@
 		if holds < emptied*usual && usual > e.cores/4 && !e.aside && long {
 			c.fresh(e, fmt.Sprintf("holds %.0f jobs where %.0f are usual", holds, usual))
 		}
-		e.others = max(0, holds-float64(len(e.flights))) * c.threadsEach()
+		c.others(e, (holds-float64(len(e.flights)))*c.threadsEach())
 	} else if each := c.grantEach(); told(c.grantedAt) && each*e.memory > 0 {
 		held := min(load[c.grantedAt], 1e3) * e.memory
 		if !c.grants {
 			held /= ownGrant
 		}
-		e.others = max(0, held-e.grants) / each
+		c.others(e, (held-e.grants)/each)
 	} else {
 		return
 	}
-	c.reportedLast, e.reported = c.now, c.now
+	e.loaded = c.now
+}
+
+// others notes the threads of siblings at an engine, as just told by it or by them.
+func (c *Controller) others(e *engine, threads float64) {
+	e.others, e.reported, c.reportedLast = max(0, threads), c.now, c.now
 	c.crowd += 0.2 * ((e.threads+e.others)/e.cores - c.crowd)
 }
 
+// say tells those who gather where our jobs are out and how dispatches ended, as it changes. One sends a map
+// of all that was told to all, as often as the jobs taken pay for; the next steps in where none comes. What
+// is lost is said anew, and without maps all goes on as without words.
+func (c *Controller) say() {
+	text, some, byteCost := c.ourWord(), min(gatherers, c.controllers), c.facts.num("tariffs.peer", 0)/256
+	cost := byteCost * float64((wordHead+len(text))*some)
+	if c.wordsLeft >= cost && (text[1:] != c.said || c.now-c.saidAt >= wordAgain) {
+		c.said, c.saidAt, c.wordsLeft, c.untold = text[1:], c.now, c.wordsLeft-cost, 0
+		for _, e := range c.engines {
+			e.said, e.failed, e.done = e.threads, 0, 0
+		}
+		for rank := range some {
+			if to := rank * c.controllers / some; to == c.me {
+				c.hear(to, []byte(text))
+			} else {
+				c.do(Action{Kind: Tell, Peer: PeerID(to), Text: text})
+			}
+		}
+	}
+	rank := slices.Index([]int{0, c.controllers / some, 2 * c.controllers / some}[:some], c.me)
+	cost = byteCost * float64((wordHead+min(wordMost, wordEach*len(c.engines)))*(c.controllers-1))
+	if c.mapsLeft = min(c.mapsLeft, mapsMost*cost); rank >= 0 && c.mapsLeft >= cost && len(c.engines) > 0 &&
+		c.now-c.mapAt >= Nanos(rank)*mapLate && c.now-c.mapped >= mapEvery {
+		c.mapped, c.mapsLeft, text = c.now, c.mapsLeft-cost, c.fleetMap(c.now-wordLasts)
+		c.hear(c.me, []byte(text))
+		c.do(Action{Kind: Tell, Peer: math.MaxUint32, Text: text})
+	}
+}
+
+// hear takes a word, or a map: that stands in for a report of each engine from which none came of late, and
+// for our own few outcomes there.
+func (c *Controller) hear(peer int, text []byte) {
+	first, entries, ok := decode(text)
+	if !ok || peer >= len(c.words) {
+		return
+	}
+	if first == mapText && peer != c.me {
+		c.mapAt = c.now
+	} else if first != mapText {
+		c.words[peer], c.mapsLeft = word{entries, c.now}, c.mapsLeft+wordPoints*float64(first)
+	}
+	for _, e := range c.engines {
+		if n, told := about(e, entries); told && first != mapText {
+			e.toldFailed, e.toldDone = e.toldFailed+float64(n.ends>>4), e.toldDone+float64(n.ends&15)
+		} else if told {
+			if e.toldFailed, e.toldDone = endsFade*e.toldFailed, endsFade*e.toldDone; n.ends != unknown {
+				e.bad = float64(n.ends) / 254
+			}
+			if c.now-e.loaded >= reportFresh {
+				c.others(e, float64(n.threads)-e.said)
+			}
+		}
+	}
+}
+
 // fresh takes an engine for just started though the list does not say so: it refused connections and now
 // answers, or is all but empty in a busy fleet, and everybody would fill it while it is cold. Also for one
 // back from a hang. It may slow the use of an engine that is empty by chance, for the warm-up.
@@ -952,6 +975,9 @@
 			b.waited = float64(c.now-j.ready) / float64(max(b.typ.aim, ms))
 		}
 	}
+	if c.words != nil {
+		c.say()
+	}
 	jobs, threads, grants, slow, bad, n, pressed := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0
 	for _, e := range c.engines {
 		jobs, threads, grants = jobs+float64(len(e.flights)), threads+e.threads, grants+e.grants
@@ -1065,6 +1091,7 @@
 	switch r {
 	case Done:
 		c.heard(e)
+		e.done++
 		if e.bad *= 1 - badStep; !e.aside { // what was out when it was set aside does not lead it back
 			e.strikes, e.rest = 0, 0
 		}
@@ -1079,7 +1106,7 @@
 			}
 			c.refused, e.down = c.now, true
 		}
-		e.bad += badStep * (1 - e.bad)
+		e.bad, e.failed = e.bad+badStep*(1-e.bad), e.failed+1
 		// Where all engines lose a part (the way to them does, say), a few in a row are chance and no silence.
 		out := max(strikesOut, math.Log(0.001)/math.Log(min(0.9, c.badMean)))
 		if e.strikes++; !e.aside && float64(e.strikes) >= out {
--- a/choice/types.go
+++ b/choice/types.go
@@ -262,6 +262,47 @@
 	Weight float64
 }
 
+// Controller decides for one instance.
+type Controller struct {
+	facts                                Facts
+	chance                               pcg
+	acts                                 []Action
+	tick                                 Mark  // of the last timer set
+	now, booted, swept, asked, until     Nanos // asked: for changes of the list; until: we stop
+	outage, refused, reportedLast        Nanos // engines refuse since, and last did; last report
+	saved                                Nanos // when a probe was last paid for
+	warmWithin, step, period, retryAfter Nanos // step: between batches; period: between notes
+	zone                                 ZoneID
+	probes, cancels, swaps, grants       bool // grants: ours are heeded
+	priced, pressed, tracked             bool
+	even, share                          float64 // 1/controllers, and what we carry by the reports where more
+	mostTries, controllers, me           int
+	reach, concurrentAt, grantedAt       int     // engines looked at; places in a report: jobs in hand, memory
+	crossing, grantMost                  float64 // price of crossing; part of a memory that a job gets at most
+	cores, crowd                         float64 // of ready engines; threads a core over the fleet, by reports
+	outJobs, outThreads, outGrants       float64 // ours out of late
+	off, offN                            float64 // of answers: log of the time taken over the time expected
+	slowMean, badMean                    float64 // of engines not aside: latency over best, part lost or failed
+	arrivals, worthMean, workMean        float64
+	spanMean, holdMean                   float64 // of jobs taken: work/threads, and memory times that
+	probesLeft, spare                    float64 // probes, and further dispatches of what may have run, paid for
+	types                                []*jobType
+	engines                              []*engine                // by id; a gone one leaves once nothing is out
+	jobs                                 map[JobID]*job           // until over and nothing is out
+	live                                 []*job                   // the same, in order of arrival
+	buckets                              []*bucket                // emptied by completions, dropped once idle
+	lines                                map[Key]*keyLine         // dropped when empty and rested
+	tenants                              map[TenantID]*tenantSeen // dropped after tenantMemory
+	taken, further                       []Nanos                  // inside the rationing window
+	plan                                 *Plan                    // worked out ahead; nil: none
+	hold, offered                        float64                  // how far it is followed; threads asked of us
+	words                                []word                   // of siblings, by number, at those who gather
+	said                                 string                   // our last word
+	saidAt, mapAt, mapped                Nanos                    // our last word; last map heard, and sent
+	wordsLeft, mapsLeft                  float64                  // points for them
+	untold, next                         int                      // jobs taken since our word; map's next engine
+}
+
 // typeTerms are a reservation type's settings, read at the start and again when they are restated.
 type typeTerms struct {
 	id                    TypeID
@@ -322,6 +363,9 @@
 type engine struct {
 	Line
 	cores, memory, threads, grants, others float64 // threads, grants: ours; others: siblings' threads
+	said                                   float64 // threads of ours, by our last word
+	failed, done                           int     // outcomes since our last word
+	toldFailed, toldDone                   float64 // those that siblings told of, of late
 	bound, slow, bad                       float64 // slow: latency over best; bad: part lost or failed
 	flights                                []*flight
 	heard                                  Nanos // of it, by any answer or note
@@ -329,11 +373,8 @@
 	down                                   bool  // refused connections when last tried
 	pressed, aside, asked                  bool  // asked: a probe is out
 	fullUntil, stepped, halved, since      Nanos
-	rest, probed, reported                 Nanos
+	rest, probed, reported, loaded         Nanos // reported: by itself (loaded) or by siblings
 	strikes, passed, place                 int
-	meant                                  []float64 // by type: a plan's weights
-	counted                                float64   // threads that it counts on here
-	strange                                bool      // it does not know this engine
 	sent                                   []sentWork
 }
 
--- /dev/null
+++ b/choice/word_test.go
@@ -0,0 +1,153 @@
+package choice
+
+import (
+	"math/rand"
+	"testing"
+)
+
+// fleet plays controllers side by side; what one tells arrives at once, unless it is lost.
+type fleet struct {
+	all  []*stage
+	lost func(from, to int) bool
+	cost int // bytes delivered
+}
+
+func newFleet(t *testing.T, n, engines int) *fleet {
+	f := &fleet{lost: func(int, int) bool { return false }}
+	for i := range n {
+		facts := plainFacts().set("balancers", float64(n)).set("me", float64(i)).set("limits.peer_messages", true)
+		facts.set("tariffs", map[string]any{"peer": 0.01})
+		s := newStage(t, facts.set("telemetry", nil), engines)
+		s.heard = func(_ Event, acts []Action) { f.deliver(i, acts) }
+		f.all = append(f.all, s)
+	}
+	return f
+}
+
+func (f *fleet) deliver(from int, acts []Action) {
+	for _, a := range acts {
+		for to, s := range f.all {
+			if a.Kind == Tell && to != from && (a.Peer == PeerID(to) || a.Peer == 1<<32-1) && !f.lost(from, to) {
+				f.cost += wordHead + len(a.Text)
+				s.tell(Event{Kind: Heard, Peer: PeerID(from), Said: []byte(a.Text)})
+			}
+		}
+	}
+}
+
+func (f *fleet) pass(span Nanos) {
+	for ; span > 0; span -= 20 * ms {
+		for _, s := range f.all {
+			s.pass(20 * ms)
+		}
+	}
+}
+
+// leave has a job's client leave before its dispatch ends.
+func (s *stage) leave(id JobID, r Result) {
+	s.jobs[id].ended, s.jobs[id].by = true, clientGone
+	s.tell(Event{Kind: ClientLeft, Job: id})
+	s.finish(id, r)
+}
+
+// busy has each of some controllers send long jobs to the first engine, so many that words are paid for.
+func (f *fleet) busy(who []int) {
+	for _, i := range who {
+		for range 40 { // what is taken pays, also for a map
+			f.all[i].leave(f.all[i].arrive(0, 0, 1), Retracted)
+		}
+		f.all[i].list(ListChanges, Line{Engine: 101, State: Draining})
+		f.all[i].arrive(1, 0, 1)
+		f.all[i].list(ListChanges, Line{Engine: 101, State: Ready})
+	}
+}
+
+// The failure: where no engine tells its load, or each controller hears of few, siblings were thought to hold what we hold.
+func TestWordsTellWhereSiblingsJobsAre(t *testing.T) {
+	f := newFleet(t, 6, 2)
+	f.busy([]int{1, 3, 5})
+	f.pass(500 * ms)
+	idle := f.all[0].c.engines
+	want(t, idle[0].others == 6 && idle[1].others == 0, "siblings hold %v and %v of 6 and 0", idle[0].others, idle[1].others)
+	own := f.all[1].c.engines[0]
+	want(t, own.others == 4, "one's own two threads count as siblings': %v of 4", own.others)
+	for _, s := range f.all {
+		for id, j := range s.jobs {
+			if j.out() {
+				s.finish(id, Done)
+			}
+		}
+	}
+	f.busy([]int{0})
+	f.pass(500 * ms)
+	want(t, f.all[2].c.engines[0].others == 2, "siblings hold %v of 2 when three have ended", f.all[2].c.engines[0].others)
+}
+
+// The failure: the first gatherer is lost, or cut off, and with it all that is known.
+func TestTheNextGathererStepsIn(t *testing.T) {
+	f := newFleet(t, 6, 2)
+	f.lost = func(from, to int) bool { return from == 0 || to == 0 } // gatherers are 0, 2 and 4
+	f.busy([]int{1, 3, 5})
+	f.pass(mapLate + 300*ms)
+	want(t, f.all[5].c.engines[0].others == 4, "siblings hold %v of 4", f.all[5].c.engines[0].others)
+	want(t, f.all[4].c.mapped == 0, "the third sends maps beside the second")
+	f.lost = func(int, int) bool { return true }
+	f.pass(wordLasts + 5*second) // all goes on as without words: siblings as ourselves
+	s := f.all[5]
+	want(t, len(s.sentTo(s.arrive(1, 0, 2))) == 1, "nothing is sent when no word comes")
+}
+
+// The failure: each controller had to lose three jobs at an engine before it knew what others had seen.
+func TestWhatFailsForSiblingsIsChosenLess(t *testing.T) {
+	f := newFleet(t, 4, 2)
+	for range 2 {
+		f.busy([]int{1, 2, 3})
+		for _, s := range f.all {
+			for id, j := range s.jobs {
+				if j.out() {
+					s.leave(id, Failed)
+				}
+			}
+		}
+		f.pass(300 * ms)
+	}
+	s := f.all[0]
+	want(t, s.c.engines[0].bad > 0.5 && s.c.engines[1].bad == 0, "%v and %v of it fail", s.c.engines[0].bad, s.c.engines[1].bad)
+}
+
+// Words and maps cost at most what the jobs taken pay for, each.
+func TestWordsStayWithinWhatJobsPayFor(t *testing.T) {
+	f := newFleet(t, 40, 8)
+	jobs := 0
+	for range 200 {
+		for _, s := range f.all[:20] {
+			s.arrive(1, 0, TableSet(jobs%5))
+			jobs++
+		}
+		f.pass(20 * ms)
+	}
+	points := 0.01 / 256 * float64(f.cost) / float64(jobs)
+	want(t, points > 0 && points <= 2.1*wordPoints, "%.4f points a job", points)
+}
+
+// FuzzWords: whatever a peer says, the rules are kept, and what was encoded is read as it was.
+func FuzzWords(f *testing.F) {
+	f.Add([]byte{mapText, 1, 2, 3, 4}, int64(1))
+	f.Add([]byte{3, 0, 0, 255, 255, 9}, int64(2))
+	f.Fuzz(func(t *testing.T, said []byte, seed int64) {
+		if first, entries, ok := decode(said); ok && encode(first, entries) != string(said) {
+			t.Fatalf("%v is read as %v", said, entries)
+		}
+		r := rand.New(rand.NewSource(seed))
+		s := newStage(t, plainFacts().set("limits.peer_messages", true).set("balancers", 5.0), 4)
+		for range 3 {
+			for _, e := range s.c.engines { // in place of marks that it hardly guesses
+				if len(said) > 4 {
+					said[1], said[2] = byte(e.mark()>>8), byte(e.mark())
+				}
+				s.tell(Event{Kind: Heard, Peer: PeerID(r.Intn(7)), Said: said})
+			}
+			s.chaos(r, 20)
+		}
+	})
+}
