Maps tell which tables siblings' loads hold, and come less often in a calm fleet

Wrong belief: no load of ours means no load.

Maps are paid for by how full the fleet is, a quarter at the least. Hurts where a byte's mark is shared by two groups: an engine is passed over for nothing.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -394,9 +394,8 @@
 	return e != nil && c.dispatch(j, e)
 }
 
-// look draws the engines that a job may go to: all where our share is many threads, else a few at random, so
-// that hundreds with reports alike do not all choose the same. Those without a fresh report are probed where
-// the job's billed value bears it; where probing is barred, those just heard go first.
+// look draws the engines that a job may go to: all where our share is many threads, else a few by chance, as
+// hundreds would all choose the same. Those unheard are probed where it pays; else those heard go first.
 func (c *Controller) look(j *job) {
 	if j.looks != nil && c.now-j.looked < lookAgain {
 		return
@@ -527,9 +526,10 @@
 		if !c.allowed(j, e) || !c.room(j, e) {
 			continue
 		}
-		if (j.typ.holds || j.typ.waits) && slices.ContainsFunc(e.flights, func(f *flight) bool {
+		told := c.now-e.heldAt < reportFresh && slices.Contains(e.held, j.tables.mark())
+		if (j.typ.holds || j.typ.waits) && (told || slices.ContainsFunc(e.flights, func(f *flight) bool {
 			return f.job.typ.holds && f.job.tables == j.tables
-		}) {
+		})) {
 			continue // it would stand still behind the load, and hold its memory
 		}
 		load := (e.threads + e.others + j.typ.threads) / (e.cores * c.warmth(e))
@@ -900,6 +900,9 @@
 	}
 }
 
+// pays is what a job taken pays for maps: little in a calm fleet, where all engines have room.
+func (c *Controller) pays() float64 { return wordPoints * min(1, max(0.25, c.crowd/relaxed)) }
+
 // hear takes a word, or a map: that stands in for a report of each engine from which none came of late, and
 // for our own few outcomes there.
 func (c *Controller) hear(peer int, text []byte) {
@@ -910,14 +913,17 @@
 	if first == mapText && peer != c.me {
 		c.mapAt = c.now
 	} else if first != mapText {
-		c.words[peer], c.mapsLeft = word{entries, c.now}, c.mapsLeft+wordPoints*float64(first)
+		c.words[peer], c.mapsLeft = word{entries, c.now}, c.mapsLeft+c.pays()*float64(first)
 	}
 	for _, e := range c.engines {
 		if n, told := about(e, entries); told && first != mapText {
-			e.toldFailed, e.toldDone = e.toldFailed+float64(n.ends>>4), e.toldDone+float64(n.ends&15)
+			e.toldFailed, e.toldDone = e.toldFailed+float64(n.ends>>2), e.toldDone+float64(n.ends&3)
 		} else if told {
+			if n.says {
+				e.held, e.heldAt = n.held, c.now
+			}
 			if e.toldFailed, e.toldDone = endsFade*e.toldFailed, endsFade*e.toldDone; n.ends != unknown {
-				e.bad = float64(n.ends) / 254
+				e.bad = float64(n.ends) / 14
 			}
 			if c.now-e.loaded >= reportFresh {
 				c.others(e, float64(n.threads)-e.said)
@@ -927,8 +933,7 @@
 }
 
 // fresh takes an engine for just started though the list does not say so: it refused connections and now
-// answers, or is all but empty in a busy fleet, and everybody would fill it while it is cold. Also for one
-// back from a hang. It may slow the use of an engine that is empty by chance, for the warm-up.
+// answers, or is all but empty in a busy fleet. It may slow the use of one empty by chance, for the warm-up.
 func (c *Controller) fresh(e *engine, why string) {
 	if e.down = false; c.warmth(e) >= 1 {
 		e.back = c.now
@@ -1002,7 +1007,6 @@
 		c.pressed = on
 		c.log("pressure=%v on %d of %d engines, latency/best=%.2f", on, pressed, len(c.engines), c.slowMean)
 	}
-	// A front that is uneven, or siblings gone, leave one controller more than its even share of the work.
 	if c.now-c.reportedLast >= reportFresh { // no word: siblings are thought to hold what we hold
 		c.crowd += outStep * (c.outThreads/max(fewCores, c.even*c.cores) - c.crowd)
 	}
--- a/choice/types.go
+++ b/choice/types.go
@@ -300,7 +300,8 @@
 	said                                 string                   // our last word
 	saidAt, mapAt, mapped                Nanos                    // our last word; last map heard, and sent
 	wordsLeft, mapsLeft                  float64                  // points for them
-	untold, next                         int                      // jobs taken since our word; map's next engine
+	round                                int
+	untold, next                         int // jobs taken since our word; map's next engine
 }
 
 // typeTerms are a reservation type's settings, read at the start and again when they are restated.
@@ -364,6 +365,8 @@
 	Line
 	cores, memory, threads, grants, others float64 // threads, grants: ours; others: siblings' threads
 	said                                   float64 // threads of ours, by our last word
+	held                                   []byte  // marks of tables that siblings' loads hold, as told at heldAt
+	heldAt                                 Nanos
 	failed, done                           int     // outcomes since our last word
 	toldFailed, toldDone                   float64 // those that siblings told of, of late
 	bound, slow, bad                       float64 // slow: latency over best; bad: part lost or failed
--- a/choice/word.go
+++ b/choice/word.go
@@ -1,16 +1,20 @@
 package choice
 
-// What controllers say to each other, as bytes: a first byte and then entries of wordEach bytes. When it is said, and
-// what follows from it, is decided in choice.go.
+import "slices"
 
-// wordHead is what a message costs in bytes beside its text; wordEach is what an entry takes, wordMost a text.
+// What controllers say to each other, as bytes: a first byte and then entries. When it is said, and what follows from
+// it, is decided in choice.go.
+
+// wordHead is what a message costs in bytes beside its text; wordEach is what an entry takes without the groups of tables
+// held, wordMost a text.
 const wordHead, wordEach, wordMost = 8, 4, 253
 
 // mapText begins a map. A word begins with the jobs taken since the last, at most mapText-1.
 const mapText = 255
 
-// unknown stands in a map where too few outcomes were told, under fewOutcomes.
-const unknown, fewOutcomes = 255, 4
+// unknown stands in a map where too few outcomes were told, under fewOutcomes; unsaid for the groups held, which a map
+// names each heldEvery rounds only, as they cost more than all else.
+const unknown, fewOutcomes, unsaid, heldEvery = 15, 4, 15, 3
 
 // mark stands for an engine. Two engines that share one are taken for one, which both then look as full as together.
 type mark uint16
@@ -21,9 +25,14 @@
 type entry struct {
 	mark    mark
 	threads byte // out there
-	ends    byte // word: dispatches that failed x 16 + done ones; map: part of them that failed, x 254, or unknown
+	ends    byte // word: dispatches that failed x 4 + done ones; map: part of them that failed, x 14, or unknown
+	held    []byte
+	says    bool // held is said
 }
 
+// mark stands for a group of tables that a load holds. Of two that share one, readers keep away alike.
+func (t TableSet) mark() byte { return byte(uint64(t) * 0x9E3779B97F4A7C15 >> 56) }
+
 // word is what a sibling last said. It holds wordMost/wordEach entries at most.
 type word struct {
 	entries []entry
@@ -34,34 +43,44 @@
 func (c *Controller) ourWord() string {
 	var entries []entry
 	for _, e := range c.engines {
-		if ends := min(15, e.failed)<<4 | min(15, e.done); e.threads > 0 || ends > 0 {
-			entries = append(entries, entry{e.mark(), byte(min(e.threads, 255)), byte(ends)})
+		if ends := min(3, e.failed)<<2 | min(3, e.done); e.threads > 0 || ends > 0 {
+			n := entry{e.mark(), byte(min(e.threads, 255)), byte(ends), nil, true}
+			for _, f := range e.flights {
+				if f.job.typ.holds {
+					n.held = append(n.held, f.job.tables.mark())
+				}
+			}
+			entries = append(entries, n)
 		}
 	}
-	return encode(byte(min(c.untold, mapText-1)), entries)
+	text, _ := encode(byte(min(c.untold, mapText-1)), entries)
+	return text
 }
 
 // fleetMap is what all words since a time told of each engine, of as many as a message holds, in turn.
 func (c *Controller) fleetMap(since Nanos) string {
-	threads := map[mark]int{}
+	threads, held := map[mark]int{}, map[mark][]byte{}
 	for _, w := range c.words {
 		for _, n := range w.entries {
 			if w.at >= since {
-				threads[n.mark] += int(n.threads)
+				threads[n.mark], held[n.mark] = threads[n.mark]+int(n.threads), append(held[n.mark], n.held...)
 			}
 		}
 	}
 	var entries []entry
-	for range min(len(c.engines), wordMost/wordEach) {
-		c.next = (c.next + 1) % len(c.engines)
-		e := c.engines[c.next]
-		n := entry{e.mark(), byte(min(threads[e.mark()], 255)), unknown}
+	c.next = min(c.next, len(c.engines)-1)
+	for _, e := range c.engines[c.next:] {
+		n := entry{e.mark(), byte(min(threads[e.mark()], 255)), unknown, held[e.mark()], c.round%heldEvery == 0}
 		if all := e.toldFailed + e.toldDone; all >= fewOutcomes {
-			n.ends = byte(254 * e.toldFailed / all)
+			n.ends = byte(14 * e.toldFailed / all)
 		}
 		entries = append(entries, n)
 	}
-	return encode(mapText, entries)
+	text, n := encode(mapText, entries)
+	if c.next += n; c.next >= len(c.engines) {
+		c.next, c.round = 0, c.round+1
+	}
+	return text
 }
 
 // about is what entries say of an engine.
@@ -74,22 +93,40 @@
 	return entry{}, false
 }
 
-// encode writes a word or map; what is over its size is left out.
-func encode(first byte, entries []entry) string {
+// encode writes a word or map, and tells how many entries it holds; what is over its size is left out.
+func encode(first byte, entries []entry) (string, int) {
 	text := []byte{first}
-	for _, n := range entries[:min(len(entries), wordMost/wordEach)] {
-		text = append(text, byte(n.mark>>8), byte(n.mark), n.threads, n.ends)
+	for i, n := range entries {
+		held, count := n.held[:min(len(n.held), unsaid-1)], byte(unsaid)
+		if count = byte(len(held)); !n.says {
+			held, count = nil, unsaid
+		}
+		if len(text)+wordEach+len(held) > wordMost {
+			return string(text), i
+		}
+		text = append(append(text, byte(n.mark>>8), byte(n.mark), n.threads, n.ends<<4|count), held...)
 	}
-	return string(text)
+	return string(text), len(entries)
 }
 
 // decode reads one. What has another form is nothing that a controller said: ok is false.
 func decode(text []byte) (first byte, entries []entry, ok bool) {
-	if len(text) == 0 || len(text) > wordMost || len(text)%wordEach != 1 {
+	if len(text) == 0 || len(text) > wordMost {
 		return 0, nil, false
 	}
-	for rest := text[1:]; len(rest) > 0; rest = rest[wordEach:] {
-		entries = append(entries, entry{mark(rest[0])<<8 | mark(rest[1]), rest[2], rest[3]})
+	for rest := text[1:]; len(rest) > 0; {
+		if len(rest) < wordEach {
+			return 0, nil, false
+		}
+		n := entry{mark(rest[0])<<8 | mark(rest[1]), rest[2], rest[3] >> 4, nil, rest[3]&15 != unsaid}
+		if rest = rest[wordEach:]; n.says {
+			held := int(text[len(text)-len(rest)-1] & 15)
+			if len(rest) < held {
+				return 0, nil, false
+			}
+			n.held, rest = slices.Clone(rest[:held]), rest[held:]
+		}
+		entries = append(entries, n)
 	}
 	return text[0], entries, true
 }
--- a/choice/word_test.go
+++ b/choice/word_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand"
+	"slices"
 	"testing"
 )
 
@@ -97,6 +98,32 @@
 	want(t, len(s.sentTo(s.arrive(1, 0, 2))) == 1, "nothing is sent when no word comes")
 }
 
+// The failure: one job in nine stood still behind a load of which only the sibling that sent it knew.
+func TestWhatWaitsForLoadsKeepsAwayFromSiblingsLoads(t *testing.T) {
+	f := newFleet(t, 4, 2)
+	for _, s := range f.all { // type 0 stands still behind loads of type 2
+		s.tell(Event{Kind: Restated, Facts: s.facts.set("domain.waits_for_loads", []any{true, false, false})})
+	}
+	f.all[1].list(ListChanges, Line{Engine: 101, State: Draining})
+	load := f.all[1].arrive(2, 0, 7)
+	f.all[1].list(ListChanges, Line{Engine: 101, State: Ready})
+	f.busy([]int{2, 3}) // pays, and fills the same engine
+	f.pass(300 * ms)
+	s := f.all[0]
+	want(t, slices.Contains(s.c.engines[0].held, TableSet(7).mark()), "the load is not told: %v", s.c.engines[0].held)
+	for range 5 {
+		s.c.engines[1].others = 12 // over the other, but it has room
+		id := s.arrive(0, 0, 7)
+		want(t, s.sentTo(id)[0] == 101, "sent where it stands still")
+		s.finish(id, Done)
+	}
+	f.all[1].finish(load, Done)
+	f.pass(reportFresh + 500*ms) // no map tells of it any more
+	s.c.engines[0].others, s.c.engines[1].others = 0, 12
+	id := s.arrive(0, 0, 7)
+	want(t, s.sentTo(id)[0] == 100, "kept away after the load's end: %+v", s.c.engines[0])
+}
+
 // The failure: each controller had to lose three jobs at an engine before it knew what others had seen.
 func TestWhatFailsForSiblingsIsChosenLess(t *testing.T) {
 	f := newFleet(t, 4, 2)
@@ -135,8 +162,10 @@
 	f.Add([]byte{mapText, 1, 2, 3, 4}, int64(1))
 	f.Add([]byte{3, 0, 0, 255, 255, 9}, int64(2))
 	f.Fuzz(func(t *testing.T, said []byte, seed int64) {
-		if first, entries, ok := decode(said); ok && encode(first, entries) != string(said) {
-			t.Fatalf("%v is read as %v", said, entries)
+		if first, entries, ok := decode(said); ok {
+			if text, _ := encode(first, entries); text != string(said) {
+				t.Fatalf("%v is read as %v", said, entries)
+			}
 		}
 		r := rand.New(rand.NewSource(seed))
 		s := newStage(t, plainFacts().set("limits.peer_messages", true).set("balancers", 5.0), 4)
