--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 # Each fuzz target for a short while, beyond the fixed seeds that the tests play.
 fuzz:
 	go test -run '^$$' -fuzz 'FuzzRules$$' -fuzztime 10s ./choice
+	go test -run '^$$' -fuzz FuzzWords -fuzztime 10s ./choice
 	go test -run '^$$' -fuzz FuzzRulesWithPlans -fuzztime 10s ./choice
 	go test -run '^$$' -fuzz FuzzCheckedProblemsAreSolved -fuzztime 10s ./internal/solve
 	go test -run '^$$' -fuzz FuzzMessages -fuzztime 10s ./internal/client
--- a/choice/word_test.go
+++ b/choice/word_test.go
@@ -124,6 +124,30 @@
 	want(t, s.sentTo(id)[0] == 100, "kept away after the load's end: %+v", s.c.engines[0])
 }
 
+// The switch works live, both ways: nothing is told, and nothing heard, while messages are not allowed.
+func TestMessagesAreSwitchedWhileJobsRun(t *testing.T) {
+	f, told := newFleet(t, 3, 2), 0
+	s := f.all[0]
+	deliver := s.heard
+	s.heard = func(ev Event, acts []Action) {
+		for _, a := range acts {
+			if a.Kind == Tell {
+				told++
+			}
+		}
+		deliver(ev, acts)
+	}
+	for i, on := range []bool{true, false, true} {
+		s.tell(Event{Kind: Restated, Facts: s.facts.set("limits.peer_messages", on)})
+		s.c.engines[0].others, s.c.engines[0].reported, told = 0, 0, 0
+		f.busy([]int{0, 1, 2})
+		f.pass(300 * ms)
+		want(t, (told > 0) == on, "step %d: %d messages told", i, told)
+		want(t, (s.c.engines[0].reported > 0) == on, "step %d: a map was heard: %v", i, !on)
+		want(t, s.jobs[s.nextID].out(), "step %d: the job was not left where it runs", i)
+	}
+}
+
 // The failure: each controller had to lose three jobs at an engine before it knew what others had seen.
 func TestWhatFailsForSiblingsIsChosenLess(t *testing.T) {
 	f := newFleet(t, 4, 2)
--- a/internal/operator/shape.go
+++ b/internal/operator/shape.go
@@ -12,7 +12,7 @@
 // part changes nothing. It is taken over at SIGHUP without a restart, and taking it out is the way back.
 type Shape struct {
 	Cancel         *bool                `json:"cancel"`           // limits.cancel: dispatches may be retracted
-	PeerMessages   *bool                `json:"peer_messages"`    // limits.peer_messages; the module sends none
+	PeerMessages   *bool                `json:"peer_messages"`    // limits.peer_messages; no channel on sockets yet
 	GrantsCount    *bool                `json:"grants_count"`     // domain.grants_count: memory grants are heeded
 	TakesPriority  *bool                `json:"takes_priority"`   // domain.takes_priority
 	SaysCost       *bool                `json:"says_cost"`        // domain.says_cost: answers tell the work
