Flaky test of idle clients: each revoke is read before the next client asks

Ruled out: the front, which took the one idle longest by its own record each time.

Change: the revoke goes first, and the answer proves it was read.

--- a/internal/client/front_test.go
+++ b/internal/client/front_test.go
@@ -81,10 +81,10 @@
 	var conns []net.Conn
 	for range 3 {
 		conns = append(conns, dial())
-		if !ready(conns[len(conns)-1]) {
+		conns[len(conns)-1].Write(AppendRevoke(nil, 1)) // nothing is open: it stays idle
+		if !ready(conns[len(conns)-1]) {                // the answer shows that the revoke was read, before the next dials
 			t.Fatal("no answer")
 		}
-		conns[len(conns)-1].Write(AppendRevoke(nil, 1)) // nothing is open: it stays idle
 	}
 	call := AppendCall(nil, 2, "lookup", []string{"call", "00000000000000aa", "ttl", "20000"}, nil)
 	conns[0].Write(call) // the oldest has a call open
