--- a/choice/choice.go
+++ b/choice/choice.go
@@ -53,6 +53,7 @@
 
 	gatherers, wordPoints, mapsMost = 3, 0.01, 20.0           // of words; points for a job's, and maps; saved up
 	wordAgain, wordLasts            = 4 * second, 10 * second // a word is said anew; a sibling's is forgotten
+	fewOutcomes, heldEvery          = 4, 3                    // ends told; rounds of maps for tables held
 	mapEvery, mapLate, endsFade     = 100 * ms, second, 0.95  // at most; the next steps in; of ends told, a map
 )
 
--- a/choice/word.go
+++ b/choice/word.go
@@ -12,9 +12,9 @@
 // mapText begins a map. A word begins with the jobs taken since the last, at most mapText-1.
 const mapText = 255
 
-// unknown stands in a map where too few outcomes were told, under fewOutcomes; unsaid for the groups held, which a map
-// names each heldEvery rounds only, as they cost more than all else.
-const unknown, fewOutcomes, unsaid, heldEvery = 15, 4, 15, 3
+// unknown stands in a map where fewer than fewOutcomes were told; unsaid for the groups held, which a map names each
+// heldEvery rounds only, as they cost more than all else.
+const unknown, unsaid = 15, 15
 
 // mark stands for an engine. Two engines that share one are taken for one, which both then look as full as together.
 type mark uint16
