Changes as files: specs, stages that keep rooms and types served, orders with a fence

Change: internal/change with schema; Held.Take decides at the receiver; Layout says who goes first; orders are read whole or not at all.

--- /dev/null
+++ b/internal/change/change_test.go
@@ -0,0 +1,130 @@
+package change
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+)
+
+func spec(program string) Spec { return Spec{Program: Program{Path: "/p", Digest: Digest(program)}} }
+
+func TestAnOrderThatComesLateTwiceOrFromAnotherChangesNothing(t *testing.T) {
+	order := func(number, term, turn int64, by, program string) Order {
+		return Order{Format: Format, Fence: Fence{number, term, turn}, By: by, Member: "c1", Want: spec(program)}
+	}
+	var h Held
+	for i, c := range []struct {
+		o    Order
+		is   bool
+		told string
+	}{
+		{order(1, 1, 1, "x", "new"), true, ""},
+		{order(1, 1, 1, "x", "new"), false, ""},
+		{order(1, 1, 1, "x", "old"), false, "did not"},
+		{order(1, 1, 3, "x", "old"), true, ""},
+		{order(1, 1, 2, "x", "new"), false, "comes after"},
+		{order(1, 1, 4, "y", "new"), false, "conducts"},
+		{order(1, 2, 1, "y", "new"), true, ""},
+		{order(1, 1, 9, "x", "old"), false, "comes after"},
+		{order(2, 1, 1, "z", "old"), true, ""},
+		{order(1, 7, 7, "y", "new"), false, "comes after"},
+	} {
+		before := h
+		next, is, err := h.Take(c.o)
+		if is != c.is || (err != nil) != (c.told != "") || err != nil && !strings.Contains(err.Error(), c.told) {
+			t.Errorf("%d: %v %v", i, is, err)
+		}
+		if !is && next.Fence != before.Fence {
+			t.Errorf("%d: refused, and held", i)
+		}
+		h = next
+	}
+}
+
+func TestOrdersAreReadWholeOrNotAtAll(t *testing.T) {
+	good := `{"format":1,"fence":{"number":1,"term":1,"turn":1},"by":"x","member":"c1","want":{"program":{"path":"/p","digest":"d"}}}`
+	if _, err := ReadOrder(strings.NewReader(good)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range [][2]string{{`"by":"x"`, `"by":"x","hurry":true`}, {`"format":1`, `"format":2`}, {`"turn":1`, `"turn":0`}, {`"by":"x"`, `"by":""`}, {`"digest":"d"`, `"digest":""`}, {`}}}`, `}}`}} {
+		if _, err := ReadOrder(strings.NewReader(strings.Replace(good, c[0], c[1], 1))); err == nil || !strings.HasPrefix(err.Error(), "/") {
+			t.Errorf("%s: %v", c[1], err)
+		}
+	}
+}
+
+func TestASpecIsNamedByWhatItHolds(t *testing.T) {
+	a, b := spec("d"), spec("d")
+	a.Shape, b.Shape = json.RawMessage(`{"cancel": true, "budget_free":5}`), json.RawMessage(`{"budget_free":5,"cancel":true}`)
+	b.Program.Path = "/elsewhere"
+	if a.Digest() != b.Digest() {
+		t.Error("blanks, order or place tell")
+	}
+	if b.Shape = json.RawMessage(`{}`); a.Digest() == b.Digest() || spec("d").Digest() == b.Digest() {
+		t.Error("what differs is not told")
+	}
+}
+
+func TestEveryFaultOfAChangeIsNamed(t *testing.T) {
+	dir := t.TempDir()
+	for text, told := range map[string][]string{
+		`{"number":0,"kind":"settings","to":{"shape":{}},"hurry":1}`:                                      {"/number:", "hurry"},
+		`{"number":1,"kind":"plan","to":{"shape":{}}}`:                                                    {"/to: kind plan"},
+		`{"number":1,"kind":"settings","to":{"shape":{}},"stages":[{"per_mille":300},{"per_mille":200}]}`: {"/stages/1/per_mille: 200", "/stages/1/per_mille: the last"},
+		`{"number":1,"kind":"settings","to":{"shape":{}},"stages":[{},{"per_mille":1000}]}`:               {"/stages/0: either"},
+		`{"number":1,"kind":"settings","to":{"shape":{}},"pace":{"bake_ms":2000000}}`:                     {"/pace/most_ms"},
+		`{"number":1,"kind":"settings","to":{"shape":{}},"limits":{"missed_per_mille":-1}}`:               {"/limits/missed_per_mille"},
+	} {
+		path := filepath.Join(dir, "c.json")
+		os.WriteFile(path, []byte(text), 0o600)
+		_, err := Load(path)
+		for _, s := range told {
+			if err == nil || !strings.Contains(err.Error(), s) {
+				t.Errorf("%s: %v, not %s", text, err, s)
+			}
+		}
+	}
+	path := filepath.Join(dir, "c.json")
+	os.WriteFile(path, []byte(`{"number":3,"kind":"settings","to":{"shape":{}},"limits":{"missed_per_mille":1}}`), 0o600)
+	c, err := Load(path)
+	if err != nil || c.Pace.BakeMS != 60_000 || len(c.Stages) != 3 || c.Limits.MissedPerMille != 1 || c.Limits.Crashes != 2 {
+		t.Errorf("%+v %v", c, err)
+	}
+}
+
+func TestStagesKeepRoomsApartAndTypesServed(t *testing.T) {
+	places := []Place{{"a1", "a", nil, 500}, {"a2", "a", nil, 100}, {"a3", "a", nil, 90}, {"b1", "b", nil, 110}, {"b2", "b", []string{"load"}, 100}, {"b3", "b", []string{"load"}, 2}}
+	list, err := Layout([]Stage{{PerMille: 1}, {PerMille: 500}, {PerMille: 900}, {PerMille: 1000}}, places)
+	if err != nil || len(list) != 4 {
+		t.Fatalf("%v %v", list, err)
+	}
+	if len(list[0]) != 1 || list[0][0] != "a2" {
+		t.Errorf("the first is not a usual one: %v", list[0])
+	}
+	for _, s := range list[:3] {
+		left := map[string]int{}
+		for _, p := range places {
+			if !slices.Contains(s, p.Name) {
+				left[p.Zone]++
+				for _, typ := range p.Types {
+					left[typ]++
+				}
+			}
+		}
+		if left["a"] == 0 || left["b"] == 0 || left["load"] == 0 {
+			t.Errorf("%v leaves %v", s, left)
+		}
+	}
+	if len(list[3]) != 6 {
+		t.Errorf("the last is not all: %v", list[3])
+	}
+	if list, _ := Layout([]Stage{{PerMille: 1}, {PerMille: 330}, {PerMille: 1000}}, places[:2]); len(list) != 2 {
+		t.Errorf("two controllers: %v", list)
+	}
+	if _, err := Layout([]Stage{{Members: []string{"zz"}}, {PerMille: 1000}}, places); err == nil || !strings.HasPrefix(err.Error(), "/stages/0/members/0") {
+		t.Error(err)
+	}
+}
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -42,6 +42,7 @@
 	Problem  Kind = "problem"
 	Plan     Kind = "plan"
 	Operator Kind = "operator"
+	Change   Kind = "change"
 )
 
 // Read reads a file into a value, once it fits its schema. The error is a *Faults, or tells why it cannot be read.
