--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -9,14 +9,17 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
 	"swiftreel/choice"
+	"swiftreel/internal/change"
 	"swiftreel/internal/check"
 	"swiftreel/internal/cli"
 	"swiftreel/internal/client"
 	"swiftreel/internal/config"
+	"swiftreel/internal/fault"
 	"swiftreel/internal/feed"
 	"swiftreel/internal/gateway"
 	"swiftreel/internal/limits"
@@ -50,6 +53,9 @@
 	if err != nil {
 		return err
 	}
+	if len(file.Unread) > 0 {
+		slog.Warn("config_unread", "names", strings.Join(file.Unread, ","))
+	}
 	listener, err := net.Listen("tcp4", file.Listen)
 	if err != nil {
 		return err
@@ -81,6 +87,11 @@
 	}
 	gate := gateway.New(choice.Facts(facts), file.Seed, parts, s.Trace, side.speak())
 	side.join(gate)
+	told, err := newTeller(own.Tally, gate)
+	if err != nil {
+		return err
+	}
+	told.force(own.Tally, facts)
 	for _, ev := range known {
 		gate.List(ev, true)
 	}
@@ -92,19 +103,22 @@
 		operator: func() (operator.File, error) { return operator.Load(s.Operator) },
 		follow:   func(f operator.File) { follow(gate, f) },
 		restate:  func(facts map[string]any) { gate.Restate(facts) },
+		force:    told.force,
 		done:     make(chan struct{}), ended: make(chan struct{})}
 	go reloads.run(reload)
 	front := client.NewFront(gate, parts)
+	told.owed.Store(func() int64 { return front.Owed() + side.owed() })
 	go front.Serve(listener)
 	side.serve()
 	debug.FreeOSMemory() // what the libraries of the command line left behind when they were set up
 	gate.Start()
-	slog.Info("serving", "name", file.Name, "address", listener.Addr(), "events_known", file.Known.N)
+	fault.Start()
+	slog.Info("serving", "name", file.Name, "address", listener.Addr(), "events_known", file.Known.N, "settings", change.OfJSON(facts))
 
-	told := <-stop
+	signal := <-stop
 	at := time.Now()
 	gate.Stop()
-	slog.Info("stopping", "signal", told, "owed", front.Owed())
+	slog.Info("stopping", "signal", signal, "owed", front.Owed())
 	for quiet, last := time.Duration(0), at; quiet < quietLast; {
 		time.Sleep(quietLook)
 		now := time.Now()
@@ -117,6 +131,7 @@
 	front.Close()
 	side.close()
 	reloads.close()
+	told.close()
 	follower.Close()
 	gate.Close()
 	slog.Info("stopped", append([]any{"after_ms", time.Since(at).Milliseconds()}, check.Told()...)...)
--- a/cmd/swiftreel/reload.go
+++ b/cmd/swiftreel/reload.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 
+	"swiftreel/internal/change"
 	"swiftreel/internal/check"
 	"swiftreel/internal/config"
 	"swiftreel/internal/feed"
@@ -24,6 +25,7 @@
 	operator func() (operator.File, error)
 	follow   func(operator.File) // a file taken over
 	restate  func(facts map[string]any)
+	force    func(*operator.Tally, map[string]any) // what is in force from now on
 	follower *feed.Follower
 	parts    *limits.Parts
 
@@ -72,9 +74,12 @@
 	if !reflect.DeepEqual(own.SPARQL, r.own.SPARQL) {
 		restart, own.SPARQL = append(restart, "operator.sparql"), r.own.SPARQL
 	}
+	if (own.Tally == nil) != (r.own.Tally == nil) || own.Tally != nil && own.Tally.Listen != r.own.Tally.Listen {
+		restart, own.Tally = append(restart, "operator.tally"), r.own.Tally
+	}
 	moved := r.follower.Move(file.Feed, known)
 	last, _ := r.follower.Last()
-	slog.Info("reloaded", "feed", file.Feed, "feed_moved", moved, "events", last, "needs_restart", strings.Join(restart, ","))
+	slog.Info("reloaded", "feed", file.Feed, "feed_moved", moved, "events", last, "needs_restart", strings.Join(restart, ","), "settings", change.OfJSON(facts))
 	if file.Limits != r.file.Limits {
 		r.parts.Apply(r.leaves(file.Limits))
 	}
@@ -84,6 +89,7 @@
 	if !reflect.DeepEqual(own.Plan, r.own.Plan) { // the same plan once more is no new one
 		r.follow(own)
 	}
+	r.force(own.Tally, facts)
 	r.own = own
 	r.file.Feed, r.file.Known, r.file.Limits = file.Feed, file.Known, file.Limits
 	check.Count("reloads")
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -6,6 +6,8 @@
 
 	"github.com/spf13/cobra"
 
+	"swiftreel/internal/change"
+	"swiftreel/internal/config"
 	"swiftreel/internal/document"
 	"swiftreel/internal/operator"
 	"swiftreel/internal/plan"
@@ -25,7 +27,8 @@
 	c := &cobra.Command{
 		Use:   "check FILE",
 		Short: "Check a file whole: every fault is named with its path",
-		Long: `Checks the operator's file and what it names, as the start and SIGHUP do; with --kind problem or plan, one of those.
+		Long: `Checks the operator's file and what it names, as the start and SIGHUP do; with --kind problem, plan, change or config
+(what ROUTER_CONFIG names), one of those.
 A line a fault. Exit codes: 0 no fault, 2 faults, or the file cannot be read.`,
 		Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
@@ -37,8 +40,12 @@
 				_, err = plan.Load(args[0])
 			case document.Problem:
 				_, err = readProblem(args[0])
+			case document.Change:
+				_, err = change.Load(args[0])
+			case "config":
+				_, err = config.Load(func(name string) string { return map[string]string{"ROUTER_CONFIG": args[0]}[name] })
 			default:
-				return badInput(fmt.Errorf("--kind %q is none of operator, problem, plan", kind))
+				return badInput(fmt.Errorf("--kind %q is none of operator, problem, plan, change, config", kind))
 			}
 			r := report{File: args[0], Kind: kind, Faults: []string{}}
 			var faults *document.Faults
@@ -62,7 +69,7 @@
 			return nil
 		},
 	}
-	c.Flags().StringVar(&kind, "kind", string(document.Operator), "operator, problem or plan")
+	c.Flags().StringVar(&kind, "kind", string(document.Operator), "operator, problem, plan, change or config")
 	c.Flags().BoolVar(&forScripts, "json", false, "for scripts")
 	return c
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -2,13 +2,16 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 )
 
@@ -34,6 +37,7 @@
 	Feed   string
 	Known  Known
 	Facts  map[string]any // the settings, handed to the module as they are
+	Unread []string       // names in the file that nothing reads; the platform may send such
 }
 
 // Load reads the file that ROUTER_CONFIG names; ROUTER_NAME and ROUTER_LISTEN stand above what it says.
@@ -42,7 +46,7 @@
 	if path == "" {
 		return File{}, errors.New("ROUTER_CONFIG names no file")
 	}
-	text, err := read(path)
+	text, err := readFile(path)
 	if err != nil {
 		return File{}, err
 	}
@@ -65,7 +69,7 @@
 // mostBytes bounds the file.
 const mostBytes = 8 << 20
 
-func read(path string) ([]byte, error) {
+func readFile(path string) ([]byte, error) {
 	f, err := os.Open(path)
 	if err != nil {
 		return nil, err
@@ -90,7 +94,7 @@
 		Settings map[string]any `json:"settings"`
 	}
 	if err := json.Unmarshal(text, &raw); err != nil {
-		return File{}, err
+		return File{}, placed(text, err)
 	}
 	if raw.Settings == nil {
 		return File{}, errors.New("no settings")
@@ -110,5 +114,44 @@
 		return File{}, fmt.Errorf("limits cores=%v memory_mb=%v sockets=%d cannot be kept to", l.Cores, l.MemoryMB, l.Sockets)
 	}
 	return File{Name: raw.Name, Listen: raw.Listen, Seed: seed, Limits: l, Feed: raw.Feed,
-		Known: raw.Known, Facts: raw.Settings}, nil
+		Known: raw.Known, Facts: raw.Settings, Unread: unread(text)}, nil
+}
+
+// placed names the line and column of what is no JSON, or of another type than is read there.
+func placed(text []byte, err error) error {
+	var form *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	at := int64(len(text))
+	if errors.As(err, &form) {
+		at = form.Offset
+	} else if errors.As(err, &kind) {
+		at = kind.Offset
+	}
+	before := text[:max(0, min(at, int64(len(text))))]
+	line := 1 + bytes.Count(before, []byte("\n"))
+	column := len(before) - bytes.LastIndexByte(before, '\n')
+	return fmt.Errorf("line %d, column %d: %w", line, max(1, column-1), err)
+}
+
+// read are the names that the file and its parts may have; below settings all is the module's.
+var read = map[string][]string{"": {"name", "listen", "seed", "limits", "feed", "known", "settings"},
+	"limits": {"cores", "memory_mb", "sockets"}, "known": {"n", "events"}}
+
+// unread are the others, in order.
+func unread(text []byte) (list []string) {
+	var file map[string]json.RawMessage
+	json.Unmarshal(text, &file) // read well before
+	for _, part := range slices.Sorted(maps.Keys(read)) {
+		names, under := file, ""
+		if part != "" {
+			names, under = nil, part+"."
+			json.Unmarshal(file[part], &names)
+		}
+		for _, name := range slices.Sorted(maps.Keys(names)) {
+			if !slices.Contains(read[part], name) {
+				list = append(list, under+name)
+			}
+		}
+	}
+	return list
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -36,3 +36,15 @@
 		}
 	}
 }
+
+func TestFaultsArePlacedAndStrangersNamed(t *testing.T) {
+	for text, told := range map[string]string{"{\n\"name\": }": "line 2, column 9", "{\"name\": \"x\",\n \"limits\": {\"cores\": \"a\"}}": "line 2, column 24", "{\"name\":": "line 1"} {
+		if _, err := Parse([]byte(text)); err == nil || !strings.Contains(err.Error(), told) {
+			t.Errorf("%s: %v, not %s", text, err, told)
+		}
+	}
+	f, err := Parse([]byte(strings.Replace(strings.Replace(good, `"name"`, `"mood":1,"name"`, 1), `"cores"`, `"disks":1,"cores"`, 1)))
+	if err != nil || strings.Join(f.Unread, " ") != "mood limits.disks" {
+		t.Errorf("%v %v", f.Unread, err)
+	}
+}
--- /dev/null
+++ b/internal/fault/off.go
@@ -0,0 +1,22 @@
+//go:build !fault
+
+// Package fault makes a bad build on purpose, for tests of rollouts: with the build tag fault and a name set by
+// -ldflags "-X swiftreel/internal/fault.name=...". Without the tag nothing of it is in the program.
+package fault
+
+import "time"
+
+// Start begins what goes on beside the jobs.
+func Start() {}
+
+// Fails tells whether a good answer shall be lost.
+func Fails(string) bool { return false }
+
+// Refuses tells whether a job shall be turned away.
+func Refuses(string) bool { return false }
+
+// Slow is for how much longer an answer shall be kept.
+func Slow(time.Duration) time.Duration { return 0 }
+
+// Probes is how many more probes shall go out with one.
+func Probes() int { return 0 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,8 +11,10 @@
 	"swiftreel/choice"
 	"swiftreel/internal/back"
 	"swiftreel/internal/check"
+	"swiftreel/internal/fault"
 	"swiftreel/internal/limits"
 	"swiftreel/internal/sparql/decide"
+	"swiftreel/internal/tally"
 )
 
 // Gateway stands between clients, engines and the module.
@@ -26,7 +28,8 @@
 	trace   trace
 	running sync.WaitGroup // jobs' functions, and the watch over what is believed
 	done    chan struct{}
-	lines   check.Rate // of the module's log
+	lines   check.Rate  // of the module's log
+	tally   *tally.Book // nil: nothing is counted
 	overdue check.Grumble
 
 	mu        sync.Mutex // around Decide and what follows; no I/O under it
@@ -53,6 +56,9 @@
 	return g
 }
 
+// Count has jobs counted from now on. It comes before Start.
+func (g *Gateway) Count(b *tally.Book) { g.tally = b }
+
 // Ready tells whether the module has a list of engines and jobs are welcome.
 func (g *Gateway) Ready() bool { return g.ready.Load() }
 
@@ -157,7 +163,12 @@
 		if host.Address == "" { // it speaks nothing but SPARQL
 			host, _ = g.host(id, back.SPARQL)
 		}
+		g.tally.Probe()
 		go g.pool.Probe(host, g.rules.loadTold, g.rules.dial, told)
+		for range fault.Probes() {
+			g.tally.Probe()
+			go g.pool.Probe(host, g.rules.loadTold, g.rules.dial, func(back.Reply) {})
+		}
 	} else {
 		told(back.Reply{End: back.NotConnected})
 	}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -7,7 +7,10 @@
 	"swiftreel/choice"
 	"swiftreel/internal/back"
 	"swiftreel/internal/check"
+	"swiftreel/internal/fault"
+	"swiftreel/internal/judge"
 	"swiftreel/internal/statement"
+	"swiftreel/internal/tally"
 )
 
 // Ask is a job asked for, by whatever protocol. Its parts are its own.
@@ -73,13 +76,14 @@
 	j := &job{Ask: a, in: newInbox()}
 	g.mu.Lock()
 	_, twice := g.calls[string(a.ID)]
-	if twice || !g.place(a.Protocol) {
+	if twice || fault.Refuses(string(a.Type)) || !g.place(a.Protocol) {
 		g.mu.Unlock()
 		if twice { // engines tell dispatches apart by this id
 			check.Count("calls_twice")
 			a.From.Failed("a call with this id is open")
 		} else {
 			check.Count("turned_away")
+			g.count(&job{Ask: a}, tally.Throttled, 0, 0)
 			a.From.Throttled(0)
 		}
 		return
@@ -161,11 +165,12 @@
 			Latency: choice.Nanos(time.Since(s.at)), Final: answered, Bill: bill(r), Load: g.rules.load(r.Load)})
 	}
 	// answer writes the final answer. A slow client must not hold up the taking back of what is still out.
-	answer := func(write func()) {
+	answer := func(how tally.How, write func()) {
 		if answered {
 			return
 		}
 		g.answered(j)
+		g.count(j, how, count, 0)
 		if answered = true; now != nil {
 			go write()
 		} else {
@@ -185,7 +190,7 @@
 					g.overdue.Say("answer_overdue", "job", j.id, "call", string(j.ID), "late_ms", time.Since(lost).Milliseconds())
 					check.That(false, "answers_overdue")
 					g.tell(choice.Event{Kind: choice.ClientLeft, Job: j.id})
-					answer(func() { j.From.Failed(TimedOut) })
+					answer(tally.Cancelled, func() { j.From.Failed(TimedOut) })
 				}
 				timer.Reset(max(g.rules.slack/4, time.Until(limit)))
 			}
@@ -196,6 +201,7 @@
 			if !answered {
 				answered = true
 				g.answered(j)
+				g.count(j, tally.Left, count, 0)
 				g.tell(choice.Event{Kind: choice.ClientLeft, Job: j.id})
 			}
 		case m.given != 0:
@@ -216,7 +222,13 @@
 			if r.End == back.Done {
 				if owed {
 					g.answered(j)
-					j.From.Done(r.Pages)
+					if time.Sleep(fault.Slow(time.Since(j.At))); fault.Fails(string(j.Type)) {
+						g.count(j, tally.Cancelled, count, 0)
+						j.From.Failed(ForGood)
+					} else {
+						g.count(j, tally.Done, count, r.WorkMS)
+						j.From.Done(r.Pages)
+					}
 				}
 				g.pool.Free(r.Pages)
 			}
@@ -254,9 +266,9 @@
 				giveUp(choice.Retracted)
 			}
 		case m.order.Kind == choice.Throttle:
-			answer(func() { j.From.Throttled(time.Duration(m.order.Span)) })
+			answer(tally.Throttled, func() { j.From.Throttled(time.Duration(m.order.Span)) })
 		case m.order.Kind == choice.CancelForGood:
-			answer(func() { j.From.Failed(ForGood) })
+			answer(tally.Cancelled, func() { j.From.Failed(ForGood) })
 		}
 	}
 }
@@ -272,6 +284,16 @@
 	}
 }
 
+// count tells the tally what became of a job for its client.
+func (g *Gateway) count(j *job, how tally.How, dispatches choice.Seq, workMS float64) {
+	if g.tally == nil {
+		return
+	}
+	took := time.Since(j.At)
+	within := how == tally.Done && took <= g.rules.wanted(g.names.types[string(j.Type)], workMS)
+	g.tally.Answered(judge.Group{Type: string(j.Type), Tenant: string(j.Tenant)}, how, took, within, uint64(dispatches))
+}
+
 // answered frees the id of a call.
 func (g *Gateway) answered(j *job) {
 	g.mu.Lock()
--- a/internal/gateway/rules.go
+++ b/internal/gateway/rules.go
@@ -22,6 +22,7 @@
 type rules struct {
 	dial, idle, step, slack time.Duration
 	streams, open           int
+	aims                    []aim           // by type
 	writes, waits           []any           // by type: its group of tables matters
 	once                    []bool          // by type: it must not be broken off
 	giveUp                  []time.Duration // by type: how long its clients wait in all
@@ -31,6 +32,21 @@
 	loadTold                bool
 }
 
+// aim is a type's SLA time.
+type aim struct {
+	least            time.Duration
+	stretch, threads float64 // for each of its work over its threads so much more
+}
+
+// wanted is the SLA time of a job of a type that took so much work.
+func (r rules) wanted(t choice.TypeID, workMS float64) time.Duration {
+	if int(t) >= len(r.aims) {
+		return time.Hour
+	}
+	a := r.aims[t]
+	return a.least + time.Duration(a.stretch*workMS/a.threads*float64(time.Millisecond))
+}
+
 func newRules(f choice.Facts) rules {
 	in := func(name string) map[string]any { m, _ := f[name].(map[string]any); return m }
 	num := func(m map[string]any, name string, absent float64) float64 {
@@ -49,8 +65,16 @@
 	r.writes, _ = d["writes_tables"].([]any)
 	r.waits, _ = d["waits_for_loads"].([]any)
 	classes, _ := f["classes"].([]any)
-	for _, v := range classes {
+	threads, _ := d["class_threads"].([]any)
+	for i, v := range classes {
 		c, _ := v.(map[string]any)
+		a := aim{time.Duration(num(c, "aim_ns", float64(time.Hour))), num(c, "aim_stretch", 0), 1}
+		if i < len(threads) {
+			if n, is := threads[i].(float64); is && n > 1 {
+				a.threads = n
+			}
+		}
+		r.aims = append(r.aims, a)
 		r.once = append(r.once, c["idempotency"] != "repeatable")
 		r.giveUp = append(r.giveUp, time.Duration(num(c, "give_up_ns", float64(time.Hour))))
 	}
--- /dev/null
+++ b/internal/operator/fleet.go
@@ -0,0 +1,63 @@
+package operator
+
+import (
+	"fmt"
+	"net"
+
+	"swiftreel/internal/change"
+)
+
+// Tally has the controller count what becomes of its jobs and tell it over HTTP. A keeper writes this part.
+type Tally struct {
+	Listen string        `json:"listen"`
+	Spec   change.Digest `json:"spec"` // told as it stands: which spec this file is of
+}
+
+// Fleet is the controllers that changes go through in stages. Keepers and conductors read it; a controller does not.
+type Fleet struct {
+	Members []Member `json:"members"`
+	DrainMS int64    `json:"drain_ms,omitempty"` // a controller that has not ended so long after SIGTERM is killed
+	Program string   `json:"program,omitempty"`  // that a keeper starts with no order; its own where absent
+}
+
+// Member is a controller with its keeper.
+type Member struct {
+	Name   string   `json:"name"`
+	Listen string   `json:"listen"` // of its keeper, over HTTP
+	Zone   string   `json:"zone,omitempty"`
+	Types  []string `json:"types,omitempty"` // reservation types that it is there for; none: all
+}
+
+// usualDrain is past the longest job timeout of any deployment so far.
+const usualDrain = 120_000
+
+func (f *Fleet) complete() (faults []string) {
+	if f.DrainMS == 0 {
+		f.DrainMS = usualDrain
+	}
+	names, places := map[string]bool{}, map[string]bool{}
+	for i, m := range f.Members {
+		at := fmt.Sprintf("/fleet/members/%d", i)
+		if names[m.Name] {
+			faults = append(faults, fmt.Sprintf("%s/name: %q stands twice", at, m.Name))
+		}
+		if places[m.Listen] {
+			faults = append(faults, fmt.Sprintf("%s/listen: %q stands twice", at, m.Listen))
+		}
+		if _, _, err := net.SplitHostPort(m.Listen); err != nil {
+			faults = append(faults, fmt.Sprintf("%s/listen: %v", at, err))
+		}
+		names[m.Name], places[m.Listen] = true, true
+	}
+	return faults
+}
+
+// Find is a member by name.
+func (f *Fleet) Find(name string) (Member, bool) {
+	for _, m := range f.Members {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -15,6 +15,8 @@
 	Plan   *Plan   `json:"plan"`
 	SPARQL *SPARQL `json:"sparql"`
 	Shape  *Shape  `json:"shape"`
+	Tally  *Tally  `json:"tally"`
+	Fleet  *Fleet  `json:"fleet"`
 }
 
 // Plan is a plan to follow.
@@ -41,6 +43,11 @@
 			return File{}, &document.Faults{File: path, List: list}
 		}
 	}
+	if f.Fleet != nil {
+		if list := f.Fleet.complete(); len(list) > 0 {
+			return File{}, &document.Faults{File: path, List: list}
+		}
+	}
 	if f.Plan != nil {
 		if f.Plan.DemandFactor == 0 {
 			f.Plan.DemandFactor = usualFactor
--- /dev/null
+++ b/internal/tally/tally.go
@@ -0,0 +1,149 @@
+// Package tally counts what became of a controller's jobs, by reservation type and tenant, and tells it over HTTP to who
+// compares controllers. Off, nothing is counted.
+package tally
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"swiftreel/internal/change"
+	"swiftreel/internal/judge"
+)
+
+// Latencies are counted in microseconds up to an hour, to one digit.
+const (
+	mostLatency = int64(time.Hour / time.Microsecond)
+	digits      = 1
+)
+
+// How a job ended for its client.
+type How uint8
+
+// The ways. Left: the client went away before its answer, which counts as missed.
+const (
+	Done How = iota
+	Throttled
+	Cancelled
+	Left
+)
+
+// Book holds the counts since the start. It has an entry for each type and tenant of the settings, no more: jobs of others
+// are refused before they are counted.
+type Book struct {
+	mu     sync.Mutex
+	groups map[judge.Group]*entry
+	probes uint64
+}
+
+type entry struct {
+	work judge.Work
+	took *hdrhistogram.Histogram
+}
+
+// NewBook is empty.
+func NewBook() *Book { return &Book{groups: map[judge.Group]*entry{}} }
+
+// Answered counts a job; a nil book counts nothing.
+func (b *Book) Answered(g judge.Group, how How, took time.Duration, within bool, dispatches uint64) {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.groups[g]
+	if e == nil {
+		e = &entry{took: hdrhistogram.New(1, mostLatency, digits)}
+		b.groups[g] = e
+	}
+	e.work.Jobs++
+	e.work.Dispatches += dispatches
+	e.work.Further += dispatches - min(1, dispatches)
+	switch how {
+	case Done:
+		e.work.Done++
+		if within {
+			e.work.Within++
+		}
+		e.took.RecordValue(min(mostLatency, max(1, took.Microseconds()))) // within its bounds: it cannot fail
+	case Throttled:
+		e.work.Throttled++
+	case Cancelled:
+		e.work.Cancelled++
+	}
+}
+
+// Probe counts a probe sent.
+func (b *Book) Probe() {
+	if b != nil {
+		b.mu.Lock()
+		b.probes++
+		b.mu.Unlock()
+	}
+}
+
+// Report is what a controller tells of itself. Counts are since its start; a reader that knows it by Started takes
+// differences.
+type Report struct {
+	Format   int                        `json:"format"`
+	Started  int64                      `json:"started"` // Unix ns by its own clock: a name, not a time to compare
+	Version  string                     `json:"version"`
+	Spec     change.Digest              `json:"spec"`     // as the operator's file in force tells it
+	Settings change.Digest              `json:"settings"` // of the settings in force
+	Ready    bool                       `json:"ready"`
+	Owed     int64                      `json:"owed"` // answers
+	Refused  uint64                     `json:"reloads_failed"`
+	Probes   uint64                     `json:"probes"`
+	Work     map[judge.Group]judge.Work `json:"work"`
+}
+
+// Fill puts the counts into a report.
+func (b *Book) Fill(r *Report) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r.Format, r.Probes, r.Work = change.Format, b.probes, make(map[judge.Group]judge.Work, len(b.groups))
+	for g, e := range b.groups {
+		w := e.work
+		for i, n := range e.took.Export().Counts {
+			if n > 0 {
+				for len(w.Took) <= i {
+					w.Took = append(w.Took, 0)
+				}
+				w.Took[i] = uint64(n)
+			}
+		}
+		r.Work[g] = w
+	}
+}
+
+// Server tells reports.
+type Server struct {
+	listener net.Listener
+	http     *http.Server
+}
+
+// Serve tells what report gives, at GET /tally, until closed.
+func Serve(address string, report func() Report) (*Server, error) {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /tally", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(report())
+	})
+	s := &Server{l, &http.Server{Handler: mux, ReadTimeout: 5 * time.Second, WriteTimeout: 10 * time.Second, IdleTimeout: 30 * time.Second, MaxHeaderBytes: 8 << 10}}
+	go s.http.Serve(l)
+	return s, nil
+}
+
+// Address is where.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close ends it.
+func (s *Server) Close() { s.http.Close() }
