Keepers and conductors: swiftreel keep, rollout, fleet status, version

Change: swiftreel keep starts a controller, restarts it, holds its order on disk; swiftreel rollout conducts a recorded change; internal/rig plays real processes with links that are cut, silent, one-way, late or repeat an order. Result: before, nothing of it.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -8,6 +8,8 @@
 	"io"
 
 	"github.com/spf13/cobra"
+
+	"swiftreel/internal/version"
 )
 
 // The exit codes.
@@ -49,7 +51,7 @@
 		Long: `Without a command swiftreel serves: one controller, told all by ROUTER_CONFIG, ROUTER_NAME and ROUTER_LISTEN.
 What it does beyond that stands in the operator's file (--operator or ROUTER_OPERATOR).
 
-Exit codes: 0 done, 1 serving failed, 2 bad input, 3 no answer fits.`,
+Exit codes: 0 done, 1 serving failed, 2 bad input, 3 no answer fits; rollout has more.`,
 		Args: cobra.NoArgs, SilenceErrors: true, SilenceUsage: true,
 		RunE: func(*cobra.Command, []string) error {
 			if err := serve(s); err != nil {
@@ -61,7 +63,8 @@
 	root.CompletionOptions.HiddenDefaultCmd = true
 	root.Flags().BoolVar(&s.Trace, "trace", false, "log every event and action of the module")
 	root.Flags().StringVar(&s.Operator, "operator", "", "the operator's file; above ROUTER_OPERATOR")
-	root.AddCommand(solveCommand(), planCommand(), checkCommand())
+	root.Version = version.Name
+	root.AddCommand(solveCommand(), planCommand(), checkCommand(), versionCommand(), keepCommand(), rolloutCommand(), fleetCommand())
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errs)
--- /dev/null
+++ b/internal/cli/keep.go
@@ -0,0 +1,70 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"swiftreel/internal/keep"
+	"swiftreel/internal/logs"
+)
+
+func keepCommand() *cobra.Command {
+	var file, state, name string
+	c := &cobra.Command{Use: "keep", Short: "Keep one controller: start it, start it again, take orders for it", Args: cobra.NoArgs,
+		Long: `Starts the controller that ROUTER_* describes and keeps it. Orders come over HTTP at the address that the part fleet of
+the operator's file gives for ROUTER_NAME. SIGTERM lets the controller drain.`,
+		RunE: func(*cobra.Command, []string) error {
+			logs.To(os.Stderr)
+			if name == "" {
+				name = os.Getenv("ROUTER_NAME")
+			}
+			if file == "" {
+				file = os.Getenv("ROUTER_OPERATOR")
+			}
+			f, err := fleetOf(file)
+			if err != nil {
+				return err
+			}
+			m, is := f.Find(name)
+			if !is {
+				return badInput(fmt.Errorf("%s: /fleet/members: no %q", file, name))
+			}
+			if f.Program == "" {
+				if f.Program, err = os.Executable(); err != nil {
+					return exit{code: ExitFailed, err: err}
+				}
+			}
+			k, err := keep.New(keep.Options{Name: name, State: state, Operator: file, Program: f.Program, Drain: time.Duration(f.DrainMS) * time.Millisecond,
+				Env: os.Environ(), Log: os.Stderr})
+			if err != nil {
+				return exit{code: ExitFailed, err: err}
+			}
+			l, err := net.Listen("tcp4", m.Listen)
+			if err != nil {
+				return exit{code: ExitFailed, err: err}
+			}
+			h := &http.Server{Handler: k.Handler(), ReadTimeout: 5 * time.Second, WriteTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 8 << 10}
+			go h.Serve(l)
+			defer h.Close()
+			slog.Info("keeping", "name", name, "address", l.Addr(), "spec", k.Status().Spec.Digest())
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			if err := k.Run(ctx); err != nil {
+				return exit{code: ExitFailed, err: err}
+			}
+			return nil
+		}}
+	c.Flags().StringVar(&file, "operator", "", "the operator's file; above ROUTER_OPERATOR")
+	c.Flags().StringVar(&state, "state", "keep", "a folder of this keeper's own that outlives it: the order that it holds")
+	c.Flags().StringVar(&name, "name", "", "above ROUTER_NAME")
+	return c
+}
--- /dev/null
+++ b/internal/cli/rollout.go
@@ -0,0 +1,197 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"swiftreel/internal/change"
+	"swiftreel/internal/conduct"
+	"swiftreel/internal/document"
+	"swiftreel/internal/logs"
+	"swiftreel/internal/operator"
+	"swiftreel/internal/rollout"
+)
+
+// The exit codes of a rollout.
+const (
+	ExitTakenBack = 4 // the change did worse, or was to go back, and all are on the old version
+	ExitStopped   = 5 // stopped: by hand, undecided, or not begun
+	ExitFenced    = 6 // another conducts
+)
+
+// askTime is how long a keeper may take for an answer.
+const askTime = 2 * time.Second
+
+// fleetOf reads the part fleet of an operator's file.
+func fleetOf(path string) (*operator.Fleet, error) {
+	if path == "" {
+		path = os.Getenv("ROUTER_OPERATOR")
+	}
+	f, err := operator.Load(path)
+	if err != nil {
+		return nil, badInput(err)
+	}
+	if f.Fleet == nil {
+		return nil, badInput(fmt.Errorf("%s: no part fleet: name the file with --operator or ROUTER_OPERATOR", path))
+	}
+	return f.Fleet, nil
+}
+
+func rolloutCommand() *cobra.Command {
+	var folder, file string
+	root := &cobra.Command{Use: "rollout", Short: "Take a change through a fleet in stages",
+		Long: `Takes a change of settings, plan or program through the controllers that the operator's file names (part fleet),
+stage by stage, and takes it back where a stage does worse.
+
+Exit codes of start and resume: 0 on all controllers, 4 taken back, 5 stopped, 6 another conducts, 1 it could not go on.`}
+	root.PersistentFlags().StringVar(&folder, "record", "rollout", "the folder where the fleet's changes are recorded")
+	root.PersistentFlags().StringVar(&file, "operator", "", "the operator's file; above ROUTER_OPERATOR")
+	conductIt := func(begin func(context.Context, *conduct.Folder, *conduct.Fleet) error) error {
+		logs.To(os.Stderr)
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+		defer stop()
+		f, err := fleetOf(file)
+		if err != nil {
+			return err
+		}
+		place, err := conduct.Open(folder)
+		if errors.Is(err, conduct.ErrConducted) {
+			return exit{code: ExitFenced, err: err}
+		} else if err != nil {
+			return exit{code: ExitFailed, err: err}
+		}
+		defer place.Close()
+		fleet := conduct.NewFleet(f.Members, askTime, askTime)
+		if begin != nil {
+			if err := begin(ctx, place, fleet); err != nil {
+				return badInput(err)
+			}
+		}
+		c, err := conduct.Take(place, fleet)
+		if err != nil {
+			return exit{code: ExitFailed, err: err}
+		}
+		if err := c.Run(ctx); errors.Is(err, conduct.ErrFenced) {
+			return exit{code: ExitFenced, err: err}
+		} else if err != nil {
+			return exit{code: ExitFailed, err: fmt.Errorf("not finished, swiftreel rollout resume goes on: %w", err)}
+		}
+		switch s := c.State(); s.Phase {
+		case rollout.Back:
+			return exit{code: ExitTakenBack, err: fmt.Errorf("taken back: %s", s.Outcome)}
+		case rollout.Stopped:
+			return exit{code: ExitStopped, err: fmt.Errorf("stopped: %s", s.Outcome)}
+		}
+		return nil
+	}
+	var take bool
+	start := &cobra.Command{Use: "start CHANGE", Short: "Begin a change and conduct it until it ends", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			c, err := change.Load(args[0])
+			if err != nil {
+				return badInput(err)
+			}
+			return conductIt(func(ctx context.Context, p *conduct.Folder, f *conduct.Fleet) error {
+				return conduct.Begin(ctx, p, c, f, take)
+			})
+		}}
+	start.Flags().BoolVar(&take, "take", false, "whoever conducted a change of this number from another folder is gone for good")
+	var conductOn bool
+	resume := &cobra.Command{Use: "resume", Short: "End a pause; with --conduct, take over a change whose conductor is gone", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if conductOn {
+				return conductIt(nil)
+			}
+			return conduct.Look(folder).Ask(rollout.AskResume)
+		}}
+	resume.Flags().BoolVar(&conductOn, "conduct", false, "conduct until it ends")
+	root.AddCommand(start, resume, statusCommand(&folder), historyCommand(&folder))
+	for name, short := range map[rollout.Ask]string{rollout.AskPause: "No further stage until resumed; harm still takes the change back",
+		rollout.AskStop: "End the change where it stands", rollout.AskBack: "Take the change back"} {
+		root.AddCommand(&cobra.Command{Use: string(name), Short: short, Args: cobra.NoArgs,
+			RunE: func(*cobra.Command, []string) error { return conduct.Look(folder).Ask(name) }})
+	}
+	root.AddCommand(&cobra.Command{Use: "check CHANGE", Short: "Check a change's file whole: every fault is named with its path", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			got, err := change.Load(args[0])
+			var faults *document.Faults
+			if errors.As(err, &faults) {
+				for _, f := range faults.List {
+					fmt.Fprintf(c.OutOrStdout(), "%s: %s\n", faults.File, f)
+				}
+				return exit{code: ExitBadInput, err: err, said: true}
+			} else if err != nil {
+				return badInput(err)
+			}
+			return asJSON(c.OutOrStdout(), got)
+		}})
+	return root
+}
+
+func statusCommand(folder *string) *cobra.Command {
+	var forScripts bool
+	c := &cobra.Command{Use: "status", Short: "Where the change stands", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			r, is, err := conduct.Look(*folder).Record()
+			if err != nil {
+				return exit{code: ExitFailed, err: err}
+			}
+			if !is {
+				return badInput(fmt.Errorf("%s: no change is recorded", *folder))
+			}
+			if forScripts {
+				return asJSON(c.OutOrStdout(), struct {
+					Number int64         `json:"number"`
+					Kind   change.Kind   `json:"kind"`
+					Title  string        `json:"title"`
+					From   change.Digest `json:"from"`
+					To     change.Digest `json:"to"`
+					Stages [][]string    `json:"stages"`
+					State  rollout.State `json:"state"`
+				}{r.Change.Number, r.Change.Kind, r.Change.Title, r.From.Digest(), r.To.Digest(), r.Stages, r.State})
+			}
+			fmt.Fprintf(c.OutOrStdout(), "change %d (%s) %s -> %s: %s", r.Change.Number, r.Change.Kind, r.From.Digest(), r.To.Digest(), r.State.Phase)
+			if len(r.Stages) > 0 && !r.State.Phase.Ends() {
+				fmt.Fprintf(c.OutOrStdout(), ", stage %d of %d", r.State.Stage+1, len(r.Stages))
+			}
+			if r.State.Paused {
+				fmt.Fprint(c.OutOrStdout(), ", paused")
+			}
+			fmt.Fprintf(c.OutOrStdout(), "\n  %s\n", r.State.Why)
+			for _, name := range sortedKeys(r.State.Drains) {
+				fmt.Fprintf(c.OutOrStdout(), "  out of service: %s: %s\n", name, r.State.Drains[name])
+			}
+			return nil
+		}}
+	c.Flags().BoolVar(&forScripts, "json", false, "for scripts")
+	return c
+}
+
+func historyCommand(folder *string) *cobra.Command {
+	var forScripts bool
+	c := &cobra.Command{Use: "history", Short: "The transitions of all changes recorded", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			list, err := conduct.Look(*folder).History()
+			if err != nil {
+				return exit{code: ExitFailed, err: err}
+			}
+			if forScripts {
+				return asJSON(c.OutOrStdout(), list)
+			}
+			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+			for _, s := range list {
+				fmt.Fprintf(w, "%s\t%d\t%s\tstage %d\t%v\t%s\n", s.At.Format(time.RFC3339), s.Number, s.Phase, s.Stage+1, s.Fence, s.Why)
+			}
+			return w.Flush()
+		}}
+	c.Flags().BoolVar(&forScripts, "json", false, "for scripts")
+	return c
+}
--- /dev/null
+++ b/internal/conduct/fleet.go
@@ -0,0 +1,187 @@
+package conduct
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"swiftreel/internal/change"
+	"swiftreel/internal/judge"
+	"swiftreel/internal/keep"
+	"swiftreel/internal/operator"
+)
+
+// mostStatus bounds a status's text.
+const mostStatus = 16 << 20
+
+// Fleet speaks with keepers. One that is slow to answer holds up nobody: it is waited for a while, and what it says later
+// counts at the next look.
+type Fleet struct {
+	Members  []operator.Member
+	patience time.Duration
+	http     http.Client
+	places   chan struct{} // who may be spoken with at once
+
+	mu    sync.Mutex
+	lines []line // by the member's place
+}
+
+// line is what goes on with a keeper: one question and one order at a time.
+type line struct {
+	asked, ordered bool
+	answer         *Answer
+	refused        error
+}
+
+// inFlight is how many keepers are spoken with at once.
+const inFlight = 64
+
+// NewFleet speaks with those named. limit is for one answer; patience is for a look at all, and no more than that.
+func NewFleet(members []operator.Member, limit, patience time.Duration) *Fleet {
+	return &Fleet{Members: members, patience: min(limit, patience), places: make(chan struct{}, inFlight), lines: make([]line, len(members)),
+		http: http.Client{Timeout: limit, Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}}}
+}
+
+// Answer is a keeper's status, or why there is none.
+type Answer struct {
+	Status keep.Status
+	Err    error
+}
+
+var errSilent = errors.New("no answer yet")
+
+// Ask asks all at once. The answers are in the order of members.
+func (f *Fleet) Ask(ctx context.Context) []Answer {
+	f.speak(func(l *line) *bool { return &l.asked }, func(i int) bool { return true }, func(i int) {
+		a := f.status(ctx, f.Members[i])
+		f.mu.Lock()
+		f.lines[i].answer = &a
+		f.mu.Unlock()
+	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := make([]Answer, len(f.Members))
+	for i := range f.lines {
+		if list[i].Err = errSilent; f.lines[i].answer != nil {
+			list[i], f.lines[i].answer = *f.lines[i].answer, nil
+		}
+	}
+	return list
+}
+
+func (f *Fleet) status(ctx context.Context, m operator.Member) (a Answer) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.Listen+"/v1/status", nil)
+	if err == nil {
+		var text []byte
+		if text, err = f.do(q, http.StatusOK); err == nil {
+			a.Status, err = keep.ReadStatus(text)
+		}
+	}
+	if err == nil && a.Status.Name != m.Name {
+		err = fmt.Errorf("%s answers as %q", m.Listen, a.Status.Name)
+	}
+	a.Err = err
+	return a
+}
+
+// Order sends orders, by the member's place; it tells which were refused or did not arrive, as far as known by now. Where
+// the last is still on its way no other is sent: what is wanted is ordered again at the next look.
+func (f *Fleet) Order(ctx context.Context, orders map[int]change.Order) map[int]error {
+	f.speak(func(l *line) *bool { return &l.ordered }, func(i int) bool { _, is := orders[i]; return is }, func(i int) {
+		text, err := json.Marshal(orders[i])
+		if err == nil {
+			var q *http.Request
+			if q, err = http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.Members[i].Listen+"/v1/order", bytes.NewReader(text)); err == nil {
+				_, err = f.do(q, http.StatusNoContent)
+			}
+		}
+		f.mu.Lock()
+		f.lines[i].refused = err
+		f.mu.Unlock()
+	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	errs := map[int]error{}
+	for i := range f.lines {
+		if l := &f.lines[i]; !l.ordered && l.refused != nil {
+			errs[i], l.refused = l.refused, nil
+		}
+	}
+	return errs
+}
+
+// speak does something with each member that is to be spoken with and is not spoken with so already, and waits for all, but
+// no longer than its patience.
+func (f *Fleet) speak(busy func(*line) *bool, with func(int) bool, do func(int)) {
+	var wait sync.WaitGroup
+	for i := range f.Members {
+		f.mu.Lock()
+		if b := busy(&f.lines[i]); with(i) && !*b {
+			*b = true
+			wait.Go(func() {
+				f.places <- struct{}{}
+				do(i)
+				<-f.places
+				f.mu.Lock()
+				*b = false
+				f.mu.Unlock()
+			})
+		}
+		f.mu.Unlock()
+	}
+	all := make(chan struct{})
+	go func() {
+		wait.Wait()
+		close(all)
+	}()
+	select {
+	case <-all:
+	case <-time.After(f.patience):
+	}
+}
+
+func (f *Fleet) do(q *http.Request, well int) ([]byte, error) {
+	a, err := f.http.Do(q)
+	if err != nil {
+		return nil, err
+	}
+	defer a.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(a.Body, mostStatus))
+	if err == nil && a.StatusCode != well {
+		err = fmt.Errorf("%s: %s", a.Status, bytes.TrimSpace(text[:min(len(text), 500)]))
+	}
+	return text, err
+}
+
+// known is what is remembered of a controller from look to look.
+type known struct {
+	status keep.Status
+	heard  int64 // conductor's time; 0: never
+	since  int64 // it runs the new version; 0: it does not
+}
+
+// apart takes the counts since the look before: a controller that has started anew has counted from nothing.
+func (k *known) apart(s keep.Status) (d judge.Seen) {
+	d = judge.Seen{Member: s.Name, MemoryMB: s.MemoryMB, Work: map[judge.Group]judge.Work{}}
+	if k.heard == 0 {
+		return d
+	}
+	was := k.status
+	d.Crashes = s.Crashes - min(s.Crashes, was.Crashes)
+	if was.Started != s.Started {
+		was = keep.Status{}
+	}
+	d.Probes, d.CPU = s.Probes-min(s.Probes, was.Probes), max(0, s.CPU-was.CPU)
+	for g, w := range s.Work {
+		if n := w.Less(was.Work[g]); n.Jobs > 0 {
+			d.Work[g] = n
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/internal/conduct/record.go
@@ -0,0 +1,167 @@
+package conduct
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/google/renameio/v2"
+
+	"swiftreel/internal/change"
+	"swiftreel/internal/judge"
+	"swiftreel/internal/rollout"
+)
+
+// Record is all of a change that outlives its conductor.
+type Record struct {
+	By     string        `json:"by"` // names this record to controllers' keepers
+	Change change.Change `json:"change"`
+	From   change.Spec   `json:"from"`
+	To     change.Spec   `json:"to"`
+	Stages [][]string    `json:"stages"`
+	State  rollout.State `json:"state"`
+	Asked  string        `json:"asked"` // the last wish that was taken in
+}
+
+// Step is a line of the history.
+type Step struct {
+	At      time.Time     `json:"at"` // of the conductor's machine, for people
+	Number  int64         `json:"number"`
+	Phase   rollout.Phase `json:"phase"`
+	Stage   int           `json:"stage"`
+	Fence   change.Fence  `json:"fence"`
+	Why     string        `json:"why"`
+	Outcome string        `json:"outcome,omitempty"`
+}
+
+// Wish is what an operator asks of whoever conducts.
+type Wish struct {
+	ID  string      `json:"id"`
+	Ask rollout.Ask `json:"ask"`
+}
+
+// Folder is where a fleet's changes are recorded: the one under way, the base it is held against, the history of all.
+type Folder struct {
+	path string
+	lock *os.File
+}
+
+// ErrConducted: another process conducts in this folder.
+var ErrConducted = errors.New("another process conducts a change in this folder")
+
+// Open takes a folder for conducting; nobody else can while it is open.
+func Open(path string) (*Folder, error) {
+	if err := os.MkdirAll(path, 0o700); err != nil {
+		return nil, err
+	}
+	f := Look(path)
+	var err error
+	if f.lock, err = os.OpenFile(f.file("lock"), os.O_CREATE|os.O_RDWR, 0o600); err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.lock.Close()
+		return nil, fmt.Errorf("%s: %w", path, ErrConducted)
+	}
+	return f, nil
+}
+
+// Look is a folder to read and to ask in.
+func Look(path string) *Folder { return &Folder{path: path} }
+
+// Close frees it.
+func (f *Folder) Close() { f.lock.Close() }
+
+func (f *Folder) file(name string) string { return filepath.Join(f.path, name) }
+
+func (f *Folder) write(name string, v any) error {
+	text, err := json.MarshalIndent(v, "", " ")
+	if err != nil {
+		return err
+	}
+	return renameio.WriteFile(f.file(name), text, 0o600)
+}
+
+func (f *Folder) read(name string, into any) (is bool, err error) {
+	text, err := os.ReadFile(f.file(name))
+	if errors.Is(err, fs.ErrNotExist) {
+		return false, nil
+	}
+	if err == nil {
+		err = json.Unmarshal(text, into)
+	}
+	if err != nil {
+		return false, fmt.Errorf("%s: %w", f.file(name), err)
+	}
+	return true, nil
+}
+
+// Record reads the change under way, or the last.
+func (f *Folder) Record() (r Record, is bool, err error) {
+	is, err = f.read("change.json", &r)
+	return r, is, err
+}
+
+// Base reads what was seen before the first stage; nothing where it was not reached.
+func (f *Folder) Base() (*judge.Base, error) {
+	b := judge.NewBase()
+	_, err := f.read("base.json", b)
+	return b, err
+}
+
+// Ask leaves a wish, in the place of one not yet taken in.
+func (f *Folder) Ask(a rollout.Ask) error { return f.write("ask.json", Wish{name(), a}) }
+
+// Wish reads the one left.
+func (f *Folder) Wish() (w Wish) {
+	f.read("ask.json", &w) // one that cannot be read asks for nothing
+	return w
+}
+
+// note appends to the history; what cannot be written is lost for people only.
+func (f *Folder) note(s Step) {
+	text, err := json.Marshal(s)
+	if err != nil {
+		return
+	}
+	if h, err := os.OpenFile(f.file("history.jsonl"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err == nil {
+		h.Write(append(text, '\n'))
+		h.Close()
+	}
+}
+
+// mostHistory bounds how much of the history is read: its end.
+const mostHistory = 4 << 20
+
+// History reads it.
+func (f *Folder) History() (list []Step, err error) {
+	text, err := os.ReadFile(f.file("history.jsonl"))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	for line := range bytes.SplitSeq(text[max(0, len(text)-mostHistory):], []byte("\n")) {
+		var s Step
+		if json.Unmarshal(line, &s) == nil {
+			list = append(list, s)
+		}
+	}
+	return list, nil
+}
+
+// name is a name that no other has.
+func name() string {
+	b := make([]byte, 8)
+	rand.Read(b)
+	return hex.EncodeToString(b)
+}
--- /dev/null
+++ b/internal/rig/engine.go
@@ -0,0 +1,69 @@
+package rig
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"swiftreel/internal/engine"
+	"swiftreel/internal/rulecheck"
+	"swiftreel/internal/toy"
+)
+
+// LineEngine is an engine of the line protocol that logs. Its work is as the fates say.
+func LineEngine(address, name string, b *Book, f *Fates) (*toy.Engine, error) {
+	var mu sync.Mutex
+	running := map[string]*time.Timer{} // by session and id
+	return toy.StartEngine(address, func(s *toy.Session, c engine.Command) {
+		key := fmt.Sprintf("%p %s", s, c.ID)
+		mu.Lock()
+		defer mu.Unlock()
+		end := func(how string) {
+			delete(running, key)
+			b.Add(rulecheck.Entry{What: rulecheck.Ended, Job: c.ID, Engine: name, Answer: how})
+		}
+		switch c.Word {
+		case "stats", "alive":
+			s.Answer(c.ID, "well", fmt.Sprintf("load=concurrent:%d", len(running)), "")
+		case "fetch":
+			what := f.Draw()
+			if what == Full {
+				b.Add(rulecheck.Entry{What: rulecheck.Reached, Job: c.ID, Engine: name, Protocol: "line"})
+				s.Answer(c.ID, "full", "", "")
+				return
+			}
+			b.Add(rulecheck.Entry{What: rulecheck.Began, Job: c.ID, Engine: name, Protocol: "line", Work: int64(f.Work)})
+			takes := f.Work
+			if what == Slow {
+				takes *= 20
+			}
+			running[key] = time.AfterFunc(takes, func() {
+				mu.Lock()
+				defer mu.Unlock()
+				if running[key] == nil {
+					return
+				}
+				switch what {
+				case Breaks:
+					end(rulecheck.Broken)
+					s.Reset()
+				case Fails:
+					end(rulecheck.Broken)
+					s.Answer(c.ID, "failed", "", "")
+				default:
+					end(rulecheck.Done)
+					s.Answer(c.ID, "data", "sheets=1,toil=2,room=4", "a\tb\tc\n")
+				}
+			})
+		case "more":
+			if running[key] == nil {
+				s.Answer(c.ID, "failed", "", "")
+			}
+		case "abort":
+			if t := running[key]; t != nil {
+				t.Stop()
+				end(rulecheck.Broken)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/rig/load.go
@@ -0,0 +1,124 @@
+package rig
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"swiftreel/internal/rulecheck"
+	"swiftreel/internal/toy"
+)
+
+// Load is clients that ask a town's controllers for jobs until stopped. A client goes on to another connection where its
+// own breaks, and away from a controller that says that it stops.
+type Load struct {
+	town  *Town
+	seed  uint64
+	pause time.Duration
+	stop  chan struct{}
+	wait  sync.WaitGroup
+	next  atomic.Uint64
+
+	Done, Throttled, Cancelled, Broken atomic.Int64 // Broken: the connection, before the answer
+}
+
+// NewLoad starts clients at each controller; uneven: the first has double, the last a third.
+func (t *Town) NewLoad(seed uint64, clients int, pause time.Duration, uneven bool) *Load {
+	l := &Load{town: t, seed: seed, pause: pause, stop: make(chan struct{})}
+	for i, m := range t.Members {
+		n := clients
+		if uneven && i == 0 {
+			n *= 2
+		} else if uneven && i == len(t.Members)-1 {
+			n = max(1, n/3)
+		}
+		for c := range n {
+			l.wait.Go(func() { l.client(m, fmt.Sprintf("%02d%02d", i, c), rand.New(rand.NewPCG(seed, uint64(i*100+c)))) })
+		}
+	}
+	return l
+}
+
+// Stop has all clients end after the job in hand.
+func (l *Load) Stop() {
+	close(l.stop)
+	l.wait.Wait()
+}
+
+func (l *Load) over() bool {
+	select {
+	case <-l.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// restReady is how many jobs go over a connection before its controller is asked again whether they are welcome.
+const restReady = 5
+
+func (l *Load) client(m *Member, name string, chance *rand.Rand) {
+	for !l.over() {
+		c, err := toy.Dial(m.Clients)
+		if err != nil {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		for n := 0; !l.over(); n++ {
+			if n%restReady == 0 {
+				if ready, err := c.Ready(); !ready || err != nil {
+					break
+				}
+			}
+			if !l.job(c, name, chance) {
+				break
+			}
+			time.Sleep(l.pause/2 + time.Duration(chance.Int64N(int64(l.pause))))
+		}
+		c.Conn.Close()
+		if !l.over() {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+// job asks for one; it tells whether the connection still serves.
+func (l *Load) job(c *toy.Caller, name string, chance *rand.Rand) bool {
+	job := fmt.Sprintf("%s%012x", name, l.next.Add(1))
+	typ, ttl, key := "lookup", 2*time.Second, ""
+	fields := []string{"call", job, "ttl", "2000", "org", "acme", "work", "4", "est_mb", "8"}
+	if n := chance.IntN(10); n < 4 {
+		if typ, ttl, fields[3] = "import", 4*time.Second, "4000"; n == 0 {
+			key = "k" + name
+			fields = append(fields, "row", key)
+		}
+	}
+	l.town.Book.Add(rulecheck.Entry{What: rulecheck.Taken, Job: job, Type: typ, Key: key, Front: name, Until: time.Now().Add(ttl).UnixNano()})
+	id, err := c.Send(typ, "SELECT 1 FROM a_1.b", fields...)
+	if err == nil {
+		a, bad := c.Read(ttl + 5*time.Second)
+		if err = bad; err == nil && a.ID != id {
+			err = fmt.Errorf("an answer to %d", a.ID)
+		}
+		if err == nil {
+			how := rulecheck.Cancelled
+			switch a.Error {
+			case "":
+				how = rulecheck.Done
+				l.Done.Add(1)
+			case "Overloaded":
+				how = rulecheck.Throttled
+				l.Throttled.Add(1)
+			default:
+				l.Cancelled.Add(1)
+			}
+			l.town.Book.Add(rulecheck.Entry{What: rulecheck.Answered, Job: job, Answer: how})
+			return true
+		}
+	}
+	l.Broken.Add(1)
+	l.town.Book.Add(rulecheck.Entry{What: rulecheck.Left, Job: job})
+	return false
+}
