--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # build, test, lint, run. .ci/run does what lint, build and test do, with the test command of README.md.
 
-.PHONY: all build test race fuzz lint run clean proof-solve proof-sparql sparql
+.PHONY: all build test race fuzz lint run clean proof-solve proof-sparql proof-rollout proof-judge sparql
 
 all: lint build test
 
@@ -25,6 +25,7 @@
 	go test -run '^$$' -fuzz FuzzReaders -fuzztime 10s ./internal/sparql/results
 	go test -run '^$$' -fuzz FuzzCommands -fuzztime 10s ./internal/engine
 	go test -run '^$$' -fuzz FuzzParse -fuzztime 10s ./internal/feed
+	go test -run '^$$' -fuzz FuzzOrders -fuzztime 10s ./internal/change
 	go test -run '^$$' -fuzz FuzzGroup -fuzztime 10s ./internal/statement
 
 lint:
@@ -43,6 +44,12 @@
 proof-sparql: build
 	go run ./internal/proof/sparql
 
+proof-rollout: build
+	go run ./internal/proof/rollout
+
+proof-judge:
+	go run ./internal/proof/rollout -only virtual
+
 # The SPARQL example, until interrupted; it says how to ask.
 sparql: build
 	go run ./example sparql
--- /dev/null
+++ b/internal/conduct/process_test.go
@@ -0,0 +1,326 @@
+package conduct_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"swiftreel/internal/change"
+	"swiftreel/internal/conduct"
+	"swiftreel/internal/keep"
+	"swiftreel/internal/rig"
+	"swiftreel/internal/rollout"
+	"swiftreel/internal/rulecheck"
+)
+
+// Real processes: controllers with keepers, conductors, and what goes wrong between them. Nothing is decided by how long
+// something took, but by what is seen.
+
+var program, dying string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "conduct")
+	if err != nil {
+		panic(err)
+	}
+	program, dying = filepath.Join(dir, "swiftreel"), filepath.Join(dir, "dying")
+	for _, args := range [][]string{{"-o", program}, {"-o", dying, "-tags", "fault", "-ldflags", "-X swiftreel/internal/fault.name=dies -X swiftreel/internal/version.Name=dying"}} {
+		c := exec.Command("go", append(append([]string{"build"}, args...), "swiftreel/cmd/swiftreel")...)
+		if text, err := c.CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "%v: %s\n", err, text)
+			os.Exit(1)
+		}
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const pace = `"pace":{"base_ms":300,"bake_ms":300,"most_ms":60000,"apply_ms":20000,"steady_ms":1,"unheard_ms":3000,"look_ms":30},
+"limits":{"jobs_wanted":5,"shared_per_mille":900,"slower_per_mille":900,"missed_per_mille":900,"cpu_percent":5000,"memory_percent":5000}`
+
+func town(t *testing.T, n int) (*rig.Town, *rig.Load) {
+	t.Helper()
+	w, err := rig.NewTown(program, 1, n, 2, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	return w, w.NewLoad(1, 1, 10*time.Millisecond, false)
+}
+
+func write(t *testing.T, w *rig.Town, name, text string) string {
+	t.Helper()
+	path := filepath.Join(w.Dir, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func settings(number int) string {
+	return fmt.Sprintf(`{"number":%d,"kind":"settings","to":{"shape":{"budget_free":%d}},%s}`, number, number, pace)
+}
+
+func until(t *testing.T, w *rig.Town, what string, is func() bool) {
+	t.Helper()
+	if err := w.Await(40*time.Second, is); err != nil {
+		t.Fatalf("%s: %v", what, err)
+	}
+}
+
+func phase(folder string) rollout.State {
+	r, _, _ := conduct.Look(folder).Record()
+	return r.State
+}
+
+// finish holds all logs against the rules.
+func finish(t *testing.T, w *rig.Town, l *rig.Load) {
+	t.Helper()
+	l.Stop()
+	if err := w.Stop(); err != nil {
+		t.Error(err)
+	}
+	for _, v := range rulecheck.Check(rig.Rules, w.Book.Log()) {
+		t.Error(v)
+	}
+	if l.Done.Load() == 0 {
+		t.Error("no job was done")
+	}
+}
+
+func all(t *testing.T, w *rig.Town, is func(keep.Status) bool) bool {
+	t.Helper()
+	for _, m := range w.Members {
+		if s, err := w.Status(m); err != nil || !is(s) {
+			return false
+		}
+	}
+	return true
+}
+
+func TestSettingsReachAllThoughAConductorDiesAndAnotherSleeps(t *testing.T) {
+	w, l := town(t, 3)
+	folder, copied := filepath.Join(w.Dir, "record"), filepath.Join(w.Dir, "copied")
+	p, err := w.Rollout(program, folder, "start", write(t, w, "change.json", settings(1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	until(t, w, "a first stage", func() bool { return phase(folder).Phase == rollout.Baking || p.Over() })
+	p.Signal(syscall.SIGSTOP) // it will wake up when all is over
+	if err := os.CopyFS(copied, os.DirFS(folder)); err != nil {
+		t.Fatal(err)
+	}
+	second, err := w.Rollout(program, folder, "resume", "--conduct")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if second.Await() == nil || !strings.Contains(second.Log(), "another process conducts") {
+		t.Errorf("two conduct in one folder: %s", second.Log())
+	}
+	third, err := w.Rollout(program, copied, "resume", "--conduct")
+	if err != nil {
+		t.Fatal(err)
+	}
+	until(t, w, "a later stage", func() bool { return phase(copied).Stage > 0 || third.Over() })
+	third.End() // and is followed by one more
+	fourth, err := w.Rollout(program, copied, "resume", "--conduct")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := fourth.Await(); err != nil || phase(copied).Phase != rollout.Done {
+		t.Fatalf("%v, %+v: %s", err, phase(copied), fourth.Log())
+	}
+	p.Signal(syscall.SIGCONT)
+	err = p.Await()
+	var code *exec.ExitError
+	if code, _ = err.(*exec.ExitError); code == nil || code.ExitCode() != 6 || !strings.Contains(p.Log(), "rollout_fenced") {
+		t.Errorf("the one that slept: %v: %s", err, p.Log())
+	}
+	if !all(t, w, func(s keep.Status) bool {
+		return strings.Contains(string(s.Spec.Shape), `"budget_free":1`) && s.Running == s.Spec.Digest() && s.Crashes == 0
+	}) {
+		t.Error("not all run it")
+	}
+	broken := l.Broken.Load()
+	if finish(t, w, l); broken != 0 {
+		t.Errorf("%d connections broke", broken)
+	}
+}
+
+func TestAProgramThatDiesIsTakenBack(t *testing.T) {
+	w, l := town(t, 3)
+	folder := filepath.Join(w.Dir, "record")
+	p, err := w.Rollout(program, folder, "start", write(t, w, "change.json", fmt.Sprintf(`{"number":1,"kind":"program","to":{"program":%q},%s}`, dying, strings.Replace(pace, `"jobs_wanted":5`, `"jobs_wanted":100000`, 1))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = p.Await()
+	if code, _ := err.(*exec.ExitError); code == nil || code.ExitCode() != 4 {
+		t.Fatalf("%v: %s", err, p.Log())
+	}
+	if s := phase(folder); s.Phase != rollout.Back || s.Stage != 0 || !strings.Contains(s.Outcome, "ended or failed to start") {
+		t.Errorf("%+v", s)
+	}
+	if !all(t, w, func(s keep.Status) bool { return s.Version == "dev" && s.Serves }) {
+		t.Error("not all are back")
+	}
+	finish(t, w, l)
+}
+
+// An order that was held up on the way comes after later ones, one by one and twice, also past a restart of the keeper.
+func TestLateOrdersChangeNothingPastARestartOfTheKeeper(t *testing.T) {
+	w, l := town(t, 3)
+	folder := filepath.Join(w.Dir, "record")
+	p, err := w.Rollout(program, folder, "start", write(t, w, "change.json", settings(1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Await(); err != nil {
+		t.Fatalf("%v: %s", err, p.Log())
+	}
+	m := w.Members[1]
+	before, err := w.Status(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	send := func(o change.Order) (int, string) {
+		text, _ := json.Marshal(o)
+		a, err := http.Post("http://"+m.Keeps+"/v1/order", "application/json", strings.NewReader(string(text)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer a.Body.Close()
+		b := make([]byte, 300)
+		n, _ := a.Body.Read(b)
+		return a.StatusCode, string(b[:n])
+	}
+	r, _, _ := conduct.Look(folder).Record()
+	late := change.Order{Format: change.Format, Fence: before.Fence, By: r.By, Member: m.Name, Want: r.From}
+	late.Fence.Turn--
+	try := func() {
+		t.Helper()
+		if code, text := send(late); code != http.StatusConflict || !strings.Contains(text, "comes after") {
+			t.Errorf("%d %s", code, text)
+		}
+		same := late
+		same.Fence, same.Want = before.Fence, before.Spec
+		if code, text := send(same); code != http.StatusNoContent {
+			t.Errorf("an order once more: %d %s", code, text)
+		}
+	}
+	try()
+	if code, text := send(change.Order{Format: change.Format, Fence: change.Fence{Number: 9, Term: 1, Turn: 1}, By: "x", Member: "c9", Want: r.From}); code != http.StatusConflict || !strings.Contains(text, "c9") {
+		t.Errorf("an order for another: %d %s", code, text)
+	}
+	l.Stop() // the keeper's death takes its controller with it
+	m.Keeper.End()
+	if err := w.Again(m); err != nil {
+		t.Fatal(err)
+	}
+	until(t, w, "it serves again", func() bool { s, err := w.Status(m); return err == nil && s.Serves })
+	if s, err := w.Status(m); err != nil || s.Fence != before.Fence || s.Running != before.Running {
+		t.Errorf("after a restart it holds %+v %v", s.Fence, err)
+	}
+	try()
+	// A keeper that cannot record takes nothing.
+	if err := os.RemoveAll(filepath.Join(w.Dir, m.Name)); err != nil {
+		t.Fatal(err)
+	}
+	next := change.Order{Format: change.Format, Fence: before.Fence, By: r.By, Member: m.Name, Want: r.From}
+	next.Fence.Turn++
+	if code, text := send(next); code != http.StatusInsufficientStorage {
+		t.Errorf("%d %s", code, text)
+	}
+	if s, err := w.Status(m); err != nil || s.Fence != before.Fence {
+		t.Errorf("it counts what it could not record: %+v %v", s.Fence, err)
+	}
+}
+
+func TestOneOutOfReachConvergesWhenItIsHeardAgain(t *testing.T) {
+	w, l := town(t, 3)
+	folder := filepath.Join(w.Dir, "record")
+	p, err := w.Rollout(program, folder, "start", write(t, w, "change.json", settings(1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	until(t, w, "the first stage bakes", func() bool { return phase(folder).Phase == rollout.Baking || p.Over() })
+	r, _, _ := conduct.Look(folder).Record()
+	var far *rig.Member
+	for _, m := range w.Members {
+		if !strings.Contains(fmt.Sprint(r.Stages[0]), m.Name) {
+			far = m
+		}
+	}
+	far.Link.Set(rig.OneWay, 0) // it is asked, and its answers are lost
+	until(t, w, "all that can be reached have passed", func() bool { return phase(folder).Phase == rollout.Finishing || p.Over() })
+	if p.Over() {
+		t.Fatalf("it ended without one: %s", p.Log())
+	}
+	far.Link.Set(rig.Passes, 0)
+	if err := p.Await(); err != nil || phase(folder).Phase != rollout.Done {
+		t.Fatalf("%v: %s", err, p.Log())
+	}
+	if !all(t, w, func(s keep.Status) bool { return s.Running == r.To.Digest() }) {
+		t.Error("not all run it")
+	}
+	finish(t, w, l)
+}
+
+func TestNothingIsOrderedThatCannotBeRecorded(t *testing.T) {
+	w, l := town(t, 2)
+	folder := filepath.Join(w.Dir, "record")
+	p, err := w.Rollout(program, folder, "start", write(t, w, "change.json", strings.Replace(settings(1), `"base_ms":300`, `"base_ms":3000`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	until(t, w, "all are watched", func() bool { return phase(folder).Phase == rollout.Watching || p.Over() })
+	if err := os.Rename(folder, folder+".gone"); err != nil { // as a full disk does: nothing can be written
+		t.Fatal(err)
+	}
+	until(t, w, "it says so", func() bool { return strings.Contains(p.Log(), "rollout_not_recorded") || p.Over() })
+	r, _, _ := conduct.Look(folder + ".gone").Record()
+	if !all(t, w, func(s keep.Status) bool { return s.Running == r.From.Digest() && s.Fence.Compare(r.State.Fence) <= 0 }) {
+		t.Error("orders went out past the record")
+	}
+	if err := os.Rename(folder+".gone", folder); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Await(); err != nil || phase(folder).Phase != rollout.Done {
+		t.Fatalf("%v: %s", err, p.Log())
+	}
+	finish(t, w, l)
+}
+
+func TestAnotherFleetsMemberIsNotTaken(t *testing.T) {
+	w, l := town(t, 2)
+	folder, other := filepath.Join(w.Dir, "record"), filepath.Join(w.Dir, "other")
+	p, err := w.Rollout(program, folder, "start", write(t, w, "change.json", settings(1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	until(t, w, "it is under way", func() bool { return phase(folder).Phase == rollout.Baking || p.Over() })
+	q, err := w.Rollout(program, other, "start", write(t, w, "same.json", settings(1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if q.Await() == nil || !strings.Contains(q.Log(), "has taken order") && !strings.Contains(q.Log(), "holds spec") {
+		t.Errorf("a second conductor began: %s", q.Log())
+	}
+	if err := p.Await(); err != nil {
+		t.Fatalf("%v: %s", err, p.Log())
+	}
+	l.Stop()
+	if l, err := net.Listen("tcp4", w.Members[0].Keeps); err == nil {
+		l.Close()
+		t.Error("its keeper is gone")
+	}
+}
--- a/internal/proof/sparql/play.go
+++ b/internal/proof/sparql/play.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"os"
@@ -14,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"swiftreel/internal/rig"
 	"swiftreel/internal/rulecheck"
 	"swiftreel/internal/toy"
 )
@@ -56,7 +56,7 @@
 
 // town is the stand-ins and controllers of a run.
 type town struct {
-	book   book
+	book   rig.Book
 	feed   *toy.Feed
 	lines  map[string]*toy.Engine
 	ends   map[string]*toy.Endpoint
@@ -97,7 +97,7 @@
 	if err := w.stop(); err != nil {
 		return t, err
 	}
-	log := rulecheck.Merge(w.book.list)
+	log := w.book.Log()
 	t.broken = rulecheck.Check(rules, log)
 	types := map[string]string{}
 	for _, e := range log {
@@ -135,7 +135,7 @@
 }
 
 func (w *town) begin(program, dir string, d day) (err error) {
-	f := &fates{r: rand.New(rand.NewPCG(d.seed, 1)), on: d.faults, work: 3 * time.Millisecond}
+	f := rig.NewFates(d.seed, d.faults, 3*time.Millisecond)
 	if w.feed, err = toy.StartFeed("127.0.0.1:0", 1); err != nil {
 		return err
 	}
@@ -143,7 +143,7 @@
 	for _, name := range []string{"e1", "e2", "e3", "e4"} {
 		dial := ""
 		if name != "e4" {
-			e, err := lineEngine(name, &w.book, f)
+			e, err := rig.LineEngine("127.0.0.1:0", name, &w.book, f)
 			if err != nil {
 				return err
 			}
@@ -159,7 +159,7 @@
 			urls = append(urls, fmt.Sprintf("%q:%q", name, e.URL()))
 		}
 		hosts = append(hosts, entry(name, dial, "ready"))
-		w.book.add(rulecheck.Entry{What: rulecheck.Listed, Engine: name, State: "ready", Zone: "east", Kind: "std", Cores: 8})
+		w.book.Add(rulecheck.Entry{What: rulecheck.Listed, Engine: name, State: "ready", Zone: "east", Kind: "std", Cores: 8})
 	}
 	known := w.feed.Add(true, "["+strings.Join(hosts, ",")+"]")
 	for n := range 2 {
@@ -190,7 +190,7 @@
 				}
 			}
 			if time.Now().After(stop) {
-				return fmt.Errorf("controller %d does not start: %s", n, w.nodes[n].log())
+				return fmt.Errorf("controller %d does not start: %s", n, w.nodes[n].Log())
 			}
 		}
 	}
@@ -204,18 +204,18 @@
 		dial = e.Address()
 	}
 	w.feed.Add(false, "["+entry(name, dial, state)+"]")
-	w.book.add(rulecheck.Entry{What: rulecheck.Listed, Engine: name, State: state, Zone: "east", Kind: "std", Cores: 8})
+	w.book.Add(rulecheck.Entry{What: rulecheck.Listed, Engine: name, State: state, Zone: "east", Kind: "std", Cores: 8})
 }
 
 // stop ends the controllers, which have to end well.
 func (w *town) stop() (err error) {
 	for i, n := range w.nodes {
-		n.Process.Signal(syscall.SIGTERM)
-		if e := n.wait(); e != nil {
-			err = errors.Join(err, fmt.Errorf("controller %d: %w: %s", i, e, n.log()))
+		n.Signal(syscall.SIGTERM)
+		if e := n.Await(); e != nil {
+			err = errors.Join(err, fmt.Errorf("controller %d: %w: %s", i, e, n.Log()))
 		}
-		if strings.Contains(n.log(), "answers_overdue") {
-			err = errors.Join(err, fmt.Errorf("controller %d: %s", i, n.log()))
+		if strings.Contains(n.Log(), "answers_overdue") {
+			err = errors.Join(err, fmt.Errorf("controller %d: %s", i, n.Log()))
 		}
 	}
 	w.nodes = nil
@@ -224,8 +224,7 @@
 
 func (w *town) close() {
 	for _, n := range w.nodes {
-		n.Process.Kill()
-		n.wait()
+		n.End()
 	}
 	for _, e := range w.lines {
 		e.Close()
@@ -239,7 +238,7 @@
 }
 
 func (w *town) answered(job, how string) {
-	w.book.add(rulecheck.Entry{What: rulecheck.Answered, Job: job, Answer: how})
+	w.book.Add(rulecheck.Entry{What: rulecheck.Answered, Job: job, Answer: how})
 }
 
 // calls is a MessagePack client: a call at a time, every tenth an import.
@@ -260,7 +259,7 @@
 		if typ == "import" {
 			key = fmt.Sprint("k", n%3)
 		}
-		w.book.add(rulecheck.Entry{What: rulecheck.Taken, Job: job, Type: typ, Key: key, Front: fmt.Sprint(name, node), Until: time.Now().Add(ttl).UnixNano()})
+		w.book.Add(rulecheck.Entry{What: rulecheck.Taken, Job: job, Type: typ, Key: key, Front: fmt.Sprint(name, node), Until: time.Now().Add(ttl).UnixNano()})
 		id, err := c.Send(typ, "SELECT 1 FROM a_1.b", fields...)
 		if err != nil {
 			return
@@ -305,7 +304,7 @@
 	if update {
 		front = job // updates of several connections have no order that a client could know
 	}
-	w.book.add(rulecheck.Entry{What: rulecheck.Taken, Job: job, Type: typ, Key: key, Front: front, Until: time.Now().Add(ttl).UnixNano()})
+	w.book.Add(rulecheck.Entry{What: rulecheck.Taken, Job: job, Type: typ, Key: key, Front: front, Until: time.Now().Add(ttl).UnixNano()})
 	a, err := h.PostForm("http://"+w.sparql[node]+"/sparql", form)
 	if err != nil {
 		return
