Two processes of one controller count as one: an elder's cold budget, keys and free part

Lines at fault: coldRoom, rationed and turn knew of no other process. What else it holds against: a process that ends late. Change: event Elder. While one runs, and for a window (a key's rest) after, what it may have sent counts as all of it: nothing to cold engines, no free part, no ordered key. Soft parts (bounds, quotas) may be doubled while it drains; no rule rests on them. Might hurt: a newer process serves no ordered key until the elder is gone. Two processes may share the clients' address (SO_REUSEPORT) where a keeper started them. Result: the test failed without each of the three lines (keys, cold, free part) and has the case without an elder beside each.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,6 +1,5 @@
-// Package choice holds every decision of a swiftreel controller: one Controller for each instance. Decide is
-// told each event in order, with the clock, and returns the actions to carry out in order, valid until its
-// next call. The first is Started, with the settings. Ids, events, actions and records are in types.go.
+// Package choice holds every decision of a swiftreel controller, one Controller an instance. Decide is told
+// each event in order, Started first, and gives the actions to carry out until its next call (types.go).
 //
 // The file follows a job: start, list of engines, arrival, bucket and queue, look, engine bound and choice,
 // gates for dispatches and replies, notes, answer, reports, words, sweep, health. docs/design.md says why.
@@ -94,6 +93,10 @@
 		c.takePlan(ev.Plan)
 	case Restated:
 		c.read(ev.Facts)
+	case Elder: // until it has ended, nobody here knows what it sent
+		if c.alone = c.now; ev.On {
+			c.alone = math.MaxInt64 / 2
+		}
 	case TimerDue:
 		if ev.Mark == c.tick { // a timer that is not the last one set would start a second chain of them
 			c.sweep()
@@ -111,7 +114,8 @@
 
 func (c *Controller) start(ev Event) {
 	c.chance = pcg(ev.Seed)
-	c.booted, c.swept, c.mapAt, c.refused, c.until = c.now, c.now, c.now, c.now-outageLasts, math.MaxInt64
+	c.booted, c.swept, c.mapAt, c.refused = c.now, c.now, c.now, c.now-outageLasts
+	c.until, c.alone = math.MaxInt64, math.MinInt64/2
 	c.jobs, c.lines, c.tenants = map[JobID]*job{}, map[Key]*keyLine{}, map[TenantID]*tenantSeen{}
 	c.read(ev.Facts)
 	c.share, c.slowMean, c.probesLeft, c.reach = c.even, 1, probesMost, looksLeast
@@ -251,8 +255,7 @@
 	}
 }
 
-// withinShare counts a tenant's jobs against this controller's part of its quota. Some are always saved up:
-// of hundreds of controllers each has less than a job a second.
+// withinShare counts a tenant's jobs against our part of its quota, which may be under a job a second.
 func (c *Controller) withinShare(id TenantID) bool {
 	s, quota := c.tenants[id], c.facts.num(fmt.Sprintf("tenants.%d.quota_per_s", id), 1e9)*c.share
 	saved := 2*quota + quotaSaved
@@ -372,7 +375,8 @@
 // turn tells whether a job's key lets it go: all earlier ones are over with every outcome in, and it rested.
 func (c *Controller) turn(j *job) bool {
 	l := c.lines[j.key]
-	return !j.typ.ordered || j.key == 0 || l == nil || (l.jobs[0] == j && c.now >= l.rest)
+	rest := c.alone + c.facts.span("invariants.order_pause_ns") // of keys that an elder served
+	return !j.typ.ordered || j.key == 0 || l == nil || (l.jobs[0] == j && c.now >= max(l.rest, rest))
 }
 
 // borrows tells whether a job would go past its bucket's limit.
@@ -437,8 +441,7 @@
 	c.do(Action{Kind: Probe, Engine: e.Engine})
 }
 
-// quick tells the types whose jobs are short beside the longest: they go at the highest priority, and over
-// an engine's bound by half its start, so that long jobs cannot keep them from every thread.
+// quick tells types of short jobs: at the highest priority, and over an engine's bound by half its start.
 func (c *Controller) quick(t *jobType) bool { return t.usual*4 <= c.longest() }
 
 func (c *Controller) longest() (most float64) {
@@ -518,8 +521,7 @@
 	return from + (1-from)*float64(max(0, c.now-started))/float64(c.warmWithin)
 }
 
-// pick is the engine with most room: fewest threads for its cores, all controllers' as far as reports tell,
-// weighed by how slow it answers beside the others.
+// pick is the engine with most room: fewest known threads for its cores, weighed by how slow it answers.
 func (c *Controller) pick(j *job) *engine {
 	var best *engine
 	least := math.Inf(1)
@@ -580,9 +582,8 @@
 	return t.repeatable || (t.keyed && inGroup && c.now < j.firstAt+t.window-2*c.step)
 }
 
-// coldRoom is rule 4: our part of what a just-started engine stands in any window. It is even where that
-// holds a job; else as many controllers as the budget holds long jobs have turns, by number, window by
-// window. A controller that has itself just started waits a window, as it does not know what it sent before.
+// coldRoom is rule 4: our part of what a just-started engine stands in any window, even where that holds a
+// job, else by turns. Who just started, or lost an elder, waits a window: what it sent before is not known.
 func (c *Controller) coldRoom(j *job, e *engine) bool {
 	if c.warmth(e) >= 1 {
 		return true
@@ -600,16 +601,19 @@
 		ours = (c.me+c.controllers-slot*turns%c.controllers)%c.controllers < turns
 		budget *= turnPart // two turns may meet in a window
 	}
-	return ours && c.now-c.booted >= window && sum <= budget/float64(min(turns, c.controllers))
+	return ours && c.now-max(c.booted, c.alone) >= window && sum <= budget/float64(min(turns, c.controllers))
 }
 
 // rationed is rule 7: whether one more dispatch beyond a job's first keeps within the stated budget.
 func (c *Controller) rationed() bool {
-	past := func(at Nanos) bool { return at <= c.now-c.facts.span("invariants.extra_window_ns") }
+	window, free := c.facts.span("invariants.extra_window_ns"), c.facts.num("invariants.budget_free", 0)
+	past := func(at Nanos) bool { return at <= c.now-window }
 	c.taken, c.further = slices.DeleteFunc(c.taken, past), slices.DeleteFunc(c.further, past)
 	ratio := c.facts.num("invariants.further_ratio", math.Inf(1))
-	return math.IsInf(ratio, 1) ||
-		float64(len(c.further)+1) <= c.facts.num("invariants.budget_free", 0)+ratio*float64(len(c.taken))
+	if c.now-c.alone < window {
+		free = 0 // an elder may have used it
+	}
+	return math.IsInf(ratio, 1) || float64(len(c.further)+1) <= free+ratio*float64(len(c.taken))
 }
 
 // dispatch sends a job, with its memory grant and priority where they are heeded.
@@ -904,8 +908,7 @@
 // pays is what a job taken pays for maps: little in a calm fleet, where all engines have room.
 func (c *Controller) pays() float64 { return wordPoints * min(1, max(0.25, c.crowd/relaxed)) }
 
-// hear takes a word, or a map: that stands in for a report of each engine from which none came of late, and
-// for our own few outcomes there.
+// hear takes a word, or a map, which stands in for reports that lack and for our own few outcomes.
 func (c *Controller) hear(peer int, text []byte) {
 	first, entries, ok := decode(text)
 	if !ok || peer >= len(c.words) {
@@ -1146,8 +1149,7 @@
 	}
 }
 
-// watch leads back an engine that answered probes (where probing is barred, after its rest). One failure more
-// in a row sets it aside again, for twice as long.
+// watch leads back an engine that answered probes, or rested; one failure more doubles its time aside.
 func (c *Controller) watch(e *engine) {
 	if e.State != Ready || !e.aside {
 		return
--- /dev/null
+++ b/choice/elder_test.go
@@ -0,0 +1,79 @@
+package choice
+
+import "testing"
+
+// Two processes of one controller: the older serves what it owes, the newer takes what comes. To the rules they are one.
+
+func TestAnElderCountsWithUs(t *testing.T) {
+	facts := func() Facts {
+		return Facts{"balancers": 1.0, "me": 0.0, "classes": []any{
+			map[string]any{"name": "lookup", "idempotency": "repeatable", "aim_ns": 1e9, "gain": 1.0},
+			map[string]any{"name": "import", "idempotency": "once", "aim_ns": 1e9, "gain": 1.0, "fifo_by_key": true}},
+			"limits": map[string]any{"most_tries": 9.0, "cancel": true}, "domain": map[string]any{"class_threads": []any{1.0, 1.0}, "cpu_of_kind": []any{16.0}},
+			"invariants": map[string]any{"order_pause_ns": 1e8, "fall_ns": 1e9, "warm_within_ns": 1e10, "fall_multiple": 4.0, "start_capacity": 0.3,
+				"extra_window_ns": 5e9, "budget_free": 3.0, "further_ratio": 0.0}}
+	}
+	const start = Nanos(1e15)
+	sent := func(acts []Action) (n int) {
+		for _, a := range acts {
+			if a.Kind == Dispatch {
+				n++
+			}
+		}
+		return n
+	}
+	begin := func(elder bool, startedAt Nanos) *Controller {
+		c := &Controller{}
+		c.Decide(start, Event{Kind: Started, Seed: 1, Facts: facts()})
+		if elder {
+			c.Decide(start, Event{Kind: Elder, On: true})
+		}
+		c.Decide(start, Event{Kind: Listed, List: WholeList, Lines: []Line{{Engine: 1, State: Ready, StartedAt: startedAt}}})
+		return c
+	}
+	keyed := func(c *Controller, at Nanos) int {
+		return sent(c.Decide(at, Event{Kind: Arrived, Job: 1, Type: 1, Key: 7, Left: 60e9, Cost: 1e7, CostKnown: true}))
+	}
+	sweep := func(c *Controller, at Nanos) int { return sent(c.Decide(at, Event{Kind: TimerDue, Mark: c.tick})) }
+
+	// Rule 5: a key rests from the elder's end on.
+	if c := begin(false, 0); keyed(c, start+1e7) != 1 {
+		t.Error("without an elder a key waits")
+	}
+	c := begin(true, 0)
+	if keyed(c, start+1e7) != 0 || sweep(c, start+5e8) != 0 {
+		t.Error("a key goes on while an elder may serve it")
+	}
+	c.Decide(start+6e8, Event{Kind: Elder})
+	if sweep(c, start+6e8+5e7) != 0 {
+		t.Error("a key goes on before it has rested")
+	}
+	if sweep(c, start+6e8+11e7) != 1 {
+		t.Error("a key never goes on")
+	}
+
+	// Rule 4: what the elder sent to a cold engine is not known before a window after its end.
+	lookup := func(c *Controller, job JobID, at Nanos) int {
+		return sent(c.Decide(at, Event{Kind: Arrived, Job: job, Left: 60e9, Cost: 1e7, CostKnown: true}))
+	}
+	c = begin(true, start)
+	c.Decide(start+2e9, Event{Kind: Elder})
+	if lookup(c, 1, start+25e8) != 0 {
+		t.Error("a cold engine is sent a job within a window after the elder's end")
+	}
+	if sweep(c, start+31e8) != 1 {
+		t.Error("it is never sent one")
+	}
+	if c = begin(false, start); lookup(c, 1, start+12e8) != 1 {
+		t.Error("without an elder a cold engine is never sent a job")
+	}
+
+	// Rule 7: the free part of the budget may be the elder's for a window.
+	c = begin(true, 0)
+	if c.Decide(start+1e9, Event{Kind: Elder}); c.rationed() {
+		t.Error("the free part is used twice")
+	}
+	if c.now = start + 61e8; !c.rationed() {
+		t.Error("the budget never comes back")
+	}
+}
--- a/choice/types.go
+++ b/choice/types.go
@@ -42,6 +42,7 @@
 	Stopping // this controller is about to end
 	Planned  // a plan is to be followed from now on, or none any more
 	Restated // the settings anew (Facts); what was taken in and learned stays
+	Elder    // an older process of this controller serves on what it owes (On), or has ended
 )
 
 // Result is how a dispatch or a probe ended.
@@ -147,6 +148,8 @@
 	Said []byte
 
 	Plan *Plan // Planned; nil: none
+
+	On bool // Elder
 }
 
 // ActionKind says what is to be done.
@@ -269,6 +272,7 @@
 	acts                                 []Action
 	tick                                 Mark  // of the last timer set
 	now, booted, swept, asked, until     Nanos // asked: for changes of the list; until: we stop
+	alone                                Nanos // since when no older process of ours runs: far ahead while one does
 	outage, refused, reportedLast        Nanos // engines refuse since, and last did; last report
 	saved                                Nanos // when a probe was last paid for
 	warmWithin, step, period, retryAfter Nanos // step: between batches; period: between notes
--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -56,7 +56,11 @@
 	if len(file.Unread) > 0 {
 		slog.Warn("config_unread", "names", strings.Join(file.Unread, ","))
 	}
-	listener, err := net.Listen("tcp4", file.Listen)
+	own, err := operator.Load(s.Operator)
+	if err != nil {
+		return err
+	}
+	listener, err := listen(file.Listen, own.Tally != nil)
 	if err != nil {
 		return err
 	}
@@ -92,6 +96,9 @@
 		return err
 	}
 	told.force(own.Tally, facts)
+	if elder(own) {
+		gate.Elder(true)
+	}
 	for _, ev := range known {
 		gate.List(ev, true)
 	}
@@ -103,8 +110,8 @@
 		operator: func() (operator.File, error) { return operator.Load(s.Operator) },
 		follow:   func(f operator.File) { follow(gate, f) },
 		restate:  func(facts map[string]any) { gate.Restate(facts) },
-		force:    told.force,
-		done:     make(chan struct{}), ended: make(chan struct{})}
+		force:    told.force, elder: gate.Elder,
+		done: make(chan struct{}), ended: make(chan struct{})}
 	go reloads.run(reload)
 	front := client.NewFront(gate, parts)
 	told.owed.Store(func() int64 { return front.Owed() + side.owed() })
--- a/cmd/swiftreel/reload.go
+++ b/cmd/swiftreel/reload.go
@@ -26,6 +26,7 @@
 	follow   func(operator.File) // a file taken over
 	restate  func(facts map[string]any)
 	force    func(*operator.Tally, map[string]any) // what is in force from now on
+	elder    func(bool)
 	follower *feed.Follower
 	parts    *limits.Parts
 
@@ -89,6 +90,9 @@
 	if !reflect.DeepEqual(own.Plan, r.own.Plan) { // the same plan once more is no new one
 		r.follow(own)
 	}
+	if elder(own) != elder(r.own) {
+		r.elder(elder(own))
+	}
 	r.force(own.Tally, facts)
 	r.own = own
 	r.file.Feed, r.file.Known, r.file.Limits = file.Feed, file.Known, file.Limits
--- a/cmd/swiftreel/tally.go
+++ b/cmd/swiftreel/tally.go
@@ -1,10 +1,16 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"log/slog"
+	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"swiftreel/internal/change"
 	"swiftreel/internal/check"
 	"swiftreel/internal/gateway"
@@ -62,3 +68,19 @@
 		t.server.Close()
 	}
 }
+
+// elder tells whether a file says that an older process of this controller still runs.
+func elder(f operator.File) bool { return f.Tally != nil && f.Tally.Elder }
+
+// listen listens for clients. Where a keeper starts one program beside the other, both have the address for a while: the
+// kernel gives each new connection to one of them.
+func listen(address string, shared bool) (net.Listener, error) {
+	var l net.ListenConfig
+	if shared {
+		l.Control = func(_, _ string, c syscall.RawConn) (err error) {
+			failed := c.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) })
+			return errors.Join(failed, err)
+		}
+	}
+	return l.Listen(context.Background(), "tcp4", address)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -195,3 +195,10 @@
 	g.tell(choice.Event{Kind: choice.Restated, Facts: facts})
 	slog.Info("settings_restated")
 }
+
+// Elder tells the module that an older process of this controller still serves what it owes, or has ended. Together they
+// count as one controller.
+func (g *Gateway) Elder(on bool) {
+	g.tell(choice.Event{Kind: choice.Elder, On: on})
+	slog.Info("elder", "runs", on)
+}
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -10,7 +10,8 @@
 // Tally has the controller count what becomes of its jobs and tell it over HTTP. A keeper writes this part.
 type Tally struct {
 	Listen string        `json:"listen"`
-	Spec   change.Digest `json:"spec"` // told as it stands: which spec this file is of
+	Spec   change.Digest `json:"spec"`  // told as it stands: which spec this file is of
+	Elder  bool          `json:"elder"` // an older process of this controller serves on what it owes
 }
 
 // Fleet is the controllers that changes go through in stages. Keepers and conductors read it; a controller does not.
