Keepers start the next program beside the old; one that cannot live never serves

Cause: a change of the program drained the old process and then started the new: a gap of over a second, and a program that dies at its start had already taken the place of one that lives. Change: scene.decide (pure) in internal/keep: at most two processes, the next serves once it says it is ready with what it was told. Conductors record each look for people (looks.jsonl).

--- a/internal/conduct/conduct.go
+++ b/internal/conduct/conduct.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"os"
 	"strings"
 	"time"
 
@@ -68,6 +69,7 @@
 	if _, err := change.Layout(c.Stages, (&Conductor{fleet: fleet, base: judge.NewBase()}).places()); err != nil {
 		return err
 	}
+	os.Remove(f.file("looks.jsonl"))
 	f.note(Step{At: time.Now().UTC(), Number: c.Number, Phase: rollout.Preparing, Fence: r.State.Fence, Why: c.Title})
 	return f.write("change.json", r)
 }
@@ -202,6 +204,9 @@
 	case rollout.Waiting:
 		in.Better = c.better.Look(c.record.Change.Limits, c.base, looks)
 	}
+	if !s.Phase.Ends() {
+		c.folder.add("looks.jsonl", Point{time.Now().UTC(), c.record.Change.Number, s.Phase, s.Stage, in.Verdict.Odds, armOf(judge.Sum(looks, false)), armOf(judge.Sum(looks, true))})
+	}
 }
 
 // say records the state. Where that fails the conductor goes on looking and acts on nothing: the state is recorded before
--- a/internal/conduct/record.go
+++ b/internal/conduct/record.go
@@ -18,6 +18,7 @@
 	"swiftreel/internal/change"
 	"swiftreel/internal/judge"
 	"swiftreel/internal/rollout"
+	"swiftreel/internal/tally"
 )
 
 // Record is all of a change that outlives its conductor.
@@ -42,6 +43,31 @@
 	Outcome string        `json:"outcome,omitempty"`
 }
 
+// Point is a look, for people: what was seen of both versions in it.
+type Point struct {
+	At     time.Time     `json:"at"`
+	Number int64         `json:"number"`
+	Phase  rollout.Phase `json:"phase"`
+	Stage  int           `json:"stage"`
+	Odds   float64       `json:"odds"` // of harm
+	Old    Arm           `json:"old"`
+	New    Arm           `json:"new"`
+}
+
+// Arm is one version's part of a look.
+type Arm struct {
+	Jobs      uint64 `json:"jobs"`
+	Missed    uint64 `json:"missed"`
+	Throttled uint64 `json:"throttled"`
+	Cancelled uint64 `json:"cancelled"`
+	MedianNS  int64  `json:"median_ns"`
+	P99NS     int64  `json:"p99_ns"`
+}
+
+func armOf(w judge.Work) Arm {
+	return Arm{w.Jobs, w.Jobs - w.Within, w.Throttled, w.Cancelled, int64(tally.Quantile(w.Took, 50)), int64(tally.Quantile(w.Took, 99))}
+}
+
 // Wish is what an operator asks of whoever conducts.
 type Wish struct {
 	ID  string      `json:"id"`
@@ -127,33 +153,40 @@
 }
 
 // note appends to the history; what cannot be written is lost for people only.
-func (f *Folder) note(s Step) {
-	text, err := json.Marshal(s)
+func (f *Folder) note(s Step) { f.add("history.jsonl", s) }
+
+func (f *Folder) add(name string, line any) {
+	text, err := json.Marshal(line)
 	if err != nil {
 		return
 	}
-	if h, err := os.OpenFile(f.file("history.jsonl"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err == nil {
+	if h, err := os.OpenFile(f.file(name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err == nil {
 		h.Write(append(text, '\n'))
 		h.Close()
 	}
 }
 
-// mostHistory bounds how much of the history is read: its end.
-const mostHistory = 4 << 20
+// mostLines bounds how much of a file of lines is read: its end.
+const mostLines = 16 << 20
+
+// History reads the transitions of all changes.
+func (f *Folder) History() ([]Step, error) { return lines[Step](f.file("history.jsonl")) }
+
+// Points reads the looks of the last change: the file begins anew with each.
+func (f *Folder) Points() ([]Point, error) { return lines[Point](f.file("looks.jsonl")) }
 
-// History reads it.
-func (f *Folder) History() (list []Step, err error) {
-	text, err := os.ReadFile(f.file("history.jsonl"))
+func lines[T any](path string) (list []T, err error) {
+	text, err := os.ReadFile(path)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
 	if err != nil {
 		return nil, err
 	}
-	for line := range bytes.SplitSeq(text[max(0, len(text)-mostHistory):], []byte("\n")) {
-		var s Step
-		if json.Unmarshal(line, &s) == nil {
-			list = append(list, s)
+	for line := range bytes.SplitSeq(text[max(0, len(text)-mostLines):], []byte("\n")) {
+		var v T
+		if json.Unmarshal(line, &v) == nil {
+			list = append(list, v)
 		}
 	}
 	return list, nil
--- a/internal/judge/seen.go
+++ b/internal/judge/seen.go
@@ -188,3 +188,16 @@
 	}
 	return n
 }
+
+// Sum is what those on one version did together.
+func Sum(list []Seen, new bool) Work {
+	sums := map[Group]*Work{}
+	for _, s := range list {
+		for _, w := range s.Work {
+			if s.New == new {
+				put(sums, Group{}, w)
+			}
+		}
+	}
+	return sums[Group{}].get()
+}
--- a/internal/keep/child.go
+++ b/internal/keep/child.go
@@ -16,15 +16,27 @@
 	"sync"
 	"time"
 
+	"swiftreel/internal/change"
 	"swiftreel/internal/tally"
 )
 
-// child is a controller's process.
+// told is what a process has been told by its operator's file.
+type told struct {
+	spec  change.Digest
+	elder bool
+}
+
+// child is a process of the controller.
 type child struct {
-	cmd   *exec.Cmd
-	began time.Time
-	ended chan struct{}
-	err   error // once ended
+	cmd     *exec.Cmd
+	program change.Program
+	file    string // the operator's
+	told    told
+	began   time.Time
+	drains  time.Time // told to end
+	ended   chan struct{}
+	err     error        // once ended
+	report  tally.Report // the last; under the keeper's lock
 
 	mu      sync.Mutex
 	address string // of its tally, once it has said so
@@ -32,20 +44,20 @@
 
 var servingTally = regexp.MustCompile(`msg=serving_tally address=(\S+)`)
 
-// start starts a program; what it logs is passed on.
-func start(program string, env []string, log io.Writer) (*child, error) {
-	c := &child{cmd: exec.Command(program), began: time.Now(), ended: make(chan struct{})}
+// start starts it; what it logs is passed on.
+func (c *child) start(env []string, log io.Writer) error {
+	c.cmd = exec.Command(c.program.Path)
 	c.cmd.Env, c.cmd.Stdout = env, log
 	from, to, err := os.Pipe()
 	if err != nil {
-		return nil, err
+		return err
 	}
 	c.cmd.Stderr = to
 	err = c.cmd.Start()
 	to.Close()
 	if err != nil {
 		from.Close()
-		return nil, err
+		return err
 	}
 	go func() {
 		defer from.Close()
@@ -65,7 +77,7 @@
 		c.err = c.cmd.Wait()
 		close(c.ended)
 	}()
-	return c, nil
+	return nil
 }
 
 func (c *child) over() bool {
@@ -79,8 +91,8 @@
 
 var errNotYet = errors.New("it does not say where it tells its tally yet")
 
-// report asks it for its tally.
-func (c *child) report(ctx context.Context, h *http.Client) (r tally.Report, err error) {
+// ask asks it for its tally.
+func (c *child) ask(ctx context.Context, h *http.Client) (r tally.Report, err error) {
 	c.mu.Lock()
 	address := c.address
 	c.mu.Unlock()
--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -20,7 +21,6 @@
 	"github.com/google/renameio/v2"
 
 	"swiftreel/internal/change"
-	"swiftreel/internal/tally"
 )
 
 // Options are a keeper's.
@@ -40,17 +40,18 @@
 	base map[string]json.RawMessage // the operator's file
 	http http.Client
 	wake chan struct{} // an order was taken
+	seq  int           // of operators' files written
 
-	mu      sync.Mutex
-	held    change.Held
-	now     *child
-	runs    change.Program // that now runs
-	report  tally.Report   // the last, of now
-	failed  string
-	again   again
-	drained bool
-	ordered time.Time
-	asked   time.Time
+	mu        sync.Mutex
+	held      change.Held
+	now, next *child   // who serves, and who is to
+	olds      []*child // that drain; they leave as they end, or are killed
+	failed    string
+	again     again
+	startAt   time.Time // not before
+	drained   bool
+	ordered   time.Time
+	asked     time.Time
 }
 
 var errNoRecord = errors.New("the order cannot be recorded")
@@ -157,55 +158,14 @@
 func (k *Keeper) Run(ctx context.Context) error {
 	tick := time.NewTicker(look)
 	defer tick.Stop()
-	var startAt time.Time // not before
-	applied := change.Digest("")
 	for {
-		k.mu.Lock()
-		held, now := k.held, k.now
-		k.mu.Unlock()
-		want := held.Want.Digest()
-		switch {
-		case now != nil && now.over():
-			if k.drop(now); !held.Drain {
-				wait := k.crashed(now)
-				startAt = time.Now().Add(wait)
-			}
-		case held.Drain && now != nil:
-			k.end(now)
-		case held.Drain:
-			k.mu.Lock()
-			k.drained = true
-			k.mu.Unlock()
-		case now != nil && k.runs != held.Want.Program:
-			if k.fits(held.Want.Program) {
-				k.end(now)
-				startAt = time.Time{}
-			} else {
-				k.look(ctx, now, want)
-			}
-		case now == nil && !time.Now().Before(startAt):
-			applied = ""
-			if k.fits(held.Want.Program) && k.file(held) {
-				if wait, is := k.begin(held); !is {
-					startAt = time.Now().Add(wait)
-				}
-				applied = want
-			}
-		case now != nil && applied != want:
-			if k.file(held) {
-				now.cmd.Process.Signal(syscall.SIGHUP)
-				applied = want
-			}
-		case now != nil:
-			k.look(ctx, now, want)
-		}
+		k.turn(ctx)
 		select {
 		case <-ctx.Done():
-			k.mu.Lock()
-			now := k.now
-			k.mu.Unlock()
-			if now != nil {
-				k.end(now)
+			k.endAll()
+			for len(k.olds) > 0 {
+				<-tick.C
+				k.ends()
 			}
 			return nil
 		case <-tick.C:
@@ -214,6 +174,98 @@
 	}
 }
 
+// turn looks, and does what comes next.
+func (k *Keeper) turn(ctx context.Context) {
+	k.ends()
+	for _, c := range []*child{k.now, k.next} {
+		if c != nil {
+			k.look(ctx, c)
+		}
+	}
+	k.mu.Lock()
+	held, now, next := k.held, k.now, k.next
+	s := scene{drain: held.Drain, now: now != nil, next: next != nil, olds: len(k.olds), wait: time.Now().Before(k.startAt)}
+	if now != nil {
+		s.nowFits, s.told = now.program == held.Want.Program, now.told == (told{held.Want.Digest(), len(k.olds) > 0})
+	}
+	if next != nil {
+		s.nextFits, s.nextReady = next.program == held.Want.Program, next.report.Ready && next.report.Spec == held.Want.Digest()
+	}
+	k.drained = held.Drain && now == nil && next == nil && len(k.olds) == 0
+	k.mu.Unlock()
+	switch s.decide() {
+	case startOne:
+		if k.fits(held.Want.Program) {
+			k.begin(held)
+		}
+	case promote:
+		slog.Info("controller_changes", "program", next.program.Path, "digest", next.program.Digest)
+		k.mu.Lock()
+		k.now, k.next = next, nil
+		k.mu.Unlock()
+		k.end(now)
+	case discard:
+		k.mu.Lock()
+		k.next = nil
+		k.mu.Unlock()
+		k.end(next)
+	case tell:
+		if k.file(now, held, len(k.olds) > 0) {
+			now.cmd.Process.Signal(syscall.SIGHUP)
+		}
+	case endAll:
+		k.endAll()
+	}
+}
+
+// ends takes note of processes that have ended, and kills old ones whose time to drain is over.
+func (k *Keeper) ends() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, at := range []**child{&k.now, &k.next} {
+		if c := *at; c != nil && c.over() {
+			*at = nil
+			k.crashed(time.Since(c.began), c.err)
+		}
+	}
+	k.olds = slices.DeleteFunc(k.olds, func(c *child) bool {
+		if !c.over() && time.Since(c.drains) > k.o.Drain {
+			slog.Error("controller_killed", "drain_ms", k.o.Drain.Milliseconds())
+			c.cmd.Process.Kill()
+			<-c.ended
+		}
+		return c.over()
+	})
+}
+
+// crashed counts an end that nobody asked for, or a start that failed. The lock is held.
+func (k *Keeper) crashed(ran time.Duration, why error) {
+	wait := k.again.ended(ran)
+	k.startAt = time.Now().Add(wait)
+	slog.Error("controller_ended", "reason", fmt.Sprint(why), "crashes", k.again.Crashes, "again_ms", wait.Milliseconds())
+}
+
+// end lets a process drain; nil: there is none.
+func (k *Keeper) end(c *child) {
+	if c == nil {
+		return
+	}
+	c.cmd.Process.Signal(syscall.SIGTERM)
+	k.mu.Lock()
+	c.drains = time.Now()
+	k.olds = append(k.olds, c)
+	k.mu.Unlock()
+}
+
+func (k *Keeper) endAll() {
+	k.mu.Lock()
+	now, next := k.now, k.next
+	k.now, k.next = nil, nil
+	k.mu.Unlock()
+	k.end(now)
+	k.end(next)
+}
+
 // fits tells whether a program's file is what an order says.
 func (k *Keeper) fits(p change.Program) bool {
 	d, err := change.OfFile(p.Path)
@@ -234,15 +286,15 @@
 	return err == nil
 }
 
-// file writes the operator's file of a spec.
-func (k *Keeper) file(h change.Held) bool {
+// file writes a process's operator's file: of what is held, and whether an older one still drains.
+func (k *Keeper) file(c *child, h change.Held, elder bool) bool {
 	parts := map[string]json.RawMessage{}
 	for name, text := range k.base {
 		if name != "fleet" && name != "shape" && name != "plan" {
 			parts[name] = text
 		}
 	}
-	parts["tally"] = fmt.Appendf(nil, `{"listen":"127.0.0.1:0","spec":%q}`, h.Want.Digest())
+	parts["tally"] = fmt.Appendf(nil, `{"listen":"127.0.0.1:0","spec":%q,"elder":%v}`, h.Want.Digest(), elder)
 	if len(h.Want.Shape) > 0 {
 		parts["shape"] = h.Want.Shape
 	}
@@ -256,67 +308,51 @@
 		parts["plan"], _ = json.Marshal(plan)
 	}
 	if err == nil {
-		err = write(k.path("operator.json"), parts)
+		err = write(c.file, parts)
+	}
+	if err == nil {
+		c.told = told{h.Want.Digest(), elder}
 	}
 	return k.fail(err)
 }
 
-// begin starts the controller, or tells when to try again.
-func (k *Keeper) begin(h change.Held) (time.Duration, bool) {
-	env := append(append([]string{}, k.o.Env...), "ROUTER_OPERATOR="+k.path("operator.json"))
-	c, err := start(h.Want.Program.Path, env, k.o.Log)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if err != nil {
-		slog.Error("start_failed", "reason", err)
-		return k.again.ended(0), false
-	}
-	k.now, k.runs, k.report, k.drained = c, h.Want.Program, tally.Report{}, false
-	return 0, true
-}
+// files is how many operators' files a keeper writes in turn: two processes live at once, and one more may be dying.
+const files = 4
 
-// drop forgets a controller that has ended.
-func (k *Keeper) drop(c *child) {
+// begin starts a process of the controller.
+func (k *Keeper) begin(h change.Held) {
+	k.seq++
+	c := &child{program: h.Want.Program, file: k.path(fmt.Sprintf("operator-%d.json", k.seq%files)), began: time.Now(), ended: make(chan struct{})}
 	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.now == c {
-		k.now, k.report = nil, tally.Report{}
+	beside := k.now != nil
+	k.mu.Unlock()
+	if !k.file(c, h, beside || len(k.olds) > 0) {
+		return
 	}
-}
-
-func (k *Keeper) crashed(c *child) time.Duration {
+	err := c.start(append(append([]string{}, k.o.Env...), "ROUTER_OPERATOR="+c.file), k.o.Log)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	wait := k.again.ended(time.Since(c.began))
-	slog.Error("controller_ended", "reason", fmt.Sprint(c.err), "crashes", k.again.Crashes, "again_ms", wait.Milliseconds())
-	return wait
-}
-
-// end lets a controller drain; one that does not end in its time is killed.
-func (k *Keeper) end(c *child) {
-	c.cmd.Process.Signal(syscall.SIGTERM)
-	select {
-	case <-c.ended:
-	case <-time.After(k.o.Drain):
-		slog.Error("controller_killed", "drain_ms", k.o.Drain.Milliseconds())
-		c.cmd.Process.Kill()
-		<-c.ended
+	switch {
+	case err != nil:
+		k.crashed(0, err)
+	case beside:
+		k.next = c
+	default:
+		k.now = c
 	}
-	k.drop(c)
 }
 
-// look asks the controller how it is. One that refused its file will not run with it.
-func (k *Keeper) look(ctx context.Context, c *child, want change.Digest) {
-	r, err := c.report(ctx, &k.http)
+// look asks a process how it is. One that refused its file will not run with it.
+func (k *Keeper) look(ctx context.Context, c *child) {
+	r, err := c.ask(ctx, &k.http)
+	k.mu.Lock()
 	if err != nil {
-		k.mu.Lock()
-		k.report.Ready = false
+		c.report.Ready = false
 		k.mu.Unlock()
 		return
 	}
-	k.mu.Lock()
-	refused := r.Spec != want && r.Refused > k.report.Refused && k.report.Started == r.Started
-	if k.report = r; r.Spec == want && k.runs == k.held.Want.Program {
+	refused := r.Spec != c.told.spec && r.Refused > c.report.Refused && c.report.Started == r.Started
+	if c.report = r; c == k.now && r.Spec == k.held.Want.Digest() && c.program == k.held.Want.Program {
 		k.failed = ""
 	}
 	k.mu.Unlock()
@@ -330,17 +366,19 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
-	s := Status{Format: change.Format, Name: k.o.Name, Spec: k.held.Want, Version: k.report.Version, Settings: k.report.Settings, Fence: k.held.Fence,
+	s := Status{Format: change.Format, Name: k.o.Name, Spec: k.held.Want, Fence: k.held.Fence,
 		By: k.held.By, Drained: k.drained, Failed: k.failed, Crashes: k.again.Crashes, OrderMS: -1, AskedMS: now.Sub(k.asked).Milliseconds()}
 	if k.asked = now; !k.ordered.IsZero() {
 		s.OrderMS = now.Sub(k.ordered).Milliseconds()
 	}
-	if c, r := k.now, k.report; c != nil && r.Started != 0 {
+	for _, c := range k.olds {
+		s.Drains = append(s.Drains, c.cmd.Process.Pid)
+	}
+	if c := k.now; c != nil && c.report.Started != 0 {
+		r := c.report
+		s.PID, s.Version, s.Settings, s.Running = c.cmd.Process.Pid, r.Version, r.Settings, r.Spec
 		s.Serves, s.Owed, s.Started, s.Probes, s.Work = r.Ready, r.Owed, r.Started, r.Probes, r.Work
 		s.MemoryMB, s.CPU = c.uses()
-		if k.runs == k.held.Want.Program || r.Spec != k.held.Want.Digest() {
-			s.Running = r.Spec
-		}
 	}
 	return s
 }
--- a/internal/keep/keep_test.go
+++ b/internal/keep/keep_test.go
@@ -54,11 +54,12 @@
 	if err := k.Take(order); err != nil {
 		t.Fatal(err)
 	}
-	if !k.file(k.held) {
+	c := &child{file: k.path("operator-1.json")}
+	if !k.file(c, k.held, true) || c.told != (told{k.held.Want.Digest(), true}) {
 		t.Fatal(k.failed)
 	}
 	var parts map[string]json.RawMessage
-	text, _ := os.ReadFile(k.path("operator.json"))
+	text, _ := os.ReadFile(c.file)
 	if json.Unmarshal(text, &parts); parts["fleet"] != nil || !strings.Contains(string(parts["tally"]), string(k.held.Want.Digest())) {
 		t.Errorf("%s", text)
 	}
@@ -71,3 +72,31 @@
 		t.Errorf("a torn record: %v", err)
 	}
 }
+
+func TestAProgramThatCannotLiveNeverTakesThePlaceOfOneThatDoes(t *testing.T) {
+	for i, c := range []struct {
+		s    scene
+		want act
+	}{
+		{scene{}, startOne}, {scene{wait: true}, nothing}, {scene{olds: 1}, startOne}, {scene{olds: 2}, nothing},
+		{scene{now: true, nowFits: true}, tell}, {scene{now: true, nowFits: true, told: true}, nothing},
+		{scene{now: true}, startOne}, {scene{now: true, olds: 1}, nothing}, {scene{now: true, wait: true}, nothing},
+		{scene{now: true, next: true, nextFits: true}, nothing}, {scene{now: true, next: true, nextFits: true, nextReady: true}, promote},
+		{scene{now: true, next: true, nextReady: true}, discard}, {scene{now: true, nowFits: true, next: true, nextFits: true}, discard},
+		{scene{next: true}, promote}, {scene{drain: true, now: true, next: true}, endAll}, {scene{drain: true}, nothing},
+	} {
+		if got := c.s.decide(); got != c.want {
+			t.Errorf("%d: %+v: %d, not %d", i, c.s, got, c.want)
+		}
+	}
+	for n := range 1 << 8 { // all scenes: a second program never starts beside two, and serves only when ready or alone
+		b := func(i int) bool { return n>>i&1 == 1 }
+		s := scene{b(0), b(1), b(2), b(3), b(4), b(5), n >> 6 & 1, b(7), false}
+		switch a := s.decide(); {
+		case a == startOne && (s.next || s.now && s.olds > 0 || s.drain || s.wait):
+			t.Errorf("%+v starts one more", s)
+		case a == promote && s.now && !(s.nextReady && s.nextFits):
+			t.Errorf("%+v has the next serve", s)
+		}
+	}
+}
--- a/internal/keep/status.go
+++ b/internal/keep/status.go
@@ -22,6 +22,8 @@
 	Drained  bool                       `json:"drained"` // out of service, as ordered
 	Failed   string                     `json:"failed"`  // why it cannot do what it was ordered
 	Crashes  uint64                     `json:"crashes"` // ends of its controller that nobody ordered, and starts that failed
+	PID      int                        `json:"pid"`     // of the process that serves
+	Drains   []int                      `json:"drains"`  // those of older ones that serve what they owe
 	Owed     int64                      `json:"owed"`
 	OrderMS  int64                      `json:"order_ms"` // since the last order came, taken or not; -1: none yet
 	AskedMS  int64                      `json:"asked_ms"` // since anyone asked
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -120,6 +120,16 @@
 	}
 }
 
+// Quantile is the latency under which so many percent of counted jobs stayed, to one digit; 0 where there are none.
+func Quantile(took []uint64, percent float64) time.Duration {
+	counts := make([]int64, len(hdrhistogram.New(1, mostLatency, digits).Export().Counts))
+	for i := range min(len(took), len(counts)) {
+		counts[i] = int64(took[i])
+	}
+	h := hdrhistogram.Import(&hdrhistogram.Snapshot{LowestTrackableValue: 1, HighestTrackableValue: mostLatency, SignificantFigures: digits, Counts: counts})
+	return time.Duration(h.ValueAtQuantile(percent)) * time.Microsecond
+}
+
 // Server tells reports.
 type Server struct {
 	listener net.Listener
