--- a/internal/conduct/process_test.go
+++ b/internal/conduct/process_test.go
@@ -1,6 +1,7 @@
 package conduct_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -16,23 +17,25 @@
 	"swiftreel/internal/change"
 	"swiftreel/internal/conduct"
 	"swiftreel/internal/keep"
+	"swiftreel/internal/operator"
 	"swiftreel/internal/rig"
 	"swiftreel/internal/rollout"
 	"swiftreel/internal/rulecheck"
+	"swiftreel/internal/toy"
 )
 
 // Real processes: controllers with keepers, conductors, and what goes wrong between them. Nothing is decided by how long
 // something took, but by what is seen.
 
-var program, dying string
+var program, dying, other string
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "conduct")
 	if err != nil {
 		panic(err)
 	}
-	program, dying = filepath.Join(dir, "swiftreel"), filepath.Join(dir, "dying")
-	for _, args := range [][]string{{"-o", program}, {"-o", dying, "-tags", "fault", "-ldflags", "-X swiftreel/internal/fault.name=dies -X swiftreel/internal/version.Name=dying"}} {
+	program, dying, other = filepath.Join(dir, "swiftreel"), filepath.Join(dir, "dying"), filepath.Join(dir, "other")
+	for _, args := range [][]string{{"-o", program}, {"-o", other, "-ldflags", "-X swiftreel/internal/version.Name=other"}, {"-o", dying, "-tags", "fault", "-ldflags", "-X swiftreel/internal/fault.name=dies -X swiftreel/internal/version.Name=dying"}} {
 		c := exec.Command("go", append(append([]string{"build"}, args...), "swiftreel/cmd/swiftreel")...)
 		if text, err := c.CombinedOutput(); err != nil {
 			fmt.Fprintf(os.Stderr, "%v: %s\n", err, text)
@@ -324,3 +327,123 @@
 		t.Error("its keeper is gone")
 	}
 }
+
+// A key whose job still runs under the older process of a controller goes on under the newer one only once that is over.
+func TestAKeyWaitsForTheOlderProcess(t *testing.T) {
+	w, err := rig.NewTown(program, 1, 1, 1, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	m := w.Members[0]
+	w.Fates.Takes(4 * time.Second)
+	began := func(job string) (n int) {
+		for _, e := range w.Book.Log() {
+			if e.Job == job && e.What == rulecheck.Began {
+				n++
+			}
+		}
+		return n
+	}
+	ready := func() (c *toy.Caller) {
+		until(t, w, "a process that is ready", func() bool {
+			c, err = toy.Dial(m.Clients)
+			if err != nil {
+				return false
+			}
+			is, err := c.Ready()
+			return is && err == nil
+		})
+		return c
+	}
+	ask := func(c *toy.Caller, job string) {
+		w.Book.Add(rulecheck.Entry{What: rulecheck.Taken, Job: job, Type: "import", Key: "k", Front: m.Name, Until: time.Now().Add(8 * time.Second).UnixNano()})
+		if _, err := c.Send("import", "SELECT 1 FROM a_1.b", "call", job, "ttl", "8000", "org", "acme", "work", "4", "est_mb", "8", "row", "k"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	answer := func(c *toy.Caller, job string) {
+		t.Helper()
+		a, err := c.Read(20 * time.Second)
+		if err != nil || a.Error != "" {
+			t.Errorf("%s: %+v %v", job, a, err)
+		}
+		w.Book.Add(rulecheck.Entry{What: rulecheck.Answered, Job: job, Answer: rulecheck.Done})
+	}
+	first, second := "0000000000000001", "0000000000000002"
+	a := ready()
+	ask(a, first)
+	until(t, w, "the first begins", func() bool { return began(first) == 1 })
+	was, err := w.Status(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := was.Spec
+	want.Program.Path = other
+	if want.Program.Digest, err = change.OfFile(other); err != nil {
+		t.Fatal(err)
+	}
+	fleet := conduct.NewFleet([]operator.Member{{Name: m.Name, Listen: m.Keeps}}, 2*time.Second, 2*time.Second)
+	if errs := fleet.Order(context.Background(), map[int]change.Order{0: {Format: 1, Fence: change.Fence{Number: 1, Term: 1, Turn: 1}, By: "x", Member: m.Name, Want: want}}); len(errs) > 0 {
+		t.Fatal(errs)
+	}
+	until(t, w, "the other program serves", func() bool {
+		s, err := w.Status(m)
+		return err == nil && s.Version == "other" && s.Serves && len(s.Drains) == 1
+	})
+	w.Fates.Takes(4 * time.Millisecond)
+	b := ready()
+	ask(b, second)
+	answer(a, first)
+	answer(b, second)
+	until(t, w, "the older one has ended", func() bool { s, err := w.Status(m); return err == nil && len(s.Drains) == 0 })
+	a.Conn.Close()
+	b.Conn.Close()
+	if err := w.Stop(); err != nil {
+		t.Error(err)
+	}
+	if began(second) != 1 {
+		t.Errorf("the second began %d times", began(second))
+	}
+	for _, v := range rulecheck.Check(rig.Rules, w.Book.Log()) {
+		t.Error(v)
+	}
+}
+
+// While a controller cannot be reached the change is taken back by hand; it converges when it is heard again. Meanwhile
+// somebody sends signals by hand.
+func TestGoingBackWhileSomeCannotBeReached(t *testing.T) {
+	w, l := town(t, 3)
+	folder := filepath.Join(w.Dir, "record")
+	p, err := w.Rollout(program, folder, "start", write(t, w, "change.json", strings.Replace(strings.Replace(settings(1), `"jobs_wanted":5`, `"jobs_wanted":1000000`, 1), `"apply_ms":20000`, `"apply_ms":5000`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	until(t, w, "the first stage bakes", func() bool { return phase(folder).Phase == rollout.Baking || p.Over() })
+	r, _, _ := conduct.Look(folder).Record()
+	var far *rig.Member
+	for _, m := range w.Members {
+		if m.Name == r.Stages[0][0] {
+			far = m
+		} else if s, err := w.Status(m); err == nil && s.PID > 0 {
+			syscall.Kill(s.PID, syscall.SIGHUP) // as by hand: the same file is read once more
+		}
+	}
+	far.Link.Set(rig.Silent, 0)
+	if err := conduct.Look(folder).Ask(rollout.AskBack); err != nil {
+		t.Fatal(err)
+	}
+	until(t, w, "it is stuck, and names the one", func() bool {
+		s := phase(folder)
+		return s.Phase == rollout.Stuck && strings.Contains(s.Why, far.Name) || p.Over()
+	})
+	far.Link.Set(rig.Passes, 0)
+	err = p.Await()
+	if code, _ := err.(*exec.ExitError); code == nil || code.ExitCode() != 4 || phase(folder).Phase != rollout.Back {
+		t.Fatalf("%v, %+v: %s", err, phase(folder), p.Log())
+	}
+	if !all(t, w, func(s keep.Status) bool { return s.Running == r.From.Digest() && s.Crashes == 0 }) {
+		t.Error("not all are back")
+	}
+	finish(t, w, l)
+}
--- a/internal/proof/rollout/main.go
+++ b/internal/proof/rollout/main.go
@@ -54,6 +54,7 @@
 	for i, b := range bad {
 		list = append(list, scenario{name: "bad: " + b.what, seed: 10 + uint64(i), controllers: 6, engines: 4, want: rollout.Back, lastStage: 2, program: programs[b.name]})
 	}
+	list = append(list, scenario{name: "good settings, an engine lost", seed: 30, controllers: 6, engines: 4, want: rollout.Done, loses: true})
 	for i := range *seeds {
 		n := uint64(i) + 1
 		if *seed > 0 {
@@ -82,6 +83,9 @@
 		})
 	}
 	wait.Wait()
+	if *only == "" || *only == "handover" {
+		failed = !handover(programs["base"], programs["next"]) || failed
+	}
 	ends := map[rollout.Phase]int{}
 	jobs, kills := int64(0), 0
 	for _, t := range all {
--- a/internal/proof/rollout/play.go
+++ b/internal/proof/rollout/play.go
@@ -25,6 +25,7 @@
 	engines     int
 	kill        bool // its conductor, in each phase
 	brief       bool
+	loses       bool // an engine in the first stage, which is no fault of the change
 	faults      []fault
 	want        rollout.Phase
 	lastStage   int // at most so far before it is taken back
@@ -104,6 +105,15 @@
 	}
 	done := make(chan struct{})
 	go s.trouble(town, done)
+	if s.loses {
+		go func() {
+			town.Await(20*time.Second, func() bool {
+				r, _, err := conduct.Look(folder).Record()
+				return err == nil && r.State.Phase == rollout.Baking
+			})
+			town.Lose("e1")
+		}()
+	}
 	t.kills, t.err = s.conduct(town, base, folder, file)
 	close(done)
 	load.Stop()
--- a/internal/proof/sparql/stand.go
+++ b/internal/proof/sparql/stand.go
@@ -25,8 +25,8 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return true
 		}
-		b.Add(rulecheck.Entry{What: rulecheck.Began, Job: job, Engine: name, Protocol: "sparql", Work: int64(f.Work)})
-		takes := f.Work
+		b.Add(rulecheck.Entry{What: rulecheck.Began, Job: job, Engine: name, Protocol: "sparql", Work: int64(f.Work())})
+		takes := f.Work()
 		if what == rig.Slow {
 			takes *= 20
 		}
--- a/internal/rig/book.go
+++ b/internal/rig/book.go
@@ -36,12 +36,12 @@
 	mu   sync.Mutex
 	r    *rand.Rand
 	on   bool
-	Work time.Duration
+	work time.Duration
 }
 
 // NewFates draws from a seed; off, all go well.
 func NewFates(seed uint64, on bool, work time.Duration) *Fates {
-	return &Fates{r: rand.New(rand.NewPCG(seed, 1)), on: on, Work: work}
+	return &Fates{r: rand.New(rand.NewPCG(seed, 1)), on: on, work: work}
 }
 
 // Fate is what becomes of a dispatch.
@@ -65,3 +65,17 @@
 	}
 	return Well
 }
+
+// Work is what a dispatch takes from now on.
+func (f *Fates) Work() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.work
+}
+
+// Takes says what a dispatch takes from now on.
+func (f *Fates) Takes(work time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.work = work
+}
--- a/internal/rig/engine.go
+++ b/internal/rig/engine.go
@@ -32,8 +32,8 @@
 				s.Answer(c.ID, "full", "", "")
 				return
 			}
-			b.Add(rulecheck.Entry{What: rulecheck.Began, Job: c.ID, Engine: name, Protocol: "line", Work: int64(f.Work)})
-			takes := f.Work
+			b.Add(rulecheck.Entry{What: rulecheck.Began, Job: c.ID, Engine: name, Protocol: "line", Work: int64(f.Work())})
+			takes := f.Work()
 			if what == Slow {
 				takes *= 20
 			}
--- a/internal/rig/town.go
+++ b/internal/rig/town.go
@@ -144,6 +144,13 @@
 	t.Book.Add(rulecheck.Entry{What: rulecheck.Listed, Engine: name, State: state, Zone: "east", Kind: "std", Cores: 16})
 }
 
+// Lose has an engine die; the list tells of it later, as it does.
+func (t *Town) Lose(name string) {
+	t.engine[name].Close()
+	time.Sleep(300 * time.Millisecond)
+	t.List(name, "gone")
+}
+
 // Status asks a keeper past its link.
 func (t *Town) Status(m *Member) (s keep.Status, err error) {
 	f := conduct.NewFleet([]operator.Member{{Name: m.Name, Listen: m.Keeps}}, 2*time.Second, 2*time.Second)
