A newer process is taught what the older one learned; engines set aside are a guard

Change: the elder's tally tells its means by type, the keeper puts them into the next one's file, the module takes what is sound (event Taught) and nothing of another version, torn or out of bounds. What else it holds against: a spoilt file. Might hurt: means of an old build that counted otherwise; bounds are wide. Result: tests of both ways; a process test sees the newer one taught. Not handed over: cold engines' work sent, rests and windows (waited out in place), engines aside (seen anew).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -93,6 +93,12 @@
 		c.takePlan(ev.Plan)
 	case Restated:
 		c.read(ev.Facts)
+	case Taught: // by an elder, whose jobs told more than the settings do
+		for i := range min(len(ev.Means), len(c.types)) {
+			if ev.Means[i].sound() {
+				c.types[i].Means = ev.Means[i]
+			}
+		}
 	case Elder: // until it has ended, nobody here knows what it sent
 		if c.alone = c.now; ev.On {
 			c.alone = math.MaxInt64 / 2
@@ -123,8 +129,7 @@
 	c.arm()
 }
 
-// read takes the settings, at the start and when restated. A reservation type keeps what its jobs taught; one
-// that the settings no longer name keeps its settings, for the jobs that were taken.
+// read takes the settings. What jobs taught a type stays; one that is no longer named keeps its settings.
 func (c *Controller) read(f Facts) {
 	c.facts = f
 	c.controllers, c.me = max(1, int(f.num("balancers", 1))), int(f.num("me", 0))
@@ -157,7 +162,7 @@
 			c.types[i].typeTerms = terms
 			continue
 		}
-		t := &jobType{typeTerms: terms, best: 1, slow: 1}
+		t := &jobType{typeTerms: terms, Means: Means{best: 1, slow: 1}}
 		t.usual = math.Max(float64(t.aim)*t.threads/2, float64(ms)) // until jobs tell better
 		c.types = append(c.types, t)
 	}
@@ -451,8 +456,7 @@
 	return most
 }
 
-// room tells whether an engine takes a job. Its bound binds under pressure, and always a borrower; else
-// twice its start does. Memory counts like threads, so that nothing waits, spills or pages there.
+// room tells whether an engine takes a job: by its bound under pressure or for a borrower, and its memory.
 func (c *Controller) room(j *job, e *engine) bool {
 	if e.aside || c.now < e.fullUntil {
 		return false
@@ -488,8 +492,7 @@
 // held is the memory of an engine that all controllers' jobs hold, as far as is known.
 func (c *Controller) held(e *engine) float64 { return e.grants + e.others*c.grantEach() }
 
-// threadsEach and grantEach are our means of threads a job and memory a thread, taken for siblings' too: of
-// the jobs out and, where few are, by the estimates of those taken, weighed by their time in hand.
+// threadsEach and grantEach are our means of threads a job and memory a thread, taken for siblings' too.
 func (c *Controller) threadsEach() float64 {
 	return (c.outThreads + fewOut*c.workMean/c.spanMean) / (c.outJobs + fewOut)
 }
@@ -502,8 +505,7 @@
 	return min(j.memory*math.Exp(j.typ.memBias), e.memory*c.grantMost)
 }
 
-// started is when an engine last started, as far as is known or feared: one that came back untold, and in an
-// outage any not heard of since it began, as it may have restarted too.
+// started is when an engine last started, as far as known or feared: in an outage any not heard of since.
 func (c *Controller) started(e *engine) Nanos {
 	if c.now-c.refused < outageLasts && e.heard < c.outage {
 		return max(e.StartedAt, e.back, c.outage)
@@ -716,8 +718,7 @@
 	}
 }
 
-// note reads how far a dispatch is. A bad plan shows in the time that its pace projects: it is called back
-// and sent again, as is any dispatch far over its expected time (overdue), whatever the cause.
+// note reads how far a dispatch is. One whose pace shows a bad plan, or that is overdue, is called back.
 func (c *Controller) note(ev Event) {
 	j := c.jobs[ev.Job]
 	if j == nil || j.flight == nil || j.flight.seq != ev.Seq {
@@ -732,8 +733,7 @@
 	}
 }
 
-// lost tells that a dispatch ran far over its expected time, or that its notes stopped. It counts against its
-// engine like an error: one that loses a part is chosen less, a silent one set aside.
+// lost tells that a dispatch ran far over its time, or that its notes stopped: an error of its engine.
 func (c *Controller) lost(f *flight) bool {
 	most := max(overdueTimes*c.scatter()*f.expect, float64(f.job.typ.aim)/2)
 	return c.silent(f) || float64(c.now-f.sent-f.still) > most
@@ -1025,8 +1025,7 @@
 	c.tidy()
 }
 
-// stood excuses the time that this controller stood still, seen from its own timer: it says nothing of
-// engines or queues, and answers may lie behind the timer. Should also catch a machine short of CPU.
+// stood excuses the time that this controller stood still, seen from its own timer: answers lie behind it.
 func (c *Controller) stood(still Nanos) {
 	if c.swept = c.now; still < stoodStill {
 		return
--- a/choice/elder_test.go
+++ b/choice/elder_test.go
@@ -1,6 +1,10 @@
 package choice
 
-import "testing"
+import (
+	"encoding/json"
+	"math"
+	"testing"
+)
 
 // Two processes of one controller: the older serves what it owes, the newer takes what comes. To the rules they are one.
 
@@ -77,3 +81,40 @@
 		t.Error("the budget never comes back")
 	}
 }
+
+// What an older process has learned goes over; what it cannot have learned does not.
+func TestAnElderTeaches(t *testing.T) {
+	facts := Facts{"classes": []any{map[string]any{"name": "lookup", "aim_ns": 1e9}, map[string]any{"name": "report", "aim_ns": 4e9}}}
+	begin := func() *Controller {
+		c := &Controller{}
+		c.Decide(1e15, Event{Kind: Started, Seed: 1, Facts: facts})
+		return c
+	}
+	old := begin()
+	old.types[0].Means = Means{usual: 5e6, usualN: 50, costBias: -1.2, costN: 900, memBias: 0.4, memDev: 0.2, memN: 700, best: 1.4, slow: 1.9}
+	text, err := json.Marshal(old.Learned())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var told []Means
+	if err := json.Unmarshal(text, &told); err != nil {
+		t.Fatal(err)
+	}
+	told[1].slow = math.Inf(1) // torn on the way
+	c := begin()
+	fresh := c.types[1].Means
+	c.Decide(1e15+1, Event{Kind: Taught, Means: append(told, told...)})
+	if c.types[0].Means != old.types[0].Means || c.types[1].Means != fresh {
+		t.Errorf("%+v %+v", c.types[0].Means, c.types[1].Means)
+	}
+	for _, bad := range []string{`[[1,2,3]]`, `[["x"]]`, `{}`} {
+		if json.Unmarshal([]byte(bad), &told) == nil {
+			t.Errorf("%s is read", bad)
+		}
+	}
+	for _, m := range []Means{{}, {usual: -1, best: 1, slow: 1}, {usual: 1, best: 1, slow: 1, costBias: 99}, {usual: math.NaN(), best: 1, slow: 1}} {
+		if m.sound() {
+			t.Errorf("%+v is sound", m)
+		}
+	}
+}
--- a/choice/types.go
+++ b/choice/types.go
@@ -42,6 +42,7 @@
 	Stopping // this controller is about to end
 	Planned  // a plan is to be followed from now on, or none any more
 	Restated // the settings anew (Facts); what was taken in and learned stays
+	Taught   // what an older process of this controller has learned (Means, by type)
 	Elder    // an older process of this controller serves on what it owes (On), or has ended
 )
 
@@ -149,7 +150,8 @@
 
 	Plan *Plan // Planned; nil: none
 
-	On bool // Elder
+	On    bool    // Elder
+	Means []Means // Taught: by type; one that is not sound teaches nothing
 }
 
 // ActionKind says what is to be done.
@@ -323,13 +325,18 @@
 // jobType is what is known of a reservation type: its settings, and what answers taught.
 type jobType struct {
 	typeTerms
-	parked                int
-	taught                Nanos   // when an answer last told of its slowness
+	Means
+	parked int
+	taught Nanos   // when an answer last told of its slowness
+	price  float64 // in mean billed values for a second of work
+}
+
+// Means is what jobs taught of a reservation type.
+type Means struct {
 	usual, usualN         float64 // mean work of a job, ns
 	costBias, costN       float64 // log of true work over estimate
 	memBias, memDev, memN float64 // log of true memory over estimate, its mean deviation
 	best, slow            float64 // latency over (work / threads): the best seen, and lately
-	price                 float64 // in mean billed values for a second of work
 }
 
 // job is a job taken that is not over, or has a dispatch out.
--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -96,7 +96,7 @@
 		return err
 	}
 	told.force(own.Tally, facts)
-	if elder(own) {
+	if teach(own.Tally, gate); elder(own) {
 		gate.Elder(true)
 	}
 	for _, ev := range known {
--- a/cmd/swiftreel/tally.go
+++ b/cmd/swiftreel/tally.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"log/slog"
 	"net"
@@ -11,6 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"swiftreel/choice"
 	"swiftreel/internal/change"
 	"swiftreel/internal/check"
 	"swiftreel/internal/gateway"
@@ -42,7 +44,8 @@
 		book.Fill(&r)
 		now := t.inForce.Load()
 		r.Started, r.Version, r.Spec, r.Settings = began, version.Name, now.spec, now.settings
-		r.Ready, r.Refused = gate.Ready(), check.Of("reloads_failed")
+		r.Ready, r.Refused, r.Aside = gate.Ready(), check.Of("reloads_failed"), gate.Aside()
+		r.Learned, _ = json.Marshal(gate.Learned()) // figures that JSON cannot hold are not told
 		if owed, is := t.owed.Load().(func() int64); is {
 			r.Owed = owed()
 		}
@@ -69,6 +72,19 @@
 	}
 }
 
+// teach takes over what an older process has learned. Of another version, or spoilt, it teaches nothing.
+func teach(o *operator.Tally, gate *gateway.Gateway) {
+	if o == nil || len(o.Learned) == 0 {
+		return
+	}
+	var named map[string]choice.Means
+	if err := json.Unmarshal(o.Learned, &named); err != nil {
+		slog.Warn("not_taught", "reason", err)
+		return
+	}
+	gate.Teach(named)
+}
+
 // elder tells whether a file says that an older process of this controller still runs.
 func elder(f operator.File) bool { return f.Tally != nil && f.Tally.Elder }
 
--- a/internal/conduct/fleet.go
+++ b/internal/conduct/fleet.go
@@ -168,7 +168,7 @@
 
 // apart takes the counts since the look before: a controller that has started anew has counted from nothing.
 func (k *known) apart(s keep.Status) (d judge.Seen) {
-	d = judge.Seen{Member: s.Name, MemoryMB: s.MemoryMB, Work: map[judge.Group]judge.Work{}}
+	d = judge.Seen{Member: s.Name, MemoryMB: s.MemoryMB, Aside: s.Aside, Work: map[judge.Group]judge.Work{}}
 	if k.heard == 0 {
 		return d
 	}
--- a/internal/conduct/process_test.go
+++ b/internal/conduct/process_test.go
@@ -391,6 +391,9 @@
 		s, err := w.Status(m)
 		return err == nil && s.Version == "other" && s.Serves && len(s.Drains) == 1
 	})
+	if !strings.Contains(m.Keeper.Log(), "msg=taught types=2") {
+		t.Error("the newer one is not taught")
+	}
 	w.Fates.Takes(4 * time.Millisecond)
 	b := ready()
 	ask(b, second)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -202,3 +202,41 @@
 	g.tell(choice.Event{Kind: choice.Elder, On: on})
 	slog.Info("elder", "runs", on)
 }
+
+// Learned is what jobs have taught the module, by the names of types.
+func (g *Gateway) Learned() map[string]choice.Means {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list, named := g.module.Learned(), map[string]choice.Means{}
+	for name, id := range g.names.types {
+		if int(id) < len(list) {
+			named[name] = list[id]
+		}
+	}
+	return named
+}
+
+// Teach tells the module what an older process of this controller has learned. Types that the settings do not name are
+// passed over; the module says what it takes.
+func (g *Gateway) Teach(named map[string]choice.Means) {
+	list := make([]choice.Means, len(g.names.types))
+	for name, m := range named {
+		if id, is := g.names.types[name]; is {
+			list[id] = m
+		}
+	}
+	g.tell(choice.Event{Kind: choice.Taught, Means: list})
+	slog.Info("taught", "types", len(named))
+}
+
+// Aside counts the engines that the module has set aside.
+func (g *Gateway) Aside() (n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.module.View(max(g.last, g.clock.now())) {
+		if s.Out == "aside" {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -242,6 +242,14 @@
 	return memory
 }
 
+// aside is how many engines each has set aside, in the mean.
+func aside(list []Seen) (mean float64) {
+	for _, s := range list {
+		mean += float64(s.Aside) / float64(len(list))
+	}
+	return mean
+}
+
 // guard holds what is no count of jobs against the old version.
 func (j *Judge) guard(old, new []Seen) {
 	hold := func(what string, passed bool) {
@@ -258,6 +266,10 @@
 		const slack = 8 // MB: a runtime's ups and downs
 		hold("memory", newMemory[len(newMemory)-1] > oldMemory[len(oldMemory)/2]*over(j.limits.MemoryPercent)+slack)
 	}
+	if len(old) > 0 && len(new) > 0 {
+		const slack = 1 // engine: what one sees and another does not yet
+		hold("engines set aside", aside(new) > aside(old)+slack)
+	}
 	if o.jobs >= guardJobs && n.jobs >= guardJobs {
 		const slack, moment = 1, 1e6 // a job: where hardly any probe is sent, few more are no flood; nor is a millisecond
 		hold("probes a job", n.probes/n.jobs > o.probes/o.jobs*over(j.limits.ProbesPercent)+slack)
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -88,6 +88,7 @@
 		"crashes": {func(s *Seen, i int) { s.Crashes = uint64(i % 2) }, "ended or failed to start 2 times"},
 		"leaks":   {func(s *Seen, i int) { s.MemoryMB += float64(5 * i) }, "memory"},
 		"floods":  {func(s *Seen, i int) { s.Probes = 200 }, "probes a job"},
+		"shuns":   {func(s *Seen, i int) { s.Aside = 3 }, "engines set aside"},
 		"burns":   {func(s *Seen, i int) { s.CPU = 300e6 }, "CPU a job"},
 		"a spike": {func(s *Seen, i int) { s.Probes = uint64(i % 3 * 100) }, ""},
 	} {
--- a/internal/judge/seen.go
+++ b/internal/judge/seen.go
@@ -35,6 +35,7 @@
 	CPU      int64   // ns
 	Crashes  uint64  // ends that nobody ordered, and starts that failed
 	MemoryMB float64 // now
+	Aside    int     // engines that it has set aside, now
 }
 
 // measure is one thing in which a version may be worse.
--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -21,6 +21,7 @@
 	"github.com/google/renameio/v2"
 
 	"swiftreel/internal/change"
+	"swiftreel/internal/operator"
 )
 
 // Options are a keeper's.
@@ -294,7 +295,13 @@
 			parts[name] = text
 		}
 	}
-	parts["tally"] = fmt.Appendf(nil, `{"listen":"127.0.0.1:0","spec":%q,"elder":%v}`, h.Want.Digest(), elder)
+	own := operator.Tally{Listen: "127.0.0.1:0", Spec: h.Want.Digest(), Elder: elder}
+	k.mu.Lock()
+	if k.now != nil && c != k.now { // it has one to learn from
+		own.Learned = k.now.report.Learned
+	}
+	k.mu.Unlock()
+	parts["tally"], _ = json.Marshal(own)
 	if len(h.Want.Shape) > 0 {
 		parts["shape"] = h.Want.Shape
 	}
@@ -377,7 +384,7 @@
 	if c := k.now; c != nil && c.report.Started != 0 {
 		r := c.report
 		s.PID, s.Version, s.Settings, s.Running = c.cmd.Process.Pid, r.Version, r.Settings, r.Spec
-		s.Serves, s.Owed, s.Started, s.Probes, s.Work = r.Ready, r.Owed, r.Started, r.Probes, r.Work
+		s.Serves, s.Owed, s.Started, s.Probes, s.Aside, s.Work = r.Ready, r.Owed, r.Started, r.Probes, r.Aside, r.Work
 		s.MemoryMB, s.CPU = c.uses()
 	}
 	return s
--- a/internal/keep/status.go
+++ b/internal/keep/status.go
@@ -31,7 +31,8 @@
 	CPU      int64                      `json:"cpu_ns"` // of the controller, since its start
 	Started  int64                      `json:"started"`
 	Probes   uint64                     `json:"probes"`
-	Work     map[judge.Group]judge.Work `json:"work"` // since its start
+	Aside    int                        `json:"aside"` // engines that it has set aside
+	Work     map[judge.Group]judge.Work `json:"work"`  // since its start
 	Others   map[string]json.RawMessage `json:"-"`
 }
 
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 
@@ -12,6 +13,8 @@
 	Listen string        `json:"listen"`
 	Spec   change.Digest `json:"spec"`  // told as it stands: which spec this file is of
 	Elder  bool          `json:"elder"` // an older process of this controller serves on what it owes
+
+	Learned json.RawMessage `json:"learned,omitempty"` // what that has learned, as its tally tells it; what cannot be read teaches nothing
 }
 
 // Fleet is the controllers that changes go through in stages. Keepers and conductors read it; a controller does not.
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -98,6 +98,8 @@
 	Owed     int64                      `json:"owed"` // answers
 	Refused  uint64                     `json:"reloads_failed"`
 	Probes   uint64                     `json:"probes"`
+	Aside    int                        `json:"aside"`             // engines set aside now
+	Learned  json.RawMessage            `json:"learned,omitempty"` // by type, for a newer process of the same controller
 	Work     map[judge.Group]judge.Work `json:"work"`
 }
 
