--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # build, test, lint, run. .ci/run does what lint, build and test do, with the test command of README.md.
 
-.PHONY: all build test race fuzz lint run clean proof-solve proof-sparql proof-rollout proof-judge sparql
+.PHONY: all build test race fuzz lint run clean proof-solve proof-sparql proof-rollout proof-judge proof-owner sparql
 
 all: lint build test
 
@@ -47,6 +47,9 @@
 proof-rollout: build
 	go run ./internal/proof/rollout
 
+proof-owner: build
+	go run ./internal/proof/owner
+
 proof-judge:
 	go run ./internal/proof/rollout -only virtual
 
--- a/internal/change/change.go
+++ b/internal/change/change.go
@@ -81,20 +81,23 @@
 	if c.To.Plan != "" && !filepath.IsAbs(c.To.Plan) {
 		c.To.Plan = filepath.Join(filepath.Dir(path), c.To.Plan)
 	}
-	if list := c.faults(); len(list) > 0 {
+	if list := c.Faults(); len(list) > 0 {
 		return Change{}, &document.Faults{File: path, List: list}
 	}
 	return c, nil
 }
 
-// faults are contradictions that a schema does not see.
-func (c Change) faults() (list []string) {
+// Faults are contradictions that a schema does not see.
+func (c Change) Faults() (list []string) {
 	for name, is := range map[Kind]bool{Settings: c.To.Shape != nil, Plan: c.To.Plan != "", Software: c.To.Program != ""} {
 		if is != (name == c.Kind) {
 			list = append(list, fmt.Sprintf("/to: kind %s and its part do not agree", c.Kind))
 			break
 		}
 	}
+	if len(c.Stages) == 0 || c.Number < 1 || c.Pace.LookMS < 1 {
+		return append(list, "/: not complete") // the schema sees to it in a file
+	}
 	last := Stage{}
 	for i, s := range c.Stages {
 		if (len(s.Members) > 0) == (s.PerMille > 0) {
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -61,6 +61,7 @@
 	status.Flags().StringVar(&file, "operator", "", "the operator's file; above ROUTER_OPERATOR")
 	status.Flags().BoolVar(&forScripts, "json", false, "for scripts")
 	root.AddCommand(status)
+	root.AddCommand(ownerCommands()...)
 	return root
 }
 
--- a/internal/cli/keep.go
+++ b/internal/cli/keep.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
@@ -15,6 +17,7 @@
 
 	"swiftreel/internal/keep"
 	"swiftreel/internal/logs"
+	"swiftreel/internal/owner"
 )
 
 func keepCommand() *cobra.Command {
@@ -52,12 +55,28 @@
 			if err != nil {
 				return exit{code: ExitFailed, err: err}
 			}
-			h := &http.Server{Handler: k.Handler(), ReadTimeout: 5 * time.Second, WriteTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 8 << 10}
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			mux := k.Handler()
+			if slices.Contains(f.Voters, name) {
+				addr := map[string]string{}
+				for _, m := range f.Members {
+					addr[m.Name] = m.At()
+				}
+				node, err := owner.Open(name, filepath.Join(state, "owner.db"), addr, owner.Usual())
+				if err != nil {
+					return exit{code: ExitFailed, err: err}
+				}
+				defer node.Close()
+				duties := owner.NewDuties(node, f.Members)
+				node.Handle(mux)
+				duties.Handle(mux)
+				go duties.Run(ctx)
+			}
+			h := &http.Server{Handler: mux, ReadTimeout: 5 * time.Second, WriteTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 8 << 10}
 			go h.Serve(l)
 			defer h.Close()
 			slog.Info("keeping", "name", name, "address", l.Addr(), "spec", k.Status().Spec.Digest())
-			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-			defer stop()
 			if err := k.Run(ctx); err != nil {
 				return exit{code: ExitFailed, err: err}
 			}
--- /dev/null
+++ b/internal/cli/owner.go
@@ -0,0 +1,199 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"swiftreel/internal/operator"
+	"swiftreel/internal/owner"
+)
+
+// voters asks those who agree on an owner.
+type voters struct {
+	fleet *operator.Fleet
+	http  http.Client
+}
+
+func votersOf(file string) (*voters, error) {
+	f, err := fleetOf(file)
+	if err != nil {
+		return nil, err
+	}
+	if len(f.Voters) == 0 {
+		return nil, badInput(fmt.Errorf("/fleet/voters: none are named"))
+	}
+	return &voters{f, http.Client{Timeout: 2 * askTime}}, nil
+}
+
+// ask asks a voter; a body makes it a POST.
+func (v *voters) ask(name, path string, body any) ([]byte, error) {
+	m, _ := v.fleet.Find(name)
+	method, text := http.MethodGet, []byte(nil)
+	if body != nil {
+		var err error
+		if text, err = json.Marshal(body); err != nil {
+			return nil, err
+		}
+		method = http.MethodPost
+	}
+	r, err := http.NewRequest(method, "http://"+m.At()+path, bytes.NewReader(text))
+	if err != nil {
+		return nil, err
+	}
+	a, err := v.http.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer a.Body.Close()
+	got, err := io.ReadAll(io.LimitReader(a.Body, 16<<20))
+	if err == nil && a.StatusCode/100 != 2 {
+		err = fmt.Errorf("%s: %s", name, bytes.TrimSpace(got[:min(len(got), 500)]))
+	}
+	return got, err
+}
+
+// views are what the voters tell of themselves, by name.
+func (v *voters) views() (views map[string]owner.View, errs map[string]error) {
+	views, errs = map[string]owner.View{}, map[string]error{}
+	for _, name := range v.fleet.Voters {
+		var w owner.View
+		text, err := v.ask(name, "/v1/owner", nil)
+		if err == nil {
+			err = json.Unmarshal(text, &w)
+		}
+		if err != nil {
+			errs[name] = err
+		} else {
+			views[name] = w
+		}
+	}
+	return views, errs
+}
+
+// owner is who owns now; there may be none for a while after one is lost.
+func (v *voters) owner(wait time.Duration) (string, error) {
+	for stop := time.Now().Add(wait); ; time.Sleep(100 * time.Millisecond) {
+		views, errs := v.views()
+		for _, name := range v.fleet.Voters {
+			if views[name].May {
+				return name, nil
+			}
+		}
+		if time.Now().After(stop) {
+			return "", fmt.Errorf("nobody owns the fleet: %d of %d voters answer", len(v.fleet.Voters)-len(errs), len(v.fleet.Voters))
+		}
+	}
+}
+
+// ownerTime is for how long an owner is waited for.
+const ownerTime = 10 * time.Second
+
+// number is a member's, never 0.
+func number() uint64 { return rand.Uint64()>>1 + 1 }
+
+func ownerCommands() []*cobra.Command {
+	var file string
+	var forScripts bool
+	with := func(use, short, long string, args cobra.PositionalArgs, do func(*cobra.Command, *voters, []string) error) *cobra.Command {
+		c := &cobra.Command{Use: use, Short: short, Long: long, Args: args, RunE: func(c *cobra.Command, args []string) error {
+			v, err := votersOf(file)
+			if err != nil {
+				return err
+			}
+			if err := do(c, v, args); err != nil {
+				return exit{code: ExitFailed, err: err}
+			}
+			return nil
+		}}
+		c.Flags().StringVar(&file, "operator", "", "the operator's file; above ROUTER_OPERATOR")
+		return c
+	}
+	show := with("owner", "Who owns the fleet's work, as each voter knows it", "", cobra.NoArgs, func(c *cobra.Command, v *voters, _ []string) error {
+		views, errs := v.views()
+		if forScripts {
+			return asJSON(c.OutOrStdout(), views)
+		}
+		w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+		fmt.Fprintln(w, "VOTER\tOWNER\tREIGN\tACTS\tVOTERS\tNOTE")
+		for _, name := range v.fleet.Voters {
+			if err := errs[name]; err != nil {
+				fmt.Fprintf(w, "%s\t?\t\t\t\t%v\n", name, err)
+				continue
+			}
+			s := views[name]
+			note := s.Halted
+			if s.ID == 0 {
+				note = "of no fleet yet: swiftreel fleet found, or join"
+			}
+			fmt.Fprintf(w, "%s\t%s\t%d\t%v\t%v\t%s\n", name, s.Owner, s.Reign, s.May, s.Voters, note)
+		}
+		return w.Flush()
+	})
+	show.Flags().BoolVar(&forScripts, "json", false, "for scripts")
+	return []*cobra.Command{show,
+		with("found", "Have the voters begin to agree, once", "All voters must answer and be of no fleet yet.", cobra.NoArgs, func(_ *cobra.Command, v *voters, _ []string) error {
+			views, errs := v.views()
+			names, ids := map[uint64]string{}, map[string]uint64{}
+			for _, name := range v.fleet.Voters {
+				if errs[name] != nil {
+					return errs[name]
+				}
+				if views[name].ID != 0 {
+					return fmt.Errorf("%s is a member already, number %d", name, views[name].ID)
+				}
+				ids[name] = number()
+				names[ids[name]] = name
+			}
+			for _, name := range v.fleet.Voters {
+				if _, err := v.ask(name, "/v1/owner/found", map[string]any{"id": ids[name], "names": names}); err != nil {
+					return err
+				}
+			}
+			return nil
+		}),
+		with("step-down", "Have the owner hand over", "", cobra.NoArgs, func(_ *cobra.Command, v *voters, _ []string) error {
+			name, err := v.owner(ownerTime)
+			if err == nil {
+				_, err = v.ask(name, "/v1/owner/step-down", struct{}{})
+			}
+			return err
+		}),
+		with("join VOTER", "Take a voter in that lost its memory", `Under its name comes a new member: what the lost one had promised is not known to it, so it must not vote as that. It hears the
+log until it has caught up, then votes in the place of the lost one. A majority of the others must be there.`, cobra.ExactArgs(1), func(_ *cobra.Command, v *voters, args []string) error {
+			id := number()
+			if _, err := v.ask(args[0], "/v1/owner/found", map[string]any{"id": id}); err != nil {
+				return err
+			}
+			for stop := time.Now().Add(3 * ownerTime); time.Now().Before(stop); time.Sleep(200 * time.Millisecond) {
+				name, err := v.owner(ownerTime)
+				if err != nil {
+					return err
+				}
+				if _, err := v.ask(name, "/v1/owner/join", map[string]any{"names": map[uint64]string{id: args[0]}}); err != nil {
+					continue // one change of members at a time
+				}
+				views, _ := v.views()
+				if s := views[args[0]]; s.ID == id && len(s.Voters) == len(v.fleet.Voters) && s.Leader != "" && isIn(s.Voters, args[0]) {
+					return nil
+				}
+			}
+			return fmt.Errorf("%s has not caught up in its time: try join again", args[0])
+		})}
+}
+
+func isIn(list []string, name string) bool {
+	for _, s := range list {
+		if s == name {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/cli/rollout.go
+++ b/internal/cli/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -92,13 +93,17 @@
 		}
 		return nil
 	}
-	var take bool
+	var take, agreed bool
+	root.PersistentFlags().BoolVar(&agreed, "agreed", false, "the fleet's owner conducts, by a record that its voters agree on; --record is not used")
 	start := &cobra.Command{Use: "start CHANGE", Short: "Begin a change and conduct it until it ends", Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
 			c, err := change.Load(args[0])
 			if err != nil {
 				return badInput(err)
 			}
+			if agreed {
+				return toOwner(file, "/v1/owner/change", c)
+			}
 			return conductIt(func(ctx context.Context, p *conduct.Folder, f *conduct.Fleet) error {
 				return conduct.Begin(ctx, p, c, f, take)
 			})
@@ -110,14 +115,14 @@
 			if conductOn {
 				return conductIt(nil)
 			}
-			return conduct.Look(folder).Ask(rollout.AskResume)
+			return wish(agreed, file, folder, rollout.AskResume)
 		}}
 	resume.Flags().BoolVar(&conductOn, "conduct", false, "conduct until it ends")
-	root.AddCommand(start, resume, statusCommand(&folder), historyCommand(&folder))
+	root.AddCommand(start, resume, statusCommand(&folder, &file, &agreed), historyCommand(&folder))
 	for name, short := range map[rollout.Ask]string{rollout.AskPause: "No further stage until resumed; harm still takes the change back",
 		rollout.AskStop: "End the change where it stands", rollout.AskBack: "Take the change back"} {
 		root.AddCommand(&cobra.Command{Use: string(name), Short: short, Args: cobra.NoArgs,
-			RunE: func(*cobra.Command, []string) error { return conduct.Look(folder).Ask(name) }})
+			RunE: func(*cobra.Command, []string) error { return wish(agreed, file, folder, name) }})
 	}
 	root.AddCommand(&cobra.Command{Use: "check CHANGE", Short: "Check a change's file whole: every fault is named with its path", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
@@ -136,11 +141,54 @@
 	return root
 }
 
-func statusCommand(folder *string) *cobra.Command {
+// toOwner asks the owner for something.
+func toOwner(file, path string, body any) error {
+	v, err := votersOf(file)
+	if err != nil {
+		return err
+	}
+	name, err := v.owner(ownerTime)
+	if err == nil {
+		_, err = v.ask(name, path, body)
+	}
+	if err != nil {
+		return exit{code: ExitFailed, err: err}
+	}
+	return nil
+}
+
+func wish(agreed bool, file, folder string, a rollout.Ask) error {
+	if agreed {
+		return toOwner(file, "/v1/owner/wish", conduct.Wish{Ask: a})
+	}
+	return conduct.Look(folder).Ask(a)
+}
+
+// agreedRecord reads the change that the owner conducts.
+func agreedRecord(file string) (r conduct.Record, is bool, err error) {
+	v, err := votersOf(file)
+	if err != nil {
+		return r, false, err
+	}
+	name, err := v.owner(ownerTime)
+	if err != nil {
+		return r, false, err
+	}
+	text, err := v.ask(name, "/v1/owner/item?name=change.json", nil)
+	if err != nil {
+		return r, false, err
+	}
+	return r, true, json.Unmarshal(text, &r)
+}
+
+func statusCommand(folder, file *string, agreed *bool) *cobra.Command {
 	var forScripts bool
 	c := &cobra.Command{Use: "status", Short: "Where the change stands", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			r, is, err := conduct.Look(*folder).Record()
+			if *agreed {
+				r, is, err = agreedRecord(*file)
+			}
 			if err != nil {
 				return exit{code: ExitFailed, err: err}
 			}
--- a/internal/conduct/conduct.go
+++ b/internal/conduct/conduct.go
@@ -69,7 +69,9 @@
 	if _, err := change.Layout(c.Stages, (&Conductor{fleet: fleet, base: judge.NewBase()}).places()); err != nil {
 		return err
 	}
-	os.Remove(f.file("looks.jsonl"))
+	if f.agreed == nil {
+		os.Remove(f.file("looks.jsonl"))
+	}
 	f.note(Step{At: time.Now().UTC(), Number: c.Number, Phase: rollout.Preparing, Fence: r.State.Fence, Why: c.Title})
 	return f.write("change.json", r)
 }
@@ -89,7 +91,9 @@
 	}
 	c := &Conductor{folder: f, record: r, fleet: fleet, base: base, seen: make([]known, len(fleet.Members)), began: time.Now(), stage: -1}
 	fleet.patience = min(fleet.patience, time.Duration(r.Change.Pace.LookMS)*time.Millisecond) // one that is silent holds up no look
-	c.record.State.Fence.Term++
+	if c.record.State.Fence.Term, err = f.term(r.State.Fence.Term); err != nil {
+		return nil, err
+	}
 	if err := f.write("change.json", c.record); err != nil {
 		return nil, err
 	}
@@ -161,6 +165,9 @@
 			return nil
 		}
 	}
+	if !c.folder.may() { // it was so when the look began; the receivers' fence holds against what comes after this
+		return ErrFenced
+	}
 	c.order(ctx, c.machine.Orders(in))
 	return nil
 }
@@ -264,7 +271,7 @@
 	for i, m := range c.fleet.Members {
 		for _, o := range orders {
 			if o.Member == m.Name {
-				w := change.Order{Format: change.Format, Fence: c.machine.State.Fence, By: c.record.By, Member: m.Name, Want: c.record.From, Drain: o.Drain}
+				w := change.Order{Format: change.Format, Fence: c.machine.State.Fence, By: c.folder.by(c.record.By), Member: m.Name, Want: c.record.From, Drain: o.Drain}
 				if o.New {
 					w.Want = c.record.To
 				}
--- a/internal/conduct/fleet.go
+++ b/internal/conduct/fleet.go
@@ -76,7 +76,7 @@
 }
 
 func (f *Fleet) status(ctx context.Context, m operator.Member) (a Answer) {
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.Listen+"/v1/status", nil)
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.At()+"/v1/status", nil)
 	if err == nil {
 		var text []byte
 		if text, err = f.do(q, http.StatusOK); err == nil {
@@ -84,7 +84,7 @@
 		}
 	}
 	if err == nil && a.Status.Name != m.Name {
-		err = fmt.Errorf("%s answers as %q", m.Listen, a.Status.Name)
+		err = fmt.Errorf("%s answers as %q", m.At(), a.Status.Name)
 	}
 	a.Err = err
 	return a
@@ -97,7 +97,7 @@
 		text, err := json.Marshal(orders[i])
 		if err == nil {
 			var q *http.Request
-			if q, err = http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.Members[i].Listen+"/v1/order", bytes.NewReader(text)); err == nil {
+			if q, err = http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.Members[i].At()+"/v1/order", bytes.NewReader(text)); err == nil {
 				_, err = f.do(q, http.StatusNoContent)
 			}
 		}
--- a/internal/conduct/process_test.go
+++ b/internal/conduct/process_test.go
@@ -18,6 +18,7 @@
 	"swiftreel/internal/conduct"
 	"swiftreel/internal/keep"
 	"swiftreel/internal/operator"
+	"swiftreel/internal/owner"
 	"swiftreel/internal/rig"
 	"swiftreel/internal/rollout"
 	"swiftreel/internal/rulecheck"
@@ -450,3 +451,112 @@
 	}
 	finish(t, w, l)
 }
+
+func get(t *testing.T, w *rig.Town, m *rig.Member) (v owner.View) {
+	w.Get(m, "/v1/owner", &v) // none: it does not act
+	return v
+}
+
+// cli runs a command as an operator does.
+func cli(t *testing.T, w *rig.Town, args ...string) string {
+	t.Helper()
+	c := exec.Command(program, args...)
+	c.Env = append(os.Environ(), "ROUTER_OPERATOR="+w.Fleet)
+	text, err := c.CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v: %v: %s", args, err, text)
+	}
+	return string(text)
+}
+
+// An owner is stopped in the midst of a change: another takes it over where it stood; the one that wakes up finds that it
+// owns no more, and nothing that it does then is taken.
+func TestAnOwnerThatWakesUpLateDoesNoHarm(t *testing.T) {
+	w, err := rig.Plan{Program: program, Seed: 1, Controllers: 3, Engines: 2, Voters: 3}.Town()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	l := w.NewLoad(1, 1, 10*time.Millisecond, false)
+	cli(t, w, "fleet", "found")
+	acts := func(but *rig.Member) (m *rig.Member) {
+		t.Helper()
+		until(t, w, "somebody owns", func() bool {
+			for _, x := range w.Members {
+				if x != but && get(t, w, x).May {
+					m = x
+					return true
+				}
+			}
+			return false
+		})
+		return m
+	}
+	first := acts(nil)
+	reign := get(t, w, first).Reign
+	cli(t, w, "rollout", "start", "--agreed", write(t, w, "change.json", strings.Replace(settings(1), `"bake_ms":300`, `"bake_ms":2000`, 1)))
+	state := func(m *rig.Member) (r conduct.Record) {
+		w.Get(m, "/v1/owner/item?name=change.json", &r)
+		return r
+	}
+	until(t, w, "the first stage bakes", func() bool { return state(first).State.Phase == rollout.Baking })
+	t.Cleanup(func() {
+		for _, m := range w.Members {
+			for line := range strings.Lines(m.Keeper.Log()) {
+				if t.Failed() && (strings.Contains(line, "owner_") || strings.Contains(line, "rollout_") || strings.Contains(line, "duty_") || strings.Contains(line, "order_")) {
+					t.Log(m.Name, line)
+				}
+			}
+		}
+	})
+	first.Keeper.Signal(syscall.SIGSTOP)
+	second := acts(first)
+	if r := get(t, w, second).Reign; r <= reign {
+		t.Errorf("reign %d after %d", r, reign)
+	}
+	until(t, w, "it is taken over where it stood", func() bool { // the stage may hold the one that sleeps: then it waits for that
+		s := state(second).State
+		return s.Fence.Term > int64(reign) && (s.Phase == rollout.Baking || s.Stage > 0 || s.Phase.Ends())
+	})
+	first.Keeper.Signal(syscall.SIGCONT)
+	until(t, w, "the one that slept says once that it owns no more", func() bool {
+		return strings.Count(first.Keeper.Log(), "msg=owner_ends reign="+fmt.Sprint(int64(reign))) == 1
+	})
+	until(t, w, "the change is through", func() bool { return state(acts(nil)).State.Phase == rollout.Done })
+	to := state(acts(nil)).To.Digest()
+	until(t, w, "all run it", func() bool {
+		return all(t, w, func(s keep.Status) bool { return s.Running == to && s.Fence.Term > int64(reign) })
+	})
+	if text := cli(t, w, "rollout", "status", "--agreed"); !strings.Contains(text, "done") {
+		t.Error(text)
+	}
+
+	// A voter loses its memory: it is of no fleet until it is taken in under a new number.
+	lost := acts(nil)
+	number := get(t, w, lost).ID
+	l.Stop() // a keeper's death takes its controller with it
+	lost.Keeper.End()
+	if err := os.Remove(filepath.Join(w.Dir, lost.Name, "owner.db")); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.Again(lost); err != nil {
+		t.Fatal(err)
+	}
+	until(t, w, "it is back", func() bool { s, err := w.Status(lost); return err == nil && s.Serves })
+	if v := get(t, w, lost); v.ID != 0 {
+		t.Errorf("it came back as %d", v.ID)
+	}
+	acts(lost)
+	cli(t, w, "fleet", "join", lost.Name)
+	if v := get(t, w, lost); v.ID == 0 || v.ID == number || len(v.Voters) != 3 {
+		t.Errorf("%+v after %d", v, number)
+	}
+	cli(t, w, "fleet", "step-down")
+	acts(nil)
+	if err := w.Stop(); err != nil {
+		t.Error(err)
+	}
+	for _, v := range rulecheck.Check(rig.Rules, w.Book.Log()) {
+		t.Error(v)
+	}
+}
--- a/internal/conduct/record.go
+++ b/internal/conduct/record.go
@@ -76,8 +76,44 @@
 
 // Folder is where a fleet's changes are recorded: the one under way, the base it is held against, the history of all.
 type Folder struct {
-	path string
-	lock *os.File
+	path   string
+	lock   *os.File
+	agreed Agreement // in place of files
+}
+
+// Agreement is what the fleet's voters agree on, as the owner of a reign has it. It is kept by more than one machine, and
+// written under that reign only.
+type Agreement interface {
+	Read(name string) (value []byte, is bool)
+	Write(name string, value []byte) error
+	May() bool   // this process owns the reign, now: asked before each act
+	Term() int64 // the reign: orders carry it
+	Name() string
+}
+
+// Agreed is a record that is agreed on. Its looks and transitions stand in the log of the owner's process only.
+func Agreed(a Agreement) *Folder { return &Folder{path: "agreed", agreed: a} }
+
+// may tells whether orders may go out. A record in files is its process's as long as that holds the lock.
+func (f *Folder) may() bool { return f.agreed == nil || f.agreed.May() }
+
+// by names who orders: keepers refuse another under the same term.
+func (f *Folder) by(record string) string {
+	if f.agreed == nil {
+		return record
+	}
+	return record + "@" + f.agreed.Name()
+}
+
+// term is that of one who takes over after a term.
+func (f *Folder) term(last int64) (int64, error) {
+	if f.agreed == nil {
+		return last + 1, nil
+	}
+	if t := f.agreed.Term(); t >= last { // the same: this process conducted before, and has ended doing so
+		return t, nil
+	}
+	return 0, fmt.Errorf("reign %d comes before term %d", f.agreed.Term(), last)
 }
 
 // ErrConducted: another process conducts in this folder.
@@ -113,12 +149,20 @@
 	if err != nil {
 		return err
 	}
+	if f.agreed != nil {
+		return f.agreed.Write(name, text)
+	}
 	return renameio.WriteFile(f.file(name), text, 0o600)
 }
 
 func (f *Folder) read(name string, into any) (is bool, err error) {
-	text, err := os.ReadFile(f.file(name))
-	if errors.Is(err, fs.ErrNotExist) {
+	var text []byte
+	if f.agreed != nil {
+		var is bool
+		if text, is = f.agreed.Read(name); !is {
+			return false, nil
+		}
+	} else if text, err = os.ReadFile(f.file(name)); errors.Is(err, fs.ErrNotExist) {
 		return false, nil
 	}
 	if err == nil {
@@ -157,9 +201,12 @@
 
 func (f *Folder) add(name string, line any) {
 	text, err := json.Marshal(line)
-	if err != nil {
+	if err != nil || f.agreed != nil {
 		return
 	}
+	if i, err := os.Stat(f.file(name)); err == nil && i.Size() > mostLines {
+		os.Rename(f.file(name), f.file(name+".before")) // one before is kept
+	}
 	if h, err := os.OpenFile(f.file(name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err == nil {
 		h.Write(append(text, '\n'))
 		h.Close()
--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -3,6 +3,7 @@
 package keep
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -309,6 +310,7 @@
 	if len(h.Want.Plan) > 0 {
 		name := fmt.Sprintf("plan-%s.json", change.OfJSON(h.Want.Plan))
 		err = renameio.WriteFile(k.path(name), h.Want.Plan, 0o600)
+		k.forget(name)
 		plan := map[string]json.RawMessage{}
 		json.Unmarshal(k.base["plan"], &plan)
 		plan["file"] = fmt.Appendf(nil, "%q", name)
@@ -323,6 +325,26 @@
 	return k.fail(err)
 }
 
+// plansKept is how many plans' files are kept beside the one in force: a process may read its own again.
+const plansKept = 3
+
+// forget removes the oldest files of plans.
+func (k *Keeper) forget(but string) {
+	list, _ := filepath.Glob(k.path("plan-*.json"))
+	at := func(path string) int64 {
+		if i, err := os.Stat(path); err == nil {
+			return i.ModTime().UnixNano()
+		}
+		return 0
+	}
+	slices.SortFunc(list, func(a, b string) int { return cmp.Compare(at(a), at(b)) })
+	for i := 0; i < len(list)-plansKept; i++ {
+		if filepath.Base(list[i]) != but {
+			os.Remove(list[i])
+		}
+	}
+}
+
 // files is how many operators' files a keeper writes in turn: two processes live at once, and one more may be dying.
 const files = 4
 
@@ -391,7 +413,7 @@
 }
 
 // Handler speaks with conductors: GET /v1/status, POST /v1/order.
-func (k *Keeper) Handler() http.Handler {
+func (k *Keeper) Handler() *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
 
 	"swiftreel/internal/change"
 )
@@ -21,13 +22,15 @@
 type Fleet struct {
 	Members []Member `json:"members"`
 	DrainMS int64    `json:"drain_ms,omitempty"` // a controller that has not ended so long after SIGTERM is killed
+	Voters  []string `json:"voters,omitempty"`   // members that agree on an owner: three or five
 	Program string   `json:"program,omitempty"`  // that a keeper starts with no order; its own where absent
 }
 
 // Member is a controller with its keeper.
 type Member struct {
 	Name   string   `json:"name"`
-	Listen string   `json:"listen"` // of its keeper, over HTTP
+	Listen string   `json:"listen"`          // of its keeper, over HTTP
+	Reach  string   `json:"reach,omitempty"` // where others reach that, where it is not listen
 	Zone   string   `json:"zone,omitempty"`
 	Types  []string `json:"types,omitempty"` // reservation types that it is there for; none: all
 }
@@ -53,9 +56,25 @@
 		}
 		names[m.Name], places[m.Listen] = true, true
 	}
+	if n := len(f.Voters); n != 0 && n != 3 && n != 5 {
+		faults = append(faults, fmt.Sprintf("/fleet/voters: %d, three or five can have a majority that lasts", n))
+	}
+	for i, name := range f.Voters {
+		if !names[name] || slices.Contains(f.Voters[:i], name) {
+			faults = append(faults, fmt.Sprintf("/fleet/voters/%d: %q is no member, or stands twice", i, name))
+		}
+	}
 	return faults
 }
 
+// At is where others reach a member's keeper.
+func (m Member) At() string {
+	if m.Reach != "" {
+		return m.Reach
+	}
+	return m.Listen
+}
+
 // Find is a member by name.
 func (f *Fleet) Find(name string) (Member, bool) {
 	for _, m := range f.Members {
--- /dev/null
+++ b/internal/owner/duty.go
@@ -0,0 +1,142 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"swiftreel/internal/change"
+	"swiftreel/internal/conduct"
+	"swiftreel/internal/document"
+	"swiftreel/internal/operator"
+	"swiftreel/internal/rollout"
+)
+
+// Duties are what is done once for the whole fleet, by whoever owns it: now, conducting its changes. They begin under a
+// reign, end with it, and are taken up by the next owner from what was agreed.
+type Duties struct {
+	node    *Node
+	members []operator.Member
+}
+
+// agreement is what is agreed, under a reign.
+type agreement struct {
+	node  *Node
+	reign Reign
+}
+
+func (a agreement) Read(name string) ([]byte, bool) { return a.node.Item(name) }
+func (a agreement) Write(name string, value []byte) error {
+	return a.node.Propose(a.reign, name, value)
+}
+func (a agreement) May() bool    { return a.node.May() == a.reign }
+func (a agreement) Term() int64  { return int64(a.reign) }
+func (a agreement) Name() string { return a.node.name }
+
+// NewDuties are those of a process.
+func NewDuties(n *Node, members []operator.Member) *Duties { return &Duties{n, members} }
+
+// askTime is how long a keeper may take for an answer.
+const askTime = 2 * time.Second
+
+// rests is from one look for something to do to the next.
+const rests = 100 * time.Millisecond
+
+// Run does the duties while this process owns, until ctx ends.
+func (d *Duties) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if r := d.node.May(); r != 0 {
+			d.reign(ctx, r)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(rests):
+		}
+	}
+}
+
+// reign does them under one reign. Whatever ends it, nothing goes on: what is begun is agreed before it is done, and orders
+// carry the reign, so that one that is late is refused where it arrives.
+func (d *Duties) reign(ctx context.Context, r Reign) {
+	slog.Info("owner_begins", "reign", r)
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	go func() {
+		for ctx.Err() == nil && d.node.May() == r {
+			time.Sleep(rests / 2)
+		}
+		end()
+	}()
+	a := agreement{d.node, r}
+	for ctx.Err() == nil {
+		record, is, err := conduct.Agreed(a).Record()
+		if err == nil && is && (!record.State.Phase.Ends() || d.asked(a, record)) {
+			var c *conduct.Conductor
+			if c, err = conduct.Take(conduct.Agreed(a), conduct.NewFleet(d.members, askTime, askTime)); err == nil {
+				err = c.Run(ctx)
+			}
+		}
+		if err != nil && ctx.Err() == nil {
+			slog.Warn("duty_ended", "reign", r, "reason", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(rests):
+		}
+	}
+	slog.Info("owner_ends", "reign", r)
+}
+
+// asked tells whether there is a wish for a change that has ended.
+func (d *Duties) asked(a agreement, r conduct.Record) bool {
+	w := conduct.Agreed(a).Wish()
+	return w.ID != "" && w.ID != r.Asked && w.Ask == rollout.AskBack && r.State.Phase == rollout.Stopped
+}
+
+// mostChange bounds a change's text.
+const mostChange = 4 << 20
+
+var errNotOwner = errors.New("another owns: swiftreel fleet owner tells who")
+
+// Handle adds what operators ask of the owner: a change to begin, a wish for the one under way.
+func (d *Duties) Handle(mux *http.ServeMux) {
+	owned := func(do func(*http.Request, agreement) error) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			a := agreement{d.node, d.node.May()}
+			err := errNotOwner
+			if a.reign != 0 {
+				err = do(r, a)
+			}
+			if err != nil {
+				http.Error(w, err.Error(), http.StatusConflict)
+				return
+			}
+			w.WriteHeader(http.StatusNoContent)
+		}
+	}
+	mux.HandleFunc("POST /v1/owner/change", owned(func(r *http.Request, a agreement) error {
+		var c change.Change
+		if err := json.NewDecoder(io.LimitReader(r.Body, mostChange)).Decode(&c); err != nil {
+			return fmt.Errorf("/: %w", err)
+		}
+		if list := c.Faults(); len(list) > 0 {
+			return &document.Faults{File: "the change", List: list}
+		}
+		if c.Kind == change.Plan {
+			return errors.New("/kind: a plan's file stands where it was written; conduct it with swiftreel rollout start")
+		}
+		return conduct.Begin(r.Context(), conduct.Agreed(a), c, conduct.NewFleet(d.members, askTime, askTime), false)
+	}))
+	mux.HandleFunc("POST /v1/owner/wish", owned(func(r *http.Request, a agreement) error {
+		var w conduct.Wish
+		if err := json.NewDecoder(io.LimitReader(r.Body, 1024)).Decode(&w); err != nil {
+			return err
+		}
+		return conduct.Agreed(a).Ask(w.Ask)
+	}))
+}
--- /dev/null
+++ b/internal/proof/owner/main.go
@@ -0,0 +1,262 @@
+// Command owner has fleets of real processes agree on an owner while voters are killed, stopped and cut off, and changes go
+// through under whoever owns: make proof-owner. It ends with 1 where a figure fails.
+package main
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"swiftreel/internal/change"
+	"swiftreel/internal/owner"
+	"swiftreel/internal/rig"
+	"swiftreel/internal/rollout"
+	"swiftreel/internal/rulecheck"
+)
+
+const (
+	voters, listeners = 5, 5
+	towns, each       = 4, 5 // schedules a town, one after the other
+)
+
+// pace is brief: what is judged is not the judge.
+const pace = `"stages":[{"per_mille":1},{"per_mille":500},{"per_mille":1000}],"pace":{"base_ms":300,"bake_ms":300,"most_ms":60000,"apply_ms":20000,"steady_ms":1,"unheard_ms":2500,"shared_ms":3000,"look_ms":50},
+"limits":{"jobs_wanted":5,"shared_per_mille":900,"slower_per_mille":900,"missed_per_mille":900,"throttled_per_mille":900,"cpu_percent":5000,"memory_percent":5000,"crashes":1000}`
+
+func main() {
+	program := flag.String("program", "bin/swiftreel", "the program")
+	flag.Parse()
+	began := time.Now()
+	fmt.Printf("machine: %d cores, %s; engines are simulated servers\n%d towns of %d voters and %d listeners, %d schedules of kills, stops and cut links each\n",
+		runtime.NumCPU(), runtime.Version(), towns, voters, listeners, each)
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	failed := false
+	fail := func(town int, text string, v ...any) {
+		mu.Lock()
+		defer mu.Unlock()
+		failed = true
+		fmt.Printf("FAILED: town %d: %s\n", town, fmt.Sprintf(text, v...))
+	}
+	gaps := map[string][]time.Duration{}
+	jobs, done, broken, reigns := int64(0), int64(0), int64(0), 0
+	for i := range towns {
+		wait.Go(func() {
+			p := &play{program: *program, number: i, r: rand.New(rand.NewPCG(uint64(i), 9)), gaps: map[string][]time.Duration{}}
+			if err := p.run(); err != nil {
+				fail(i, "%v", err)
+			}
+			for _, v := range p.violations {
+				fail(i, "%v", v)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for how, list := range p.gaps {
+				gaps[how] = append(gaps[how], list...)
+			}
+			jobs, done, broken, reigns = jobs+p.jobs, done+p.done, broken+p.broken, reigns+p.reigns
+		})
+	}
+	wait.Wait()
+	for _, how := range []string{"killed", "stopped", "cut off", "stepped down"} {
+		if list := gaps[how]; len(list) > 0 {
+			slices.Sort(list)
+			fmt.Printf("  owner %-12s %2d times; until another acts: median %4d ms, longest %4d ms\n", how, len(list), list[len(list)/2].Milliseconds(), list[len(list)-1].Milliseconds())
+		}
+	}
+	fmt.Printf("  changes through all controllers %d, reigns seen at keepers %d, jobs %d, done %.2f%%, cut off %d (controllers of killed keepers die with them)\n",
+		towns*each, reigns, jobs, 100*float64(done)/float64(max(1, jobs)), broken)
+	if jobs == 0 || float64(done) < 0.99*float64(jobs) {
+		fmt.Println("FAILED: under 99% of the jobs that were answered are done")
+		failed = true
+	}
+	fmt.Printf("\nin all %v\n", time.Since(began).Round(100*time.Millisecond))
+	if failed {
+		os.Exit(1)
+	}
+}
+
+// play is a town and what goes on in it.
+type play struct {
+	program            string
+	number             int
+	r                  *rand.Rand
+	town               *rig.Town
+	gaps               map[string][]time.Duration
+	violations         []rulecheck.Violation
+	jobs, done, broken int64
+	reigns             int
+	asleep             []*rig.Member
+	keptLogs           []string // of keepers that were killed
+}
+
+func (p *play) run() (err error) {
+	p.town, err = rig.Plan{Program: p.program, Seed: uint64(p.number) + 1, Controllers: voters + listeners, Engines: 3, Voters: voters}.Town()
+	if err != nil {
+		return err
+	}
+	defer p.town.Close()
+	load := p.town.NewLoad(uint64(p.number), 1, 30*time.Millisecond, false)
+	if err := p.cli("fleet", "found"); err != nil {
+		return err
+	}
+	if _, err := p.owner(""); err != nil {
+		return err
+	}
+	for n := range each {
+		if err := p.schedule(n + 1); err != nil {
+			return fmt.Errorf("schedule %d: %w", n+1, err)
+		}
+	}
+	load.Stop()
+	p.jobs, p.done, p.broken = load.Done.Load()+load.Throttled.Load()+load.Cancelled.Load(), load.Done.Load(), load.Broken.Load()
+	if err := p.fences(); err != nil {
+		return err
+	}
+	if err := p.town.Stop(); err != nil {
+		return err
+	}
+	p.violations = rulecheck.Check(rig.Rules, p.town.Book.Log())
+	return nil
+}
+
+func (p *play) cli(args ...string) error {
+	c := exec.Command(p.program, args...)
+	c.Env = append(os.Environ(), "ROUTER_OPERATOR="+p.town.Fleet)
+	if text, err := c.CombinedOutput(); err != nil {
+		return fmt.Errorf("%s: %w: %s", strings.Join(args, " "), err, bytes.TrimSpace(text))
+	}
+	return nil
+}
+
+// owner waits until a voter other than one acts.
+func (p *play) owner(not string) (m *rig.Member, err error) {
+	err = p.town.Await(20*time.Second, func() bool {
+		for _, x := range p.town.Members[:voters] {
+			var v owner.View
+			if x.Name != not && !slices.Contains(p.asleep, x) && p.town.Get(x, "/v1/owner", &v) == nil && v.May {
+				m = x
+				return true
+			}
+		}
+		return false
+	})
+	return m, err
+}
+
+// schedule takes a change through while the owner is lost in some way, twice.
+func (p *play) schedule(n int) error {
+	file := filepath.Join(p.town.Dir, "change.json")
+	if err := os.WriteFile(file, []byte(fmt.Sprintf(`{"number":%d,"kind":"settings","to":{"shape":{"budget_free":%d}},%s}`, n, n, pace)), 0o600); err != nil {
+		return err
+	}
+	if err := p.cli("rollout", "start", "--agreed", file); err != nil {
+		return err
+	}
+	for range 2 {
+		time.Sleep(time.Duration(p.r.IntN(900)) * time.Millisecond) // when it strikes is the seed's
+		if err := p.strike(); err != nil {
+			return err
+		}
+	}
+	var r struct {
+		State rollout.State `json:"state"`
+		To    change.Spec   `json:"to"`
+	}
+	if err := p.town.Await(40*time.Second, func() bool {
+		m, err := p.owner("")
+		return err == nil && p.town.Get(m, "/v1/owner/item?name=change.json", &r) == nil && r.State.Phase.Ends()
+	}); err != nil {
+		return fmt.Errorf("does not end: %s (%s): %w", r.State.Phase, r.State.Why, err)
+	}
+	if r.State.Phase != rollout.Done {
+		return fmt.Errorf("ends as %s: %s", r.State.Phase, r.State.Outcome)
+	}
+	for _, m := range p.town.Members {
+		if err := p.town.Await(20*time.Second, func() bool { s, err := p.town.Status(m); return err == nil && s.Running == r.To.Digest() }); err != nil {
+			return fmt.Errorf("%s does not run it: %w", m.Name, err)
+		}
+	}
+	return nil
+}
+
+// strike loses the owner in a way drawn by the seed, and waits for another.
+func (p *play) strike() error {
+	m, err := p.owner("")
+	if err != nil {
+		return err
+	}
+	how, from := []string{"killed", "stopped", "cut off", "stepped down"}[p.r.IntN(4)], time.Now()
+	heal := func() error { return nil }
+	switch how {
+	case "killed":
+		p.keptLogs = append(p.keptLogs, m.Keeper.Log())
+		m.Keeper.End()
+		heal = func() error { return p.town.Again(m) }
+	case "stopped":
+		m.Keeper.Signal(syscall.SIGSTOP)
+		p.asleep = append(p.asleep, m)
+		heal = func() error {
+			m.Keeper.Signal(syscall.SIGCONT)
+			p.asleep = nil
+			return nil
+		}
+	case "cut off": // it hears nobody, and its own words arrive
+		m.Link.Set(rig.Silent, 0)
+		heal = func() error { m.Link.Set(rig.Passes, 0); return nil }
+	default:
+		if err := p.cli("fleet", "step-down"); err != nil {
+			return err
+		}
+	}
+	if _, err := p.owner(m.Name); err != nil {
+		return fmt.Errorf("nobody owns after %s was %s: %w", m.Name, how, err)
+	}
+	p.gaps[how] = append(p.gaps[how], time.Since(from))
+	return heal()
+}
+
+// fences holds that each keeper took its orders in their order, and that a reign's orders are one owner's everywhere.
+func (p *play) fences() error {
+	by := map[int64]string{}
+	texts := p.keptLogs
+	for _, m := range p.town.Members {
+		texts = append(texts, m.Keeper.Log())
+	}
+	for _, text := range texts {
+		var last change.Fence
+		for line := range strings.Lines(text) {
+			_, rest, is := strings.Cut(line, "msg=order_taken fence=")
+			if !is {
+				continue
+			}
+			var f change.Fence
+			var who string
+			if _, err := fmt.Sscanf(rest, "%d.%d.%d by=%s", &f.Number, &f.Term, &f.Turn, &who); err != nil {
+				return err
+			}
+			if f.Compare(last) <= 0 {
+				return fmt.Errorf("order %v was taken after %v", f, last)
+			}
+			_, who, _ = strings.Cut(who, "@")
+			if was := by[f.Term]; was != "" && was != who {
+				return fmt.Errorf("reign %d ordered by %s and %s", f.Term, was, who)
+			}
+			last, by[f.Term] = f, who
+		}
+	}
+	if p.reigns = len(by); p.reigns == 0 {
+		return fmt.Errorf("no order was taken")
+	}
+	return nil
+}
--- a/internal/proof/rollout/main.go
+++ b/internal/proof/rollout/main.go
@@ -25,12 +25,13 @@
 	seeds := flag.Int("seeds", 20, "schedules of faults")
 	only := flag.String("only", "", "play only scenarios of this name; virtual: the judge in virtual time")
 	seed := flag.Uint64("seed", 0, "with -only faults: this schedule")
+	chart := flag.String("chart", "", "with -only virtual: write the power as a chart there (.svg)")
 	flag.Parse()
 	began := time.Now()
 	fmt.Printf("machine: %d cores, %s; engines are simulated servers\n\n", runtime.NumCPU(), runtime.Version())
 	failed := false
 	if *only == "virtual" {
-		if failed = !virtual(); failed {
+		if failed = !virtual(*chart); failed {
 			os.Exit(1)
 		}
 		fmt.Printf("\nin all %v\n", time.Since(began).Round(100*time.Millisecond))
--- a/internal/proof/rollout/virtual.go
+++ b/internal/proof/rollout/virtual.go
@@ -9,6 +9,11 @@
 	"slices"
 	"sync"
 
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
 	"swiftreel/internal/change"
 	"swiftreel/internal/judge"
 	"swiftreel/internal/rollout"
@@ -168,8 +173,9 @@
 }
 
 // virtual prints the figures of the judge in virtual time, and tells whether they hold.
-func virtual() bool {
+func virtual(chart string) bool {
 	ok := true
+	power := map[int]plotter.XYs{}
 	var mu sync.Mutex
 	many := func(n int, do func(int)) {
 		var wait sync.WaitGroup
@@ -227,6 +233,7 @@
 				continue
 			}
 			slices.Sort(seconds)
+			power[f.controllers] = append(power[f.controllers], plotter.XY{X: 100 * harm, Y: float64(jobs[len(jobs)/2])})
 			fmt.Printf("  %g%%: %d/%d %d jobs %d s", 100*harm, len(jobs), f.harms, jobs[len(jobs)/2], seconds[len(seconds)/2])
 			if harm >= 0.05 && len(jobs) < f.harms {
 				ok = false
@@ -237,9 +244,34 @@
 	if !ok {
 		fmt.Println("FAILED: a harm of 5% or more was let through, or the figures above")
 	}
+	if chart != "" {
+		if err := draw(chart, power); err != nil {
+			fmt.Println("FAILED:", err)
+			ok = false
+		}
+	}
 	return ok
 }
 
+// draw draws how many jobs the new version had when a harm was found.
+func draw(path string, power map[int]plotter.XYs) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "found harm", "harm, % of jobs cancelled for good", "jobs by the new version, median"
+	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
+	for i, n := range slices.Sorted(maps.Keys(power)) {
+		line, points, err := plotter.NewLinePoints(power[n])
+		if err != nil {
+			return err
+		}
+		line.Dashes, points.Shape = plotutil.Dashes(i), plotutil.Shape(i)
+		p.Add(line, points)
+		p.Legend.Add(fmt.Sprintf("%d controllers", n), line, points)
+	}
+	p.Legend.Top = true
+	return p.Save(16*vg.Centimeter, 9*vg.Centimeter, path)
+}
+
 // fleets of the virtual runs.
 var fleets = []struct {
 	controllers  int
--- a/internal/rig/town.go
+++ b/internal/rig/town.go
@@ -40,7 +40,7 @@
 	Book    Book
 	Fates   *Fates
 	Members []*Member
-	Fleet   string // the operator's file that conductors read: keepers behind their links
+	Fleet   string // the operator's file: keepers are reached through their links
 
 	subnet string
 	lock   net.Listener
@@ -62,7 +62,22 @@
 // NewTown starts one: controllers in two zones by turns, none of them ready yet. Its addresses are of a loopback network
 // that it holds alone, so that a controller that starts again has its address.
 func NewTown(program string, seed uint64, controllers, engines int, faults bool) (t *Town, err error) {
-	t = &Town{Fates: NewFates(seed, faults, 4*time.Millisecond), engine: map[string]*toy.Engine{}, http: http.Client{Timeout: 2 * time.Second}}
+	return Plan{Program: program, Seed: seed, Controllers: controllers, Engines: engines, Faults: faults}.Town()
+}
+
+// Plan says what a town is to have.
+type Plan struct {
+	Program              string
+	Seed                 uint64
+	Controllers, Engines int
+	Faults               bool // of engines
+	Voters               int  // the first of the controllers' keepers
+}
+
+// Town starts one.
+func (o Plan) Town() (t *Town, err error) {
+	program, seed, controllers, engines, faults := o.Program, o.Seed, o.Controllers, o.Engines, o.Faults
+	t = &Town{Fates: NewFates(seed, faults, 4*time.Millisecond), engine: map[string]*toy.Engine{}, http: http.Client{Timeout: 500 * time.Millisecond}}
 	if t.Dir, err = os.MkdirTemp("", "town"); err != nil {
 		return nil, err
 	}
@@ -90,27 +105,26 @@
 		t.Book.Add(rulecheck.Entry{What: rulecheck.Listed, Engine: name, State: "ready", Zone: "east", Kind: "std", Cores: 16})
 	}
 	known := t.feed.Add(true, "["+strings.Join(hosts, ",")+"]")
-	own, theirs := operator.Fleet{DrainMS: 10_000, Program: program}, operator.Fleet{}
+	own := operator.Fleet{DrainMS: 10_000, Program: program}
 	for i := range controllers {
 		m := &Member{Name: fmt.Sprint("c", i+1), Clients: fmt.Sprintf("%s.%d:7000", t.subnet, i+1), Keeps: fmt.Sprintf("%s.%d:7001", t.subnet, i+1)}
 		if m.Link, err = NewLink(fmt.Sprintf("%s.%d:7002", t.subnet, i+1), m.Keeps); err != nil {
 			return t, err
 		}
 		zone := []string{"east", "west"}[i%2]
-		own.Members = append(own.Members, operator.Member{Name: m.Name, Listen: m.Keeps, Zone: zone})
-		theirs.Members = append(theirs.Members, operator.Member{Name: m.Name, Listen: m.Link.listener.Addr().String(), Zone: zone})
+		own.Members = append(own.Members, operator.Member{Name: m.Name, Listen: m.Keeps, Reach: m.Link.listener.Addr().String(), Zone: zone})
+		if i < o.Voters {
+			own.Voters = append(own.Voters, m.Name)
+		}
 		t.Members = append(t.Members, m)
 	}
-	t.Fleet = filepath.Join(t.Dir, "fleet.json")
-	file := filepath.Join(t.Dir, "operator.json")
-	for path, f := range map[string]operator.Fleet{file: own, t.Fleet: theirs} {
-		text, err := json.Marshal(f)
-		if err == nil {
-			err = os.WriteFile(path, fmt.Appendf(nil, `{"fleet":%s}`, text), 0o600)
-		}
-		if err != nil {
-			return t, err
-		}
+	t.Fleet = filepath.Join(t.Dir, "operator.json")
+	text, err := json.Marshal(own)
+	if err == nil {
+		err = os.WriteFile(t.Fleet, fmt.Appendf(nil, `{"fleet":%s}`, text), 0o600)
+	}
+	if err != nil {
+		return t, err
 	}
 	for i, m := range t.Members {
 		config := filepath.Join(t.Dir, m.Name+".json")
@@ -120,7 +134,7 @@
 			return t, err
 		}
 		m.start = func() (*Process, error) {
-			return Start(program, []string{"ROUTER_CONFIG=" + config, "ROUTER_NAME=" + m.Name, "ROUTER_OPERATOR=" + file}, "keep", "--state", filepath.Join(t.Dir, m.Name))
+			return Start(program, []string{"ROUTER_CONFIG=" + config, "ROUTER_NAME=" + m.Name, "ROUTER_OPERATOR=" + t.Fleet}, "keep", "--state", filepath.Join(t.Dir, m.Name))
 		}
 		if m.Keeper, err = m.start(); err != nil {
 			return t, err
@@ -158,6 +172,19 @@
 	return a.Status, a.Err
 }
 
+// Get asks a keeper for something as JSON, past its link.
+func (t *Town) Get(m *Member, path string, into any) error {
+	a, err := t.http.Get("http://" + m.Keeps + path)
+	if err != nil {
+		return err
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s", path, a.Status)
+	}
+	return json.NewDecoder(a.Body).Decode(into)
+}
+
 // Again starts a keeper that was ended.
 func (t *Town) Again(m *Member) (err error) {
 	m.Keeper, err = m.start()
