Fleet commands are a program of their own; a controller stays as small as it was

Cause: the owner's libraries (raft, protobuf, bbolt) took swiftreel from 14.1 to 21.3 MB and 14.4 to 16.2 MB idle, in each of hundreds of controllers that have no use for them. Change: cmd/swiftreel-fleet holds keep, rollout and fleet; swiftreel hands over to it (exec), so commands are called as before.

--- /dev/null
+++ b/cmd/swiftreel-fleet/main.go
@@ -0,0 +1,10 @@
+// Command swiftreel-fleet is swiftreel's commands for fleets: keep, rollout and fleet. swiftreel hands over to it.
+package main
+
+import (
+	"os"
+
+	"swiftreel/internal/fleetcli"
+)
+
+func main() { os.Exit(fleetcli.Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -64,7 +64,13 @@
 	root.Flags().BoolVar(&s.Trace, "trace", false, "log every event and action of the module")
 	root.Flags().StringVar(&s.Operator, "operator", "", "the operator's file; above ROUTER_OPERATOR")
 	root.Version = version.Name
-	root.AddCommand(solveCommand(), planCommand(), checkCommand(), versionCommand(), keepCommand(), rolloutCommand(), fleetCommand())
+	root.AddCommand(solveCommand(), planCommand(), checkCommand(), versionCommand())
+	root.AddCommand(elsewhere()...)
+	return Execute(root, args, out, errs)
+}
+
+// Execute carries a command line out and gives the exit code.
+func Execute(root *cobra.Command, args []string, out, errs io.Writer) int {
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errs)
@@ -75,11 +81,23 @@
 	e := exit{code: ExitBadInput, err: err} // cobra's own: a flag or an argument
 	errors.As(err, &e)
 	if !e.said {
-		fmt.Fprintln(errs, "swiftreel:", err)
+		fmt.Fprintln(errs, root.Name()+":", err)
 	}
 	return e.code
 }
 
+// Failed is an error with an exit code.
+func Failed(code int, err error) error { return exit{code: code, err: err} }
+
+// Said is one whose text is out already.
+func Said(code int, err error) error { return exit{code: code, err: err, said: true} }
+
+// BadInput is one of a file or a flag.
+func BadInput(err error) error { return badInput(err) }
+
+// AsJSON writes a value for scripts.
+func AsJSON(out io.Writer, v any) error { return asJSON(out, v) }
+
 // asJSON writes a value for scripts.
 func asJSON(out io.Writer, v any) error {
 	e := json.NewEncoder(out)
--- a/internal/conduct/process_test.go
+++ b/internal/conduct/process_test.go
@@ -36,8 +36,11 @@
 		panic(err)
 	}
 	program, dying, other = filepath.Join(dir, "swiftreel"), filepath.Join(dir, "dying"), filepath.Join(dir, "other")
-	for _, args := range [][]string{{"-o", program}, {"-o", other, "-ldflags", "-X swiftreel/internal/version.Name=other"}, {"-o", dying, "-tags", "fault", "-ldflags", "-X swiftreel/internal/fault.name=dies -X swiftreel/internal/version.Name=dying"}} {
-		c := exec.Command("go", append(append([]string{"build"}, args...), "swiftreel/cmd/swiftreel")...)
+	for _, args := range [][]string{{"-o", program}, {"-o", filepath.Join(dir, "swiftreel-fleet"), "swiftreel/cmd/swiftreel-fleet"}, {"-o", other, "-ldflags", "-X swiftreel/internal/version.Name=other"}, {"-o", dying, "-tags", "fault", "-ldflags", "-X swiftreel/internal/fault.name=dies -X swiftreel/internal/version.Name=dying"}} {
+		if args = append([]string{"build"}, args...); !strings.HasPrefix(args[len(args)-1], "swiftreel/cmd") {
+			args = append(args, "swiftreel/cmd/swiftreel")
+		}
+		c := exec.Command("go", args...)
 		if text, err := c.CombinedOutput(); err != nil {
 			fmt.Fprintf(os.Stderr, "%v: %s\n", err, text)
 			os.Exit(1)
--- a/internal/cli/fleet.go
+++ b/internal/fleetcli/fleet.go
@@ -1,4 +1,4 @@
-package cli
+package fleetcli
 
 import (
 	"fmt"
@@ -8,6 +8,8 @@
 
 	"github.com/spf13/cobra"
 
+	"swiftreel/internal/cli"
+
 	"swiftreel/internal/conduct"
 	"swiftreel/internal/keep"
 )
@@ -40,7 +42,7 @@
 				rows = append(rows, r)
 			}
 			if forScripts {
-				err = asJSON(c.OutOrStdout(), rows)
+				err = cli.AsJSON(c.OutOrStdout(), rows)
 			} else {
 				w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
 				fmt.Fprintln(w, "CONTROLLER\tVERSION\tSPEC\tSERVES\tOWED\tLAST ORDER\tENDS\tMB\tNOTE")
@@ -54,7 +56,7 @@
 				err = w.Flush()
 			}
 			if err == nil && !well {
-				return exit{code: ExitNoFit, err: fmt.Errorf("not all controllers answer and serve"), said: true}
+				return cli.Said(cli.ExitNoFit, fmt.Errorf("not all controllers answer and serve"))
 			}
 			return err
 		}}
--- a/internal/cli/keep.go
+++ b/internal/fleetcli/keep.go
@@ -1,4 +1,4 @@
-package cli
+package fleetcli
 
 import (
 	"context"
@@ -15,6 +15,8 @@
 
 	"github.com/spf13/cobra"
 
+	"swiftreel/internal/cli"
+
 	"swiftreel/internal/keep"
 	"swiftreel/internal/logs"
 	"swiftreel/internal/owner"
@@ -39,21 +41,23 @@
 			}
 			m, is := f.Find(name)
 			if !is {
-				return badInput(fmt.Errorf("%s: /fleet/members: no %q", file, name))
+				return cli.BadInput(fmt.Errorf("%s: /fleet/members: no %q", file, name))
 			}
 			if f.Program == "" {
-				if f.Program, err = os.Executable(); err != nil {
-					return exit{code: ExitFailed, err: err}
+				own, err := os.Executable()
+				if err != nil {
+					return cli.Failed(cli.ExitFailed, err)
 				}
+				f.Program = filepath.Join(filepath.Dir(own), "swiftreel")
 			}
 			k, err := keep.New(keep.Options{Name: name, State: state, Operator: file, Program: f.Program, Drain: time.Duration(f.DrainMS) * time.Millisecond,
 				Env: os.Environ(), Log: os.Stderr})
 			if err != nil {
-				return exit{code: ExitFailed, err: err}
+				return cli.Failed(cli.ExitFailed, err)
 			}
 			l, err := net.Listen("tcp4", m.Listen)
 			if err != nil {
-				return exit{code: ExitFailed, err: err}
+				return cli.Failed(cli.ExitFailed, err)
 			}
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
@@ -65,7 +69,7 @@
 				}
 				node, err := owner.Open(name, filepath.Join(state, "owner.db"), addr, owner.Usual())
 				if err != nil {
-					return exit{code: ExitFailed, err: err}
+					return cli.Failed(cli.ExitFailed, err)
 				}
 				defer node.Close()
 				duties := owner.NewDuties(node, f.Members)
@@ -78,7 +82,7 @@
 			defer h.Close()
 			slog.Info("keeping", "name", name, "address", l.Addr(), "spec", k.Status().Spec.Digest())
 			if err := k.Run(ctx); err != nil {
-				return exit{code: ExitFailed, err: err}
+				return cli.Failed(cli.ExitFailed, err)
 			}
 			return nil
 		}}
--- a/internal/cli/owner.go
+++ b/internal/fleetcli/owner.go
@@ -1,4 +1,4 @@
-package cli
+package fleetcli
 
 import (
 	"bytes"
@@ -12,6 +12,8 @@
 
 	"github.com/spf13/cobra"
 
+	"swiftreel/internal/cli"
+
 	"swiftreel/internal/operator"
 	"swiftreel/internal/owner"
 )
@@ -28,7 +30,7 @@
 		return nil, err
 	}
 	if len(f.Voters) == 0 {
-		return nil, badInput(fmt.Errorf("/fleet/voters: none are named"))
+		return nil, cli.BadInput(fmt.Errorf("/fleet/voters: none are named"))
 	}
 	return &voters{f, http.Client{Timeout: 2 * askTime}}, nil
 }
@@ -109,7 +111,7 @@
 				return err
 			}
 			if err := do(c, v, args); err != nil {
-				return exit{code: ExitFailed, err: err}
+				return cli.Failed(cli.ExitFailed, err)
 			}
 			return nil
 		}}
@@ -119,7 +121,7 @@
 	show := with("owner", "Who owns the fleet's work, as each voter knows it", "", cobra.NoArgs, func(c *cobra.Command, v *voters, _ []string) error {
 		views, errs := v.views()
 		if forScripts {
-			return asJSON(c.OutOrStdout(), views)
+			return cli.AsJSON(c.OutOrStdout(), views)
 		}
 		w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
 		fmt.Fprintln(w, "VOTER\tOWNER\tREIGN\tACTS\tVOTERS\tNOTE")
--- a/internal/cli/rollout.go
+++ b/internal/fleetcli/rollout.go
@@ -1,4 +1,4 @@
-package cli
+package fleetcli
 
 import (
 	"context"
@@ -14,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"swiftreel/internal/change"
+	"swiftreel/internal/cli"
 	"swiftreel/internal/conduct"
 	"swiftreel/internal/document"
 	"swiftreel/internal/logs"
@@ -38,10 +39,10 @@
 	}
 	f, err := operator.Load(path)
 	if err != nil {
-		return nil, badInput(err)
+		return nil, cli.BadInput(err)
 	}
 	if f.Fleet == nil {
-		return nil, badInput(fmt.Errorf("%s: no part fleet: name the file with --operator or ROUTER_OPERATOR", path))
+		return nil, cli.BadInput(fmt.Errorf("%s: no part fleet: name the file with --operator or ROUTER_OPERATOR", path))
 	}
 	return f.Fleet, nil
 }
@@ -65,31 +66,31 @@
 		}
 		place, err := conduct.Open(folder)
 		if errors.Is(err, conduct.ErrConducted) {
-			return exit{code: ExitFenced, err: err}
+			return cli.Failed(ExitFenced, err)
 		} else if err != nil {
-			return exit{code: ExitFailed, err: err}
+			return cli.Failed(cli.ExitFailed, err)
 		}
 		defer place.Close()
 		fleet := conduct.NewFleet(f.Members, askTime, askTime)
 		if begin != nil {
 			if err := begin(ctx, place, fleet); err != nil {
-				return badInput(err)
+				return cli.BadInput(err)
 			}
 		}
 		c, err := conduct.Take(place, fleet)
 		if err != nil {
-			return exit{code: ExitFailed, err: err}
+			return cli.Failed(cli.ExitFailed, err)
 		}
 		if err := c.Run(ctx); errors.Is(err, conduct.ErrFenced) {
-			return exit{code: ExitFenced, err: err}
+			return cli.Failed(ExitFenced, err)
 		} else if err != nil {
-			return exit{code: ExitFailed, err: fmt.Errorf("not finished, swiftreel rollout resume goes on: %w", err)}
+			return cli.Failed(cli.ExitFailed, fmt.Errorf("not finished, swiftreel rollout resume goes on: %w", err))
 		}
 		switch s := c.State(); s.Phase {
 		case rollout.Back:
-			return exit{code: ExitTakenBack, err: fmt.Errorf("taken back: %s", s.Outcome)}
+			return cli.Failed(ExitTakenBack, fmt.Errorf("taken back: %s", s.Outcome))
 		case rollout.Stopped:
-			return exit{code: ExitStopped, err: fmt.Errorf("stopped: %s", s.Outcome)}
+			return cli.Failed(ExitStopped, fmt.Errorf("stopped: %s", s.Outcome))
 		}
 		return nil
 	}
@@ -99,7 +100,7 @@
 		RunE: func(_ *cobra.Command, args []string) error {
 			c, err := change.Load(args[0])
 			if err != nil {
-				return badInput(err)
+				return cli.BadInput(err)
 			}
 			if agreed {
 				return toOwner(file, "/v1/owner/change", c)
@@ -132,11 +133,11 @@
 				for _, f := range faults.List {
 					fmt.Fprintf(c.OutOrStdout(), "%s: %s\n", faults.File, f)
 				}
-				return exit{code: ExitBadInput, err: err, said: true}
+				return cli.Said(cli.ExitBadInput, err)
 			} else if err != nil {
-				return badInput(err)
+				return cli.BadInput(err)
 			}
-			return asJSON(c.OutOrStdout(), got)
+			return cli.AsJSON(c.OutOrStdout(), got)
 		}})
 	return root
 }
@@ -152,7 +153,7 @@
 		_, err = v.ask(name, path, body)
 	}
 	if err != nil {
-		return exit{code: ExitFailed, err: err}
+		return cli.Failed(cli.ExitFailed, err)
 	}
 	return nil
 }
@@ -190,13 +191,13 @@
 				r, is, err = agreedRecord(*file)
 			}
 			if err != nil {
-				return exit{code: ExitFailed, err: err}
+				return cli.Failed(cli.ExitFailed, err)
 			}
 			if !is {
-				return badInput(fmt.Errorf("%s: no change is recorded", *folder))
+				return cli.BadInput(fmt.Errorf("%s: no change is recorded", *folder))
 			}
 			if forScripts {
-				return asJSON(c.OutOrStdout(), struct {
+				return cli.AsJSON(c.OutOrStdout(), struct {
 					Number int64         `json:"number"`
 					Kind   change.Kind   `json:"kind"`
 					Title  string        `json:"title"`
@@ -229,10 +230,10 @@
 		RunE: func(c *cobra.Command, _ []string) error {
 			list, err := conduct.Look(*folder).History()
 			if err != nil {
-				return exit{code: ExitFailed, err: err}
+				return cli.Failed(cli.ExitFailed, err)
 			}
 			if forScripts {
-				return asJSON(c.OutOrStdout(), list)
+				return cli.AsJSON(c.OutOrStdout(), list)
 			}
 			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
 			for _, s := range list {
--- a/internal/proof/rollout/main.go
+++ b/internal/proof/rollout/main.go
@@ -146,7 +146,11 @@
 	build := func(name string, args ...string) {
 		programs[name] = filepath.Join(dir, name)
 		wait.Go(func() {
-			c := exec.Command("go", append([]string{"build", "-o", filepath.Join(dir, name)}, append(args, "./cmd/swiftreel")...)...)
+			of := "./cmd/swiftreel"
+			if name == "swiftreel-fleet" {
+				of = "./cmd/swiftreel-fleet"
+			}
+			c := exec.Command("go", append([]string{"build", "-o", filepath.Join(dir, name)}, append(args, of)...)...)
 			if text, err := c.CombinedOutput(); err != nil {
 				mu.Lock()
 				failed = fmt.Errorf("build of %s: %w: %s", name, err, text)
@@ -155,6 +159,7 @@
 		})
 	}
 	set := "-X swiftreel/internal/version.Name="
+	build("swiftreel-fleet")
 	build("base", "-ldflags", set+"1")
 	build("next", "-ldflags", set+"2")
 	for _, b := range bad {
