fleet recover, histories held for an order, times without an owner 200 times each

Change: swiftreel fleet recover founds anew with what one voter has kept, at a term over all that any voter or keeper has seen; porcupine holds what is written and read by who may act; make proof-owner prints times without an owner in virtual time.

--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,7 @@
 	go run ./internal/proof/rollout
 
 proof-owner: build
+	go test -count=1 -v -run TestTimesWithoutAnOwner ./internal/owner -args -runs 200 -hours 1
 	go run ./internal/proof/owner
 
 proof-judge:
--- a/internal/conduct/process_test.go
+++ b/internal/conduct/process_test.go
@@ -556,6 +556,30 @@
 	}
 	cli(t, w, "fleet", "step-down")
 	acts(nil)
+
+	// A majority loses its memory: nobody owns until an operator says with whose memory to begin anew.
+	kept := w.Members[0]
+	reign = get(t, w, acts(nil)).Reign
+	for _, m := range w.Members[1:] {
+		m.Keeper.End()
+		if err := os.Remove(filepath.Join(w.Dir, m.Name, "owner.db")); err != nil {
+			t.Fatal(err)
+		}
+		if err := w.Again(m); err != nil {
+			t.Fatal(err)
+		}
+		until(t, w, "it is back", func() bool { s, err := w.Status(m); return err == nil && s.Serves })
+	}
+	until(t, w, "nobody owns", func() bool { return !get(t, w, kept).May })
+	c := exec.Command(program, "fleet", "recover", kept.Name)
+	c.Env = append(os.Environ(), "ROUTER_OPERATOR="+w.Fleet)
+	if text, err := c.CombinedOutput(); err == nil || !strings.Contains(string(text), "--the-others-lost-their-memory") {
+		t.Errorf("it recovers unasked: %s", text)
+	}
+	cli(t, w, "fleet", "recover", "--the-others-lost-their-memory", kept.Name)
+	if m := acts(nil); get(t, w, m).Reign <= reign || state(m).State.Phase != rollout.Done {
+		t.Errorf("reign %d after %d, %+v", get(t, w, m).Reign, reign, state(m).State)
+	}
 	if err := w.Stop(); err != nil {
 		t.Error(err)
 	}
--- a/internal/fleetcli/owner.go
+++ b/internal/fleetcli/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -14,6 +15,7 @@
 
 	"swiftreel/internal/cli"
 
+	"swiftreel/internal/conduct"
 	"swiftreel/internal/operator"
 	"swiftreel/internal/owner"
 )
@@ -162,12 +164,17 @@
 			return nil
 		}),
 		with("step-down", "Have the owner hand over", "", cobra.NoArgs, func(_ *cobra.Command, v *voters, _ []string) error {
-			name, err := v.owner(ownerTime)
-			if err == nil {
-				_, err = v.ask(name, "/v1/owner/step-down", struct{}{})
+			for stop := time.Now().Add(ownerTime); ; time.Sleep(100 * time.Millisecond) {
+				name, err := v.owner(ownerTime)
+				if err == nil {
+					_, err = v.ask(name, "/v1/owner/step-down", struct{}{})
+				}
+				if err == nil || time.Now().After(stop) { // just begun, it has heard of nobody who could take over yet
+					return err
+				}
 			}
-			return err
 		}),
+		recoverCommand(with),
 		with("join VOTER", "Take a voter in that lost its memory", `Under its name comes a new member: what the lost one had promised is not known to it, so it must not vote as that. It hears the
 log until it has caught up, then votes in the place of the lost one. A majority of the others must be there.`, cobra.ExactArgs(1), func(_ *cobra.Command, v *voters, args []string) error {
 			id := number()
@@ -191,6 +198,66 @@
 		})}
 }
 
+// maker makes a command that asks voters.
+type maker = func(use, short, long string, args cobra.PositionalArgs, do func(*cobra.Command, *voters, []string) error) *cobra.Command
+
+func recoverCommand(with maker) *cobra.Command {
+	var sure bool
+	c := with("recover VOTER", "Begin anew with what one voter has kept, after a majority lost its memory", `WARNING. What was agreed since that voter last heard may be lost, and if the others still have their memory somewhere (a machine that
+is only cut off, a disk that is only unmounted) two fleets will each have an owner: keepers then take the orders of the one with the later
+reign. All voters must answer, fewer than a majority of them with their memory, and this one must know the latest reign.`, cobra.ExactArgs(1),
+		func(_ *cobra.Command, v *voters, args []string) error {
+			views, errs := v.views()
+			remember, term := 0, uint64(0)
+			for _, name := range v.fleet.Voters {
+				if errs[name] != nil {
+					return fmt.Errorf("%s does not answer: %w", name, errs[name])
+				}
+				w := views[name]
+				if term = max(term, w.Term, uint64(w.Reign)); w.ID != 0 {
+					remember++
+				}
+				if w.Reign > views[args[0]].Reign {
+					return fmt.Errorf("%s knows reign %d, %s %d: recover from that", name, w.Reign, args[0], views[args[0]].Reign)
+				}
+			}
+			switch {
+			case 2*remember > len(v.fleet.Voters):
+				return fmt.Errorf("%d of %d voters have their memory: they agree by themselves; take the others in by join", remember, len(v.fleet.Voters))
+			case views[args[0]].ID == 0:
+				return fmt.Errorf("%s has no memory", args[0])
+			case !sure:
+				return fmt.Errorf("what this loses stands in --help; say --the-others-lost-their-memory")
+			}
+			for _, a := range conduct.NewFleet(v.fleet.Members, askTime, askTime).Ask(context.Background()) {
+				if a.Err == nil {
+					term = max(term, uint64(a.Status.Fence.Term))
+				}
+			}
+			text, err := v.ask(args[0], "/v1/owner/agreed", nil)
+			if err != nil {
+				return err
+			}
+			var kept owner.Agreed
+			if err := json.Unmarshal(text, &kept); err != nil {
+				return err
+			}
+			names, ids := map[uint64]string{}, map[string]uint64{}
+			for _, name := range v.fleet.Voters {
+				ids[name] = number()
+				names[ids[name]] = name
+			}
+			for _, name := range v.fleet.Voters {
+				if _, err := v.ask(name, "/v1/owner/found", map[string]any{"id": ids[name], "names": names, "again": true, "kept": kept, "term": term + 1}); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	c.Flags().BoolVar(&sure, "the-others-lost-their-memory", false, "they did, for certain")
+	return c
+}
+
 func isIn(list []string, name string) bool {
 	for _, s := range list {
 		if s == name {
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -100,16 +100,20 @@
 }
 
 // Found is the disk of a member of a new fleet: all of them begin with the same.
-func Found(id uint64, names map[uint64]string) Disk {
+func Found(id uint64, names map[uint64]string) Disk { return Refound(id, names, Agreed{}, 1) }
+
+// Refound is that of a fleet that begins anew with what one has kept of an earlier one, at a term over all that anyone has
+// seen of that: reigns go on rising.
+func Refound(id uint64, names map[uint64]string, a Agreed, term uint64) Disk {
 	var voters []uint64
 	for n := range names {
 		voters = append(voters, n)
 	}
 	slices.Sort(voters)
-	a := Agreed{Names: names}
+	a.Names = names
 	one := uint64(1)
-	return Disk{ID: id, Hard: &raftpb.HardState{Term: &one, Commit: &one},
-		Snapshot: raftpb.EnsureSnapshot(&raftpb.Snapshot{Data: a.text(), Metadata: &raftpb.SnapshotMetadata{Index: &one, Term: &one, ConfState: &raftpb.ConfState{Voters: voters}}})}
+	return Disk{ID: id, Hard: &raftpb.HardState{Term: &term, Commit: &one},
+		Snapshot: raftpb.EnsureSnapshot(&raftpb.Snapshot{Data: a.text(), Metadata: &raftpb.SnapshotMetadata{Index: &one, Term: &term, ConfState: &raftpb.ConfState{Voters: voters}}})}
 }
 
 func (c *Core) restore(s *raftpb.Snapshot) error {
--- a/internal/owner/core_test.go
+++ b/internal/owner/core_test.go
@@ -45,11 +45,13 @@
 	log     map[uint64]string // what was applied, by index
 	acts    int
 	broken  string
-	highest Reign // at a receiver that fences
+	loss    int                  // of 100 messages
+	acting  func(uint64, *voter) // one that may act, before it hears of anything in that moment
+	done    func(uint64, Done)   // a member's command has its outcome
 }
 
 func newWorld(t *testing.T, seed uint64, n int) *world {
-	w := &world{t: t, r: rand.New(rand.NewPCG(seed, 3)), voters: map[uint64]*voter{}, cut: map[[2]uint64]bool{}, pace: Usual(), owners: map[Reign]string{}, log: map[uint64]string{}}
+	w := &world{t: t, r: rand.New(rand.NewPCG(seed, 3)), voters: map[uint64]*voter{}, cut: map[[2]uint64]bool{}, pace: Usual(), owners: map[Reign]string{}, log: map[uint64]string{}, loss: 2}
 	w.pace.KeepsLast = 16
 	names := map[uint64]string{}
 	for i := range n {
@@ -101,12 +103,17 @@
 			d.Entries = append(d.Entries, e)
 		}
 	}
+	for _, x := range o.Done {
+		if w.done != nil {
+			w.done(id, x)
+		}
+	}
 	for _, m := range o.Messages {
 		text, err := proto.Marshal(m)
 		if err != nil {
 			w.t.Fatal(err)
 		}
-		if w.cut[[2]uint64{id, m.GetTo()}] || w.r.IntN(50) == 0 {
+		if w.cut[[2]uint64{id, m.GetTo()}] || w.r.IntN(100) < w.loss {
 			continue
 		}
 		l := letter{w.now + int64(w.r.IntN(30))*1e6, id, m.GetTo(), text}
@@ -129,7 +136,9 @@
 			if may != "" {
 				w.broken = fmt.Sprintf("%s and %s both may act", may, v.core.name)
 			}
-			may = v.core.name
+			if may = v.core.name; w.acting != nil {
+				w.acting(id, v)
+			}
 		}
 	}
 }
--- a/internal/owner/disk.go
+++ b/internal/owner/disk.go
@@ -62,9 +62,15 @@
 	return d, err
 }
 
-// Begin writes the disk of a member of a new fleet, or of one that is to join.
+// Begin writes the disk of a member of a new fleet, or of one that is to join; what stood there is void.
 func (s *Store) Begin(d Disk) error {
 	return s.db.Update(func(tx *bbolt.Tx) error {
+		if err := tx.DeleteBucket(entriesBucket); err != nil {
+			return err
+		}
+		if _, err := tx.CreateBucket(entriesBucket); err != nil {
+			return err
+		}
 		if err := tx.Bucket(metaBucket).Put(idKey, binary.BigEndian.AppendUint64(nil, d.ID)); err != nil {
 			return err
 		}
--- a/internal/owner/node.go
+++ b/internal/owner/node.go
@@ -235,20 +235,31 @@
 type founding struct {
 	ID    uint64            `json:"id"`
 	Names map[uint64]string `json:"names"`
+	Again bool              `json:"again"` // in place of the fleet that it is a member of, whose majority is lost
+	Kept  Agreed            `json:"kept"`  // again: what one member has kept
+	Term  uint64            `json:"term"`  // again: over all that anyone has seen
 }
 
-// Found makes this process a member: of a new fleet, or, without names, of one that is to take it in. It must be none yet.
-func (n *Node) Found(id uint64, names map[uint64]string) error {
+// Found makes this process a member: of a new fleet, or, without names, of one that is to take it in. It must be none yet,
+// unless the fleet begins again.
+func (n *Node) Found(f founding) error {
+	id, names := f.ID, f.Names
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.core != nil {
+	if f.Again && (f.Term == 0 || Reign(f.Term) <= f.Kept.Reign || n.core != nil && Reign(f.Term) <= n.core.agreed.Reign) {
+		return fmt.Errorf("term %d is not over reign %d", f.Term, f.Kept.Reign)
+	}
+	if n.core != nil && !f.Again {
 		return fmt.Errorf("%s is a member already, number %d", n.name, n.core.id)
 	}
 	if id == 0 || len(names) > 0 && names[id] != n.name {
 		return fmt.Errorf("number %d is not %s", id, n.name)
 	}
 	d := Disk{ID: id, Hard: &raftpb.HardState{}, Snapshot: &raftpb.Snapshot{}}
-	if len(names) > 0 {
+	switch {
+	case f.Again:
+		d = Refound(id, names, f.Kept, f.Term)
+	case len(names) > 0:
 		d = Found(id, names)
 	}
 	if err := n.store.Begin(d); err != nil {
@@ -256,7 +267,8 @@
 	}
 	var err error
 	n.core, err = NewCore(n.name, d, n.pace, n.now())
-	slog.Info("owner_member", "name", n.name, "number", id, "voters", len(names))
+	n.halted = nil
+	slog.Info("owner_member", "name", n.name, "number", id, "voters", len(names), "again", f.Again)
 	return err
 }
 
@@ -305,6 +317,16 @@
 		json.NewEncoder(w).Encode(v)
 	}
 	mux.HandleFunc("GET /v1/owner", func(w http.ResponseWriter, _ *http.Request) { answer(w, n.View(), nil) })
+	mux.HandleFunc("GET /v1/owner/agreed", func(w http.ResponseWriter, _ *http.Request) {
+		n.mu.Lock()
+		var a Agreed
+		if n.core != nil {
+			a = n.core.agreed
+		}
+		text := a.text()
+		n.mu.Unlock()
+		w.Write(text)
+	})
 	mux.HandleFunc("GET /v1/owner/item", func(w http.ResponseWriter, r *http.Request) {
 		if value, is := n.Item(r.URL.Query().Get("name")); is {
 			w.Write(value)
@@ -314,9 +336,9 @@
 	})
 	mux.HandleFunc("POST /v1/owner/found", func(w http.ResponseWriter, r *http.Request) {
 		var f founding
-		err := json.NewDecoder(io.LimitReader(r.Body, 1<<16)).Decode(&f)
+		err := json.NewDecoder(io.LimitReader(r.Body, 2*mostItems*mostItem)).Decode(&f)
 		if err == nil {
-			err = n.Found(f.ID, f.Names)
+			err = n.Found(f)
 		}
 		answer(w, n.View(), err)
 	})
