--- a/cmd/swiftreel/plan_test.go
+++ b/cmd/swiftreel/plan_test.go
@@ -13,6 +13,7 @@
 	"swiftreel/internal/check"
 	"swiftreel/internal/cli"
 	"swiftreel/internal/toy"
+	"swiftreel/internal/version"
 )
 
 const problem = `{"engines":[{"name":"e1","kind":"std","zone":"east","cores":16,"memory_mb":32000},
@@ -74,6 +75,14 @@
 	done("")
 }
 
+func TestABuildTellsWhatItIs(t *testing.T) {
+	code, out := line(t, "version", "--json")
+	var b version.Build
+	if err := json.Unmarshal([]byte(out), &b); code != 0 || err != nil || b.Version != version.Name || len(b.Digest) != 32 || len(b.Formats) == 0 {
+		t.Errorf("%d %v: %s", code, err, out)
+	}
+}
+
 func TestBadFilesAreToldWhole(t *testing.T) {
 	dir := t.TempDir()
 	for _, c := range []struct {
@@ -94,6 +103,10 @@
 			[]string{"no answer fits", "conflict 1", "no engine is used over 100 per mille", "it fits with: a use of 250 per mille"}},
 		{[]string{"plan", "show"}, `{"status":"optimal","steps":[{"from_ms":5,"threads":[],"use":[],"shares":[],"weights":[],"served":[]}]}`, 2, []string{"/steps/0/from_ms"}},
 		{[]string{"nonsense"}, ``, 2, []string{"unknown command"}},
+		{[]string{"check", "--kind", "change"}, `{"number":0,"kind":"settings","to":{}}`, 2, []string{"/number: ", "/to: "}},
+		{[]string{"check", "--kind", "config"}, "{\n \"name\": 1}", 2, []string{"line 2, column"}},
+		{[]string{"check"}, `{"fleet":{"members":[{"name":"a","listen":"h:1"},{"name":"a","listen":"x"}],"voters":["a","b"]}}`, 2,
+			[]string{`/fleet/members/1/name: "a" stands twice`, "/fleet/members/1/listen", "/fleet/voters: 2", `/fleet/voters/1: "b" is no member`}},
 	} {
 		path := write(t, filepath.Join(dir, "file.json"), c.text)
 		code, out := line(t, append(c.args, path)...)
