--- a/internal/owner/history_test.go
+++ b/internal/owner/history_test.go
@@ -90,71 +90,77 @@
 // Times without an owner, in virtual time: the real core, links that lose 2 of 100 messages. make proof-owner prints them.
 func TestTimesWithoutAnOwner(t *testing.T) {
 	for _, how := range []string{"killed", "stopped", "cut off", "stepped down"} {
-		var gaps []int64
-		for seed := range uint64(*runs) {
-			w := newWorld(t, seed, 5)
-			w.start()
-			owner := func(not uint64) uint64 {
-				for _, id := range w.ids {
-					if v := w.voters[id]; id != not && v.core != nil && v.stall <= w.now && v.core.May(w.local(v)) != 0 {
-						return id
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			var gaps []int64
+			for seed := range uint64(*runs) {
+				w := newWorld(t, seed, 5)
+				w.start()
+				owner := func(not uint64) uint64 {
+					for _, id := range w.ids {
+						if v := w.voters[id]; id != not && v.core != nil && v.stall <= w.now && v.core.May(w.local(v)) != 0 {
+							return id
+						}
 					}
+					return 0
 				}
-				return 0
-			}
-			for owner(0) == 0 || w.now < 5e9 {
-				w.one()
-			}
-			id := owner(0)
-			for ; id == 0; id = owner(0) {
-				w.one()
-			}
-			v, from := w.voters[id], w.now
-			switch how {
-			case "killed":
-				v.core, v.down = nil, w.now+60e9
-			case "stopped":
-				v.stall = w.now + 60e9
-			case "cut off":
-				for _, n := range w.ids {
-					w.cut[[2]uint64{id, n}], w.cut[[2]uint64{n, id}] = true, true
+				for owner(0) == 0 || w.now < 5e9 {
+					w.one()
 				}
-			default:
-				out, is := v.core.StepDown()
-				if !is {
-					continue
+				id := owner(0)
+				for ; id == 0; id = owner(0) {
+					w.one()
 				}
-				w.does(id, out)
-			}
-			for owner(map[bool]uint64{false: id}[how == "stepped down"]) == 0 { // one that nobody could take over from may own again
-				if w.one(); w.now > from+60e9 {
-					t.Fatalf("%s, seed %d: nobody takes over", how, seed)
+				v, from := w.voters[id], w.now
+				switch how {
+				case "killed":
+					v.core, v.down = nil, w.now+60e9
+				case "stopped":
+					v.stall = w.now + 60e9
+				case "cut off":
+					for _, n := range w.ids {
+						w.cut[[2]uint64{id, n}], w.cut[[2]uint64{n, id}] = true, true
+					}
+				default:
+					out, is := v.core.StepDown()
+					if !is {
+						continue
+					}
+					w.does(id, out)
 				}
+				for owner(map[bool]uint64{false: id}[how == "stepped down"]) == 0 { // one that nobody could take over from may own again
+					if w.one(); w.now > from+60e9 {
+						t.Fatalf("%s, seed %d: nobody takes over", how, seed)
+					}
+				}
+				if w.broken != "" {
+					t.Fatalf("%s, seed %d: %s", how, seed, w.broken)
+				}
+				gaps = append(gaps, (w.now-from)/1e6)
 			}
-			if w.broken != "" {
-				t.Fatalf("%s, seed %d: %s", how, seed, w.broken)
+			slices.Sort(gaps)
+			p50, p99 := gaps[len(gaps)/2], gaps[len(gaps)*99/100]
+			t.Logf("owner %-12s %d times: median %4d ms, p99 %4d ms until another may act", how, len(gaps), p50, p99)
+			if how == "stepped down" && p50 > 1000 || p99 > 8000 {
+				t.Errorf("%s: %d ms, %d ms", how, p50, p99)
 			}
-			gaps = append(gaps, (w.now-from)/1e6)
-		}
-		slices.Sort(gaps)
-		p50, p99 := gaps[len(gaps)/2], gaps[len(gaps)*99/100]
-		t.Logf("owner %-12s %d times: median %4d ms, p99 %4d ms until another may act", how, len(gaps), p50, p99)
-		if how == "stepped down" && p50 > 1000 || p99 > 8000 {
-			t.Errorf("%s: %d ms, %d ms", how, p50, p99)
-		}
+		})
 	}
-	changes := 0
-	for seed := range uint64(*hours) {
-		w := newWorld(t, seed, 5)
-		w.loss = 5
-		w.start()
-		for w.now < 3600e9 {
-			w.one()
+	t.Run("nothing wrong", func(t *testing.T) {
+		t.Parallel()
+		changes := 0
+		for seed := range uint64(*hours) {
+			w := newWorld(t, seed, 5)
+			w.loss = 5
+			w.start()
+			for w.now < 3600e9 {
+				w.one()
+			}
+			changes += len(w.owners) - 1
 		}
-		changes += len(w.owners) - 1
-	}
-	t.Logf("owners changed %d times in %d hours with nothing wrong but 5%% of messages lost", changes, *hours)
-	if changes > 2**hours {
-		t.Errorf("%d changes in %d hours", changes, *hours)
-	}
+		t.Logf("owners changed %d times in %d hours with nothing wrong but 5%% of messages lost", changes, *hours)
+		if changes > 2**hours {
+			t.Errorf("%d changes in %d hours", changes, *hours)
+		}
+	})
 }
