A controller drained because it could not go back serves again once that is mended

Change: a keeper out of service looks every 2 s whether what failed is mended; the machine then takes the drain back. Two changes begun at once at the owner are begun one after the other. Result: the machine's test played a member that ran by itself; with one that heeds its drain it failed before (stuck, drains true) and passes; a keeper's test beside it.

--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -52,6 +52,7 @@
 	again     again
 	startAt   time.Time // not before
 	drained   bool
+	checked   time.Time // when what failed was last looked at, out of service
 	ordered   time.Time
 	asked     time.Time
 }
@@ -194,7 +195,11 @@
 		s.nextFits, s.nextReady = next.program == held.Want.Program, next.report.Ready && next.report.Spec == held.Want.Digest()
 	}
 	k.drained = held.Drain && now == nil && next == nil && len(k.olds) == 0
+	again := k.drained && k.failed != "" && time.Since(k.checked) >= recheck
 	k.mu.Unlock()
+	if again {
+		k.recheck(held.Want.Program)
+	}
 	switch s.decide() {
 	case startOne:
 		if k.fits(held.Want.Program) {
@@ -277,6 +282,19 @@
 	return k.fail(err)
 }
 
+// recheck is how often one that is out of service looks whether what it could not do has been mended.
+const recheck = 2 * time.Second
+
+func (k *Keeper) recheck(p change.Program) {
+	fits := k.fits(p)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.checked = time.Now(); fits {
+		slog.Info("order_mended", "was", k.failed)
+		k.failed = ""
+	}
+}
+
 // fail keeps why an order cannot be carried out; nil: it can.
 func (k *Keeper) fail(err error) bool {
 	k.mu.Lock()
--- a/internal/keep/keep_test.go
+++ b/internal/keep/keep_test.go
@@ -100,3 +100,30 @@
 		}
 	}
 }
+
+func TestOneOutOfServiceSaysWhenItIsMended(t *testing.T) {
+	dir := t.TempDir()
+	program := filepath.Join(dir, "program")
+	os.WriteFile(program, []byte("x"), 0o700)
+	k, err := New(Options{Name: "c1", State: filepath.Join(dir, "state"), Program: program})
+	if err != nil {
+		t.Fatal(err)
+	}
+	k.held.Drain = true
+	os.Remove(program)
+	k.fits(k.held.Want.Program)
+	k.turn(t.Context())
+	if s := k.Status(); s.Failed == "" || !s.Drained {
+		t.Fatalf("%+v", s)
+	}
+	os.WriteFile(program, []byte("y"), 0o700) // another one is no mend
+	k.checked = time.Time{}
+	if k.turn(t.Context()); k.Status().Failed == "" {
+		t.Error("another program mends it")
+	}
+	os.WriteFile(program, []byte("x"), 0o700)
+	k.checked = time.Time{}
+	if k.turn(t.Context()); k.Status().Failed != "" || !k.Status().Drained {
+		t.Errorf("%+v", k.Status())
+	}
+}
--- a/internal/owner/duty.go
+++ b/internal/owner/duty.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync"
 	"time"
 
 	"swiftreel/internal/change"
@@ -22,6 +23,7 @@
 type Duties struct {
 	node    *Node
 	members []operator.Member
+	one     sync.Mutex // a change is begun at a time
 }
 
 // agreement is what is agreed, under a reign.
@@ -39,7 +41,9 @@
 func (a agreement) Name() string { return a.node.name }
 
 // NewDuties are those of a process.
-func NewDuties(n *Node, members []operator.Member) *Duties { return &Duties{n, members} }
+func NewDuties(n *Node, members []operator.Member) *Duties {
+	return &Duties{node: n, members: members}
+}
 
 // askTime is how long a keeper may take for an answer.
 const askTime = 2 * time.Second
@@ -130,6 +134,8 @@
 		if c.Kind == change.Plan {
 			return errors.New("/kind: a plan's file stands where it was written; conduct it with swiftreel rollout start")
 		}
+		d.one.Lock()
+		defer d.one.Unlock()
 		return conduct.Begin(r.Context(), conduct.Agreed(a), c, conduct.NewFleet(d.members, askTime, askTime), false)
 	}))
 	mux.HandleFunc("POST /v1/owner/wish", owned(func(r *http.Request, a agreement) error {
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -287,7 +287,8 @@
 // Baked tells whether the stage has stood for its time.
 func (m *Machine) Baked(now int64) bool { return now-m.since >= m.pace.BakeMS*1e6 }
 
-// drains takes controllers out of service that cannot go back: they answer, and say that they cannot.
+// drains takes controllers out of service that cannot go back: they answer, and say that they cannot. One that says so no
+// more, as somebody has mended it, is to serve again.
 func (m *Machine) drains(in Input) (changed bool) {
 	if p := m.State.Phase; p != GoingBack && p != Stuck {
 		return false
@@ -295,6 +296,9 @@
 	for _, x := range in.Members {
 		if x.Heard && x.Failed != "" && x.Running != m.from && m.State.Drains[x.Name] == "" {
 			m.State.Drains[x.Name], changed = x.Failed, true
+		} else if x.Heard && x.Failed == "" && m.State.Drains[x.Name] != "" {
+			delete(m.State.Drains, x.Name)
+			changed = true
 		}
 	}
 	return changed
--- a/internal/rollout/machine_test.go
+++ b/internal/rollout/machine_test.go
@@ -148,7 +148,7 @@
 			if x.down--; x.down == 0 {
 				x.changes = false
 			}
-		} else if x.running != x.held.Want.Digest() && x.failed == "" {
+		} else if x.running != x.held.Want.Digest() && x.failed == "" && !x.held.Drain {
 			x.running, x.down, x.changes = x.held.Want.Digest(), 1+f.r.IntN(5), true
 		}
 		if x.changes {
@@ -302,10 +302,12 @@
 	if f.m.State.Phase != Stuck || f.m.State.Drains["c0"] == "" || !strings.Contains(f.m.State.Why, "c0") || !f.members[0].held.Drain {
 		t.Fatalf("%+v, drains %v", f.m.State, f.members[0].held.Drain)
 	}
-	f.members[0].failed, f.members[0].running = "", specs[false].Digest() // mended by hand
-	f.one(judge.Verdict{}, "", 0, false)
-	if f.m.State.Phase != Back {
-		t.Errorf("%+v", f.m.State)
+	f.members[0].failed, f.members[0].running = "", "" // mended by hand; it is still out of service, so nothing runs there
+	for i := 0; i < 50 && f.m.State.Phase != Back; i++ {
+		f.one(judge.Verdict{}, "", 0, false)
+	}
+	if f.m.State.Phase != Back || f.members[0].held.Drain || f.settled() != "" {
+		t.Errorf("%+v, drains %v: %s", f.m.State, f.members[0].held.Drain, f.settled())
 	}
 }
 
