--- a/internal/conduct/process_test.go
+++ b/internal/conduct/process_test.go
@@ -587,3 +587,42 @@
 		t.Error(v)
 	}
 }
+
+const problem = `{"engines":[{"name":"e1","kind":"std","zone":"east","cores":16,"memory_mb":32000},{"name":"e2","kind":"std","zone":"east","cores":16,"memory_mb":32000}],
+"types":[{"name":"lookup","threads":1,"memory_mb":96,"work_ms":50,"value":1},{"name":"import","threads":1,"memory_mb":500,"work_ms":900,"value":10}],
+"tenants":[{"name":"acme"}],"zones":[{"name":"east"}],"must":{},"demand":[{"type":"lookup","tenant":"acme","zone":"east","jobs_per_1000s":30000}]}`
+
+// A plan goes through a fleet as settings do, and a change after it takes it along; one with a lower number is refused.
+func TestAPlanGoesThroughAFleet(t *testing.T) {
+	w, l := town(t, 2)
+	folder := filepath.Join(w.Dir, "record")
+	cli(t, w, "solve", write(t, w, "problem.json", problem), "--out", filepath.Join(w.Dir, "plan.json"), "--time", "20s")
+	conducted := func(file, text string) (string, error) {
+		p, err := w.Rollout(program, folder, "start", write(t, w, file, text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		err = p.Await()
+		return p.Log(), err
+	}
+	if text, err := conducted("change.json", fmt.Sprintf(`{"number":2,"kind":"plan","to":{"plan":"plan.json"},%s}`, pace)); err != nil {
+		t.Fatalf("%v: %s", err, text)
+	}
+	if text, err := conducted("next.json", settings(3)); err != nil {
+		t.Fatalf("%v: %s", err, text)
+	}
+	if !all(t, w, func(s keep.Status) bool {
+		return len(s.Spec.Plan) > 0 && len(s.Spec.Shape) > 0 && s.Running == s.Spec.Digest() && s.Fence.Number == 3
+	}) {
+		t.Error("not all run both")
+	}
+	for _, m := range w.Members {
+		if strings.Count(m.Keeper.Log(), "msg=plan_taken") != 1 { // the same plan once more is no new one
+			t.Errorf("%s: %s", m.Name, m.Keeper.Log())
+		}
+	}
+	if text, err := conducted("late.json", settings(1)); err == nil || !strings.Contains(text, "has taken order") {
+		t.Errorf("an earlier number: %v: %s", err, text)
+	}
+	finish(t, w, l)
+}
