--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -68,6 +68,8 @@
 	steps   bool   // stepping down: nothing is done any more
 	stepsAt int64
 	noLease bool // the broken variant of tests
+
+	snapAt map[uint64]int64 // members that a snapshot is under way to, since when; a member leaves it when it is not
 }
 
 // NewCore starts a member from what its disk holds.
@@ -139,10 +141,38 @@
 			c.claimed = s.GetTerm()
 			c.propose(Command{From: c.id, Reign: Reign(s.GetTerm()), Claim: c.name})
 		}
+		c.snapshots()
 	}
 	return c.take()
 }
 
+// snapTime is for how many leases word of a snapshot's arrival is waited for: one of mostMessage passes a slow link in it.
+const snapTime = 3
+
+// snapshots has those sent again that have not been heard of. The library waits for ever: links here tell nothing of what they
+// have lost, and one that has come but was overtaken by the log's compaction counts as lost.
+func (c *Core) snapshots() {
+	was := c.snapAt
+	c.snapAt = nil
+	c.rn.WithProgress(func(id uint64, _ raft.ProgressType, pr tracker.Progress) {
+		if pr.State == tracker.StateSnapshot {
+			if c.snapAt == nil {
+				c.snapAt = map[uint64]int64{}
+			}
+			c.snapAt[id] = c.now
+			if at, is := was[id]; is {
+				c.snapAt[id] = at
+			}
+		}
+	})
+	for id, at := range c.snapAt {
+		if c.now-at >= snapTime*c.pace.Lease {
+			delete(c.snapAt, id)
+			c.rn.ReportSnapshot(id, raft.SnapshotFailure) // it is probed, and sent what it lacks
+		}
+	}
+}
+
 // Step takes a message. A vote is not given within a lease of this process's start: it cannot know whom it had promised.
 func (c *Core) Step(now int64, m *raftpb.Message) Out {
 	c.now = max(c.now, now)
--- a/internal/owner/core_test.go
+++ b/internal/owner/core_test.go
@@ -48,6 +48,7 @@
 	loss    int                  // of 100 messages
 	acting  func(uint64, *voter) // one that may act, before it hears of anything in that moment
 	done    func(uint64, Done)   // a member's command has its outcome
+	drop    func(*raftpb.Message) bool
 }
 
 func newWorld(t *testing.T, seed uint64, n int) *world {
@@ -113,7 +114,7 @@
 		if err != nil {
 			w.t.Fatal(err)
 		}
-		if w.cut[[2]uint64{id, m.GetTo()}] || w.r.IntN(100) < w.loss {
+		if w.cut[[2]uint64{id, m.GetTo()}] || w.r.IntN(100) < w.loss || w.drop != nil && w.drop(m) {
 			continue
 		}
 		l := letter{w.now + int64(w.r.IntN(30))*1e6, id, m.GetTo(), text}
@@ -326,7 +327,29 @@
 }
 
 func TestAMemberThatLostItsMemoryComesBackAsANewOne(t *testing.T) {
-	w := newWorld(t, 2, 3)
+	comesBack(t, newWorld(t, 2, 3))
+}
+
+func TestASnapshotThatIsLostIsSentAgain(t *testing.T) {
+	for _, kind := range []raftpb.MessageType{raftpb.MsgSnap, raftpb.MsgAppResp} { // it, or word that it has come
+		w := newWorld(t, 2, 3)
+		w.loss = 0
+		lost := 0
+		w.drop = func(m *raftpb.Message) bool {
+			is := m.GetType() == kind && (m.GetTo() == 9 || m.GetFrom() == 9) && lost < 3
+			if is {
+				lost++
+			}
+			return is
+		}
+		comesBack(t, w)
+		if lost < 3 {
+			t.Errorf("%v: %d were lost, so that it shows nothing", kind, lost)
+		}
+	}
+}
+
+func comesBack(t *testing.T, w *world) {
 	w.start()
 	owner := func() *Core {
 		for _, v := range w.voters {
