Rollouts: formats one apart side by side, full and slow disks, late harm, what teaching gains

Change: format 2 of orders says why; a conductor writes to each keeper in the older of both formats, a keeper reads both (tag format1 builds the program as it was). Builds of tag fault can be steered by the environment: disk (full, or so slow), time of day, start, untaught.

--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -60,6 +60,7 @@
 	if err != nil {
 		return err
 	}
+	fault.Early()
 	listener, err := listen(file.Listen, own.Tally != nil)
 	if err != nil {
 		return err
--- a/cmd/swiftreel/tally.go
+++ b/cmd/swiftreel/tally.go
@@ -8,13 +8,13 @@
 	"net"
 	"sync/atomic"
 	"syscall"
-	"time"
 
 	"golang.org/x/sys/unix"
 
 	"swiftreel/choice"
 	"swiftreel/internal/change"
 	"swiftreel/internal/check"
+	"swiftreel/internal/fault"
 	"swiftreel/internal/gateway"
 	"swiftreel/internal/operator"
 	"swiftreel/internal/tally"
@@ -37,7 +37,7 @@
 	if o == nil {
 		return t, nil
 	}
-	book, began := tally.NewBook(), time.Now().UnixNano()
+	book, began := tally.NewBook(), fault.Wall().UnixNano()
 	gate.Count(book)
 	var err error
 	t.server, err = tally.Serve(o.Listen, func() (r tally.Report) {
@@ -74,7 +74,7 @@
 
 // teach takes over what an older process has learned. Of another version, or spoilt, it teaches nothing.
 func teach(o *operator.Tally, gate *gateway.Gateway) {
-	if o == nil || len(o.Learned) == 0 {
+	if o == nil || len(o.Learned) == 0 || fault.Untaught() {
 		return
 	}
 	var named map[string]choice.Means
--- a/internal/change/change_test.go
+++ b/internal/change/change_test.go
@@ -49,13 +49,24 @@
 	if _, err := ReadOrder(strings.NewReader(good)); err != nil {
 		t.Fatal(err)
 	}
-	for _, c := range [][2]string{{`"by":"x"`, `"by":"x","hurry":true`}, {`"format":1`, `"format":2`}, {`"turn":1`, `"turn":0`}, {`"by":"x"`, `"by":""`}, {`"digest":"d"`, `"digest":""`}, {`}}}`, `}}`}} {
+	for _, c := range [][2]string{{`"by":"x"`, `"by":"x","hurry":true`}, {`"format":1`, `"format":3`}, {`"format":1`, `"format":0`}, {`"by":"x"`, `"by":"x","why":"y"`}, {`"format":1`, `"format":2,"why":"`+strings.Repeat("y", mostWhy+1)+`"`}, {`"turn":1`, `"turn":0`}, {`"by":"x"`, `"by":""`}, {`"digest":"d"`, `"digest":""`}, {`}}}`, `}}`}} {
 		if _, err := ReadOrder(strings.NewReader(strings.Replace(good, c[0], c[1], 1))); err == nil || !strings.HasPrefix(err.Error(), "/") {
 			t.Errorf("%s: %v", c[1], err)
 		}
 	}
 }
 
+func TestOrdersAreWrittenAsTheirReaderReadsThem(t *testing.T) {
+	o := Order{Format: Format, Fence: Fence{1, 1, 1}, By: "x", Member: "c1", Want: spec("d"), Why: strings.Repeat("é", mostWhy)}
+	for theirs, want := range map[int]int{0: 1, 1: 1, 2: 2, 3: 2} {
+		f := FormatTo(theirs)
+		text, _ := json.Marshal(o.In(f))
+		if p, err := ReadOrder(strings.NewReader(string(text))); f != want || err != nil || (p.Why != "") != (want > 1) {
+			t.Errorf("to %d: %d, %q %v", theirs, f, p.Why, err)
+		}
+	}
+}
+
 func TestASpecIsNamedByWhatItHolds(t *testing.T) {
 	a, b := spec("d"), spec("d")
 	a.Shape, b.Shape = json.RawMessage(`{"cancel": true, "budget_free":5}`), json.RawMessage(`{"budget_free":5,"cancel":true}`)
--- a/internal/change/spec.go
+++ b/internal/change/spec.go
@@ -6,9 +6,11 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
+	"strings"
 )
 
 // Digest names a text or a file by its contents: SHA-256, the first 16 bytes in hex.
@@ -84,8 +86,17 @@
 
 func (a Fence) String() string { return fmt.Sprintf("%d.%d.%d", a.Number, a.Term, a.Turn) }
 
-// Format is the form of orders and statuses. A program reads its own and the one before; there is none before 1.
-const Format = 1
+// FormatTo is the form in which to write to one that says which form it writes: the older of both. One that has not been
+// heard of yet (0) is written to in the oldest that anyone reads.
+func FormatTo(theirs int) int { return min(Format, max(theirs, Format-1, 1)) }
+
+// Formats are those that this program reads.
+func Formats() (list []int) {
+	for f := max(1, Format-1); f <= Format; f++ {
+		list = append(list, f)
+	}
+	return list
+}
 
 // Order is what a conductor wants of one controller.
 type Order struct {
@@ -95,8 +106,21 @@
 	Member string `json:"member"` // as one reached by mistake finds out
 	Want   Spec   `json:"want"`
 	Drain  bool   `json:"drain,omitempty"` // stop serving once nothing is owed: it cannot be brought where it should be
+	Why    string `json:"why,omitempty"`   // from format 2 on: for the log of who takes it
 }
 
+// In is the order as one of that format reads it.
+func (o Order) In(format int) Order {
+	o.Format, o.Why = format, strings.ToValidUTF8(o.Why[:min(len(o.Why), mostWhy)], "")
+	if format < 2 {
+		o.Why = ""
+	}
+	return o
+}
+
+// mostWhy bounds an order's why, in bytes.
+const mostWhy = 1000
+
 // mostOrder bounds an order's text.
 const mostOrder = 4 << 20
 
@@ -115,8 +139,12 @@
 		return Order{}, fmt.Errorf("/: %w", err)
 	}
 	switch {
-	case o.Format != Format:
-		return Order{}, fmt.Errorf("/format: %d, known is %d", o.Format, Format)
+	case o.Format < max(1, Format-1) || o.Format > Format:
+		return Order{}, fmt.Errorf("/format: %d, known are %d and the one before", o.Format, Format)
+	case o.Format < 2 && o.Why != "":
+		return Order{}, errors.New("/why: not of format 1")
+	case len(o.Why) > mostWhy:
+		return Order{}, fmt.Errorf("/why: over %d bytes", mostWhy)
 	case o.Fence.Number < 1 || o.Fence.Term < 1 || o.Fence.Turn < 1:
 		return Order{}, fmt.Errorf("/fence: %v has a part under 1", o.Fence)
 	case o.By == "" || o.Member == "":
--- a/internal/conduct/conduct.go
+++ b/internal/conduct/conduct.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"swiftreel/internal/change"
+	"swiftreel/internal/fault"
 	"swiftreel/internal/judge"
 	"swiftreel/internal/rollout"
 )
@@ -72,7 +73,7 @@
 	if f.agreed == nil {
 		os.Remove(f.file("looks.jsonl"))
 	}
-	f.note(Step{At: time.Now().UTC(), Number: c.Number, Phase: rollout.Preparing, Fence: r.State.Fence, Why: c.Title})
+	f.note(Step{At: fault.Wall().UTC(), Number: c.Number, Phase: rollout.Preparing, Fence: r.State.Fence, Why: c.Title})
 	return f.write("change.json", r)
 }
 
@@ -212,7 +213,7 @@
 		in.Better = c.better.Look(c.record.Change.Limits, c.base, looks)
 	}
 	if !s.Phase.Ends() {
-		c.folder.add("looks.jsonl", Point{time.Now().UTC(), c.record.Change.Number, s.Phase, s.Stage, in.Verdict.Odds, armOf(judge.Sum(looks, false)), armOf(judge.Sum(looks, true))})
+		c.folder.add("looks.jsonl", Point{fault.Wall().UTC(), c.record.Change.Number, s.Phase, s.Stage, in.Verdict.Odds, armOf(judge.Sum(looks, false)), armOf(judge.Sum(looks, true))})
 	}
 }
 
@@ -246,7 +247,7 @@
 	c.unsaid = false
 	if s.Phase != was.Phase || s.Stage != was.Stage {
 		slog.Info("rollout_phase", "number", c.record.Change.Number, "phase", s.Phase, "stage", s.Stage+1, "fence", s.Fence.String(), "on", strings.Join(c.machine.New(), ","), "why", s.Why)
-		c.folder.note(Step{time.Now().UTC(), c.record.Change.Number, s.Phase, s.Stage, s.Fence, s.Why, s.Outcome})
+		c.folder.note(Step{fault.Wall().UTC(), c.record.Change.Number, s.Phase, s.Stage, s.Fence, s.Why, s.Outcome})
 	}
 }
 
@@ -275,7 +276,8 @@
 				if o.New {
 					w.Want = c.record.To
 				}
-				list[i] = w
+				w.Why = c.machine.State.Why
+				list[i] = w.In(change.FormatTo(c.seen[i].status.Format))
 			}
 		}
 	}
--- a/internal/conduct/process_test.go
+++ b/internal/conduct/process_test.go
@@ -10,6 +10,8 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -28,7 +30,7 @@
 // Real processes: controllers with keepers, conductors, and what goes wrong between them. Nothing is decided by how long
 // something took, but by what is seen.
 
-var program, dying, other string
+var program, dying, other, steered, before string
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "conduct")
@@ -36,15 +38,29 @@
 		panic(err)
 	}
 	program, dying, other = filepath.Join(dir, "swiftreel"), filepath.Join(dir, "dying"), filepath.Join(dir, "other")
-	for _, args := range [][]string{{"-o", program}, {"-o", filepath.Join(dir, "swiftreel-fleet"), "swiftreel/cmd/swiftreel-fleet"}, {"-o", other, "-ldflags", "-X swiftreel/internal/version.Name=other"}, {"-o", dying, "-tags", "fault", "-ldflags", "-X swiftreel/internal/fault.name=dies -X swiftreel/internal/version.Name=dying"}} {
-		if args = append([]string{"build"}, args...); !strings.HasPrefix(args[len(args)-1], "swiftreel/cmd") {
-			args = append(args, "swiftreel/cmd/swiftreel")
-		}
-		c := exec.Command("go", args...)
-		if text, err := c.CombinedOutput(); err != nil {
-			fmt.Fprintf(os.Stderr, "%v: %s\n", err, text)
-			os.Exit(1)
-		}
+	steered, before = filepath.Join(dir, "steered", "swiftreel"), filepath.Join(dir, "before", "swiftreel")
+	const fleet, set = "swiftreel-fleet", "-X swiftreel/internal/version.Name="
+	var wait sync.WaitGroup
+	failed := atomic.Bool{}
+	build := func(out, of string, args ...string) {
+		wait.Go(func() {
+			c := exec.Command("go", append(append([]string{"build", "-o", out}, args...), "swiftreel/cmd/"+of)...)
+			if text, err := c.CombinedOutput(); err != nil {
+				fmt.Fprintf(os.Stderr, "%v: %s\n", err, text)
+				failed.Store(true)
+			}
+		})
+	}
+	build(program, "swiftreel")
+	build(filepath.Join(dir, fleet), fleet)
+	build(other, "swiftreel", "-ldflags", set+"other")
+	build(dying, "swiftreel", "-tags", "fault", "-ldflags", set+"dying -X swiftreel/internal/fault.name=dies")
+	for _, of := range []string{"swiftreel", fleet} {
+		build(filepath.Join(filepath.Dir(steered), of), of, "-tags", "fault", "-ldflags", "-X swiftreel/internal/fault.name=steered")
+		build(filepath.Join(filepath.Dir(before), of), of, "-tags", "format1")
+	}
+	if wait.Wait(); failed.Load() {
+		os.Exit(1)
 	}
 	code := m.Run()
 	os.RemoveAll(dir)
@@ -307,6 +323,77 @@
 	finish(t, w, l)
 }
 
+// Disks that are full or slow at one place after the other, times of day a quarter of an hour apart, controllers that take
+// their time to start: the change waits for what is mended, and reaches all.
+func TestDisksThatAreFullOrSlowAndClocksApart(t *testing.T) {
+	w, err := rig.Plan{Program: steered, Seed: 3, Controllers: 3, Engines: 2, StartMS: 300, ClockMS: map[int]int{0: -420_000, 2: 420_000}}.Town()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	l := w.NewLoad(1, 1, 10*time.Millisecond, false)
+	disk := func(name, how string) {
+		t.Helper()
+		if err := w.Disk(name, how); err != nil {
+			t.Fatal(err)
+		}
+	}
+	folder := filepath.Join(w.Dir, "record")
+	p, err := w.Rollout(steered, folder, "start", write(t, w, "change.json", settings(1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	until(t, w, "all are watched", func() bool { return phase(folder).Phase == rollout.Watching || p.Over() })
+	disk(rig.Conductors, "full")
+	until(t, w, "it says so", func() bool { return strings.Contains(p.Log(), "rollout_not_recorded") || p.Over() })
+	for _, m := range w.Members {
+		disk(m.Name, "full")
+	}
+	disk(rig.Conductors, "300ms")
+	until(t, w, "a keeper refuses what it cannot record", func() bool { return strings.Contains(p.Log(), "order_not_taken") || p.Over() })
+	if at := phase(folder).Fence; !strings.Contains(p.Log(), "507") || !all(t, w, func(s keep.Status) bool { return s.Fence.Compare(at) < 0 }) {
+		t.Errorf("%s", p.Log())
+	}
+	for _, m := range w.Members {
+		disk(m.Name, "300ms")
+	}
+	if err := p.Await(); err != nil || phase(folder).Phase != rollout.Done {
+		t.Fatalf("%v: %s", err, p.Log())
+	}
+	r, _, _ := conduct.Look(folder).Record()
+	if !all(t, w, func(s keep.Status) bool { return s.Running == r.To.Digest() && s.Crashes == 0 }) {
+		t.Error("not all run it")
+	}
+	finish(t, w, l)
+}
+
+// A keeper of the format before takes orders of a newer conductor, and newer keepers those of a conductor of the format before.
+func TestOldAndNewFormatsSideBySide(t *testing.T) {
+	w, err := rig.Plan{Program: program, Seed: 4, Controllers: 3, Engines: 2, Keepers: map[int]string{0: before}}.Town()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	l := w.NewLoad(1, 1, 10*time.Millisecond, false)
+	for i, of := range []string{program, before} {
+		folder := filepath.Join(w.Dir, fmt.Sprint("record", i))
+		p, err := w.Rollout(of, folder, "start", write(t, w, "change.json", settings(i+1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := p.Await(); err != nil || phase(folder).Phase != rollout.Done {
+			t.Fatalf("%v: %s", err, p.Log())
+		}
+		if !all(t, w, func(s keep.Status) bool { return s.Fence.Number == int64(i)+1 && (s.Format == 1) == (s.Name == "c1") }) {
+			t.Error("not all took it")
+		}
+		if newer := w.Members[1].Keeper.Log(); strings.Contains(newer, `why="stage`) != true || strings.Contains(p.Log(), "order_not_taken") {
+			t.Errorf("%s", newer)
+		}
+	}
+	finish(t, w, l)
+}
+
 func TestAnotherFleetsMemberIsNotTaken(t *testing.T) {
 	w, l := town(t, 2)
 	folder, other := filepath.Join(w.Dir, "record"), filepath.Join(w.Dir, "other")
--- a/internal/conduct/record.go
+++ b/internal/conduct/record.go
@@ -16,6 +16,7 @@
 	"github.com/google/renameio/v2"
 
 	"swiftreel/internal/change"
+	"swiftreel/internal/fault"
 	"swiftreel/internal/judge"
 	"swiftreel/internal/rollout"
 	"swiftreel/internal/tally"
@@ -152,6 +153,9 @@
 	if f.agreed != nil {
 		return f.agreed.Write(name, text)
 	}
+	if err := fault.Write(); err != nil {
+		return err
+	}
 	return renameio.WriteFile(f.file(name), text, 0o600)
 }
 
--- a/internal/fault/on.go
+++ b/internal/fault/on.go
@@ -6,16 +6,63 @@
 
 import (
 	"os"
+	"strconv"
+	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
-// name is the fault: fails, slow, dies, leaks, floods or turns.
+// name is the fault: fails, late, kind, slow, dies, leaks, floods or turns; steered: as the environment says.
 var name string
 
+// What steers a process, also while it runs.
+const (
+	diskFile = "FAULT_DISK"     // a file, while it is there: "full", or how long each write takes
+	clockMS  = "FAULT_CLOCK_MS" // added to the time of day
+	startMS  = "FAULT_START_MS" // before it is ready
+	untaught = "FAULT_UNTAUGHT"
+)
+
+func steered(what string) string {
+	if name != "steered" {
+		return ""
+	}
+	return os.Getenv(what)
+}
+
+func millis(what string) time.Duration {
+	n, _ := strconv.ParseInt(steered(what), 10, 64)
+	return time.Duration(n) * time.Millisecond
+}
+
+// Early is before the program is ready.
+func Early() { time.Sleep(millis(startMS)) }
+
+// Write is before a text is written that is to outlive the process.
+func Write() error {
+	text, err := os.ReadFile(steered(diskFile))
+	if err != nil {
+		return nil // the disk is as it should be
+	}
+	if how := strings.TrimSpace(string(text)); how != "full" {
+		d, _ := time.ParseDuration(how)
+		time.Sleep(d)
+		return nil
+	}
+	return &os.PathError{Op: "write", Path: "disk", Err: syscall.ENOSPC}
+}
+
+// Wall is the time of day as this process thinks it is.
+func Wall() time.Time { return time.Now().Add(millis(clockMS)) }
+
+// Untaught tells whether what an older process has learned shall not go over.
+func Untaught() bool { return steered(untaught) != "" }
+
 var (
 	count atomic.Uint64
 	held  [][]byte // what leaks
+	began = time.Now()
 )
 
 // Start begins what goes on beside the jobs.
@@ -37,8 +84,19 @@
 	}
 }
 
-// Fails tells whether a good answer shall be lost: 3% of imports.
-func Fails(typ string) bool { return name == "fails" && typ == "import" && count.Add(1)%33 == 0 }
+// Fails tells whether a good answer shall be lost: 3% of imports; late: one in ten, but not at first; kind: one in five of one
+// engine's.
+func Fails(typ string, engine func() string) bool {
+	switch name {
+	case "fails":
+		return typ == "import" && count.Add(1)%33 == 0
+	case "late":
+		return typ == "import" && time.Since(began) > 5*time.Second && count.Add(1)%10 == 0
+	case "kind":
+		return typ == "import" && engine() == "e2" && count.Add(1)%5 == 0
+	}
+	return false
+}
 
 // Refuses tells whether a job shall be turned away.
 func Refuses(typ string) bool { return name == "turns" && typ == "import" }
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -222,7 +222,7 @@
 			if r.End == back.Done {
 				if owed {
 					g.answered(j)
-					if time.Sleep(fault.Slow(time.Since(j.At))); fault.Fails(string(j.Type)) {
+					if time.Sleep(fault.Slow(time.Since(j.At))); fault.Fails(string(j.Type), func() string { h, _ := g.host(s.engine, j.Protocol); return string(h.Name) }) {
 						g.count(j, tally.Cancelled, count, 0)
 						j.From.Failed(ForGood)
 					} else {
--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -22,6 +22,7 @@
 	"github.com/google/renameio/v2"
 
 	"swiftreel/internal/change"
+	"swiftreel/internal/fault"
 	"swiftreel/internal/operator"
 )
 
@@ -138,7 +139,7 @@
 	}
 	if next.Want.Digest() != k.held.Want.Digest() {
 		k.failed = ""
-		slog.Info("order_taken", "fence", next.Fence.String(), "by", next.By, "spec", next.Want.Digest(), "drain", next.Drain)
+		slog.Info("order_taken", "fence", next.Fence.String(), "by", next.By, "spec", next.Want.Digest(), "drain", next.Drain, "why", o.Why)
 	}
 	k.held = next
 	select {
@@ -154,6 +155,9 @@
 	if err != nil {
 		return err
 	}
+	if err := fault.Write(); err != nil {
+		return err
+	}
 	return renameio.WriteFile(path, text, 0o600)
 }
 
--- a/internal/owner/disk.go
+++ b/internal/owner/disk.go
@@ -7,6 +7,8 @@
 	"go.etcd.io/bbolt"
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
+
+	"swiftreel/internal/fault"
 )
 
 var (
@@ -83,6 +85,9 @@
 	if o.Hard == nil && o.Snapshot == nil && len(o.Entries) == 0 {
 		return nil
 	}
+	if err := fault.Write(); err != nil {
+		return err
+	}
 	return s.db.Update(func(tx *bbolt.Tx) error { return save(tx, o) })
 }
 
--- a/internal/proof/rollout/main.go
+++ b/internal/proof/rollout/main.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,7 +20,8 @@
 
 // bad are the builds with a fault, and the last stage at which each has to be stopped.
 var bad = []struct{ name, what string }{{"fails", "fails 3% of imports"}, {"slow", "30% slower"}, {"dies", "dies after 3 s"},
-	{"leaks", "leaks 20 MB a second"}, {"floods", "20 more probes with each"}, {"turns", "turns imports away"}}
+	{"leaks", "leaks 20 MB a second"}, {"floods", "20 more probes with each"}, {"turns", "turns imports away"},
+	{"late", "fails 10% of imports, after 5 s"}, {"kind", "fails 20% of one engine's imports"}}
 
 func main() {
 	seeds := flag.Int("seeds", 20, "schedules of faults")
@@ -65,6 +67,16 @@
 	}
 	var mu sync.Mutex
 	var wait sync.WaitGroup
+	if *only == "" || *only == "taught" {
+		wait.Go(func() {
+			if why := taught(programs["steered"]); why != "" {
+				mu.Lock()
+				defer mu.Unlock()
+				failed = true
+				fmt.Println("FAILED: what an older program teaches:", why)
+			}
+		})
+	}
 	places := make(chan struct{}, 2*max(2, runtime.NumCPU()))
 	var all []told
 	for _, s := range list {
@@ -147,7 +159,7 @@
 		programs[name] = filepath.Join(dir, name)
 		wait.Go(func() {
 			of := "./cmd/swiftreel"
-			if name == "swiftreel-fleet" {
+			if strings.HasSuffix(name, "swiftreel-fleet") {
 				of = "./cmd/swiftreel-fleet"
 			}
 			c := exec.Command("go", append([]string{"build", "-o", filepath.Join(dir, name)}, append(args, of)...)...)
@@ -165,6 +177,11 @@
 	for _, b := range bad {
 		build(b.name, "-tags", "fault", "-ldflags", set+"bad-"+b.name+" -X swiftreel/internal/fault.name="+b.name)
 	}
+	for _, of := range []string{"steered", "later", "swiftreel-fleet"} { // in a folder of their own
+		name := filepath.Join("apart", of)
+		build(name, "-tags", "fault", "-ldflags", set+of+" -X swiftreel/internal/fault.name=steered")
+		programs[of] = programs[name]
+	}
 	wait.Wait()
 	return programs, failed
 }
--- a/internal/rig/engine.go
+++ b/internal/rig/engine.go
@@ -52,7 +52,7 @@
 					s.Answer(c.ID, "failed", "", "")
 				default:
 					end(rulecheck.Done)
-					s.Answer(c.ID, "data", "sheets=1,toil=2,room=4", "a\tb\tc\n")
+					s.Answer(c.ID, "data", fmt.Sprintf("sheets=1,toil=%d,room=4", max(1, takes.Milliseconds())), "a\tb\tc\n")
 				}
 			})
 		case "more":
--- a/internal/rig/town.go
+++ b/internal/rig/town.go
@@ -70,8 +70,13 @@
 	Program              string
 	Seed                 uint64
 	Controllers, Engines int
-	Faults               bool // of engines
-	Voters               int  // the first of the controllers' keepers
+	Faults               bool           // of engines
+	Voters               int            // the first of the controllers' keepers
+	Keepers              map[int]string // programs of some keepers, where they are others
+	StartMS              int            // before a controller is ready; this and what follows: of builds with tag fault, steered
+	ClockMS              map[int]int    // what their time of day is off by
+	Env                  []string       // more of it
+	Parts                string         // more of the operator's part fleet, as JSON members, each followed by a comma
 }
 
 // Town starts one.
@@ -121,7 +126,7 @@
 	t.Fleet = filepath.Join(t.Dir, "operator.json")
 	text, err := json.Marshal(own)
 	if err == nil {
-		err = os.WriteFile(t.Fleet, fmt.Appendf(nil, `{"fleet":%s}`, text), 0o600)
+		err = os.WriteFile(t.Fleet, fmt.Appendf(nil, `{"fleet":{%s%s}`, o.Parts, text[1:]), 0o600)
 	}
 	if err != nil {
 		return t, err
@@ -133,9 +138,14 @@
 		if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
 			return t, err
 		}
-		m.start = func() (*Process, error) {
-			return Start(program, []string{"ROUTER_CONFIG=" + config, "ROUTER_NAME=" + m.Name, "ROUTER_OPERATOR=" + t.Fleet}, "keep", "--state", filepath.Join(t.Dir, m.Name))
+		of := program
+		if other := o.Keepers[i]; other != "" {
+			of = other
 		}
+		env := append(t.faults(m.Name), "ROUTER_CONFIG="+config, "ROUTER_NAME="+m.Name, "ROUTER_OPERATOR="+t.Fleet,
+			fmt.Sprint("FAULT_CLOCK_MS=", o.ClockMS[i]), fmt.Sprint("FAULT_START_MS=", o.StartMS))
+		env = append(env, o.Env...)
+		m.start = func() (*Process, error) { return Start(of, env, "keep", "--state", filepath.Join(t.Dir, m.Name)) }
 		if m.Keeper, err = m.start(); err != nil {
 			return t, err
 		}
@@ -203,7 +213,23 @@
 
 // Rollout starts a conductor; folder is its record.
 func (t *Town) Rollout(program, folder string, args ...string) (*Process, error) {
-	return Start(program, []string{"ROUTER_OPERATOR=" + t.Fleet}, append([]string{"rollout", "--record", folder}, args...)...)
+	return Start(program, append(t.faults(Conductors), "ROUTER_OPERATOR="+t.Fleet), append([]string{"rollout", "--record", folder}, args...)...)
+}
+
+// Conductors is the name under which Disk finds their disk.
+const Conductors = "conductors"
+
+func (t *Town) faults(name string) []string {
+	return []string{"FAULT_DISK=" + filepath.Join(t.Dir, name+".disk")}
+}
+
+// Disk says how the disk of a steered build is from now on: "full", how long a write takes, or "" where it is well.
+func (t *Town) Disk(name, how string) error {
+	path := filepath.Join(t.Dir, name+".disk")
+	if how == "" {
+		return os.RemoveAll(path)
+	}
+	return os.WriteFile(path, []byte(how), 0o600)
 }
 
 // Stop has all controllers drain and end, in their own time.
--- a/internal/version/version.go
+++ b/internal/version/version.go
@@ -25,7 +25,7 @@
 
 // Of this program.
 func Of() (b Build, err error) {
-	b = Build{Version: Name, Go: runtime.Version(), Formats: []int{change.Format}, Schemas: []string{"change", "operator", "plan", "problem"}}
+	b = Build{Version: Name, Go: runtime.Version(), Formats: change.Formats(), Schemas: []string{"change", "operator", "plan", "problem"}}
 	if info, is := debug.ReadBuildInfo(); is {
 		for _, s := range info.Settings {
 			switch s.Key {
