--- a/choice/choice.go
+++ b/choice/choice.go
@@ -65,7 +65,7 @@
 // Decide is told what happened and returns what to do.
 func (c *Controller) Decide(now Nanos, ev Event) []Action {
 	c.now, c.acts = now, c.acts[:0]
-	var own *bucket
+	own := none
 	switch ev.Kind {
 	case Started:
 		c.start(ev)
@@ -99,6 +99,8 @@
 				c.types[i].Means = ev.Means[i]
 			}
 		}
+	case Parted: // by who knows what all were asked: until it ends it stands in for our own guess
+		c.part = ev.Part
 	case Elder: // until it has ended, nobody here knows what it sent
 		if c.alone = c.now; ev.On {
 			c.alone = math.MaxInt64 / 2
@@ -124,7 +126,7 @@
 	c.until, c.alone = math.MaxInt64, math.MinInt64/2
 	c.jobs, c.lines, c.tenants = map[JobID]*job{}, map[Key]*keyLine{}, map[TenantID]*tenantSeen{}
 	c.read(ev.Facts)
-	c.share, c.slowMean, c.probesLeft, c.reach = c.even, 1, probesMost, looksLeast
+	c.share, c.guess, c.slowMean, c.probesLeft, c.reach = c.even, c.even, 1, probesMost, looksLeast
 	c.workMean, c.spanMean, c.off = 1, 1, 0.4 // until the first job
 	c.arm()
 }
@@ -249,10 +251,8 @@
 		j.worth *= c.facts.num("over_share_worth", 1)
 	}
 	j.bucket = c.bucketOf(t, ev.Tenant)
-	if c.notWorth(j) {
-		c.giveUp(j)
-	} else if len(j.bucket.fifo) > 0 || !c.send(j) {
-		if len(j.bucket.fifo) >= bucketDepth || t.parked >= typeCeiling {
+	if poor := c.notWorth(j); poor || len(j.bucket.fifo) > 0 || !c.send(j) {
+		if poor || len(j.bucket.fifo) >= bucketDepth || t.parked >= typeCeiling {
 			c.giveUp(j)
 		} else {
 			c.park(j, len(j.bucket.fifo))
@@ -262,7 +262,8 @@
 
 // withinShare counts a tenant's jobs against our part of its quota, which may be under a job a second.
 func (c *Controller) withinShare(id TenantID) bool {
-	s, quota := c.tenants[id], c.facts.num(fmt.Sprintf("tenants.%d.quota_per_s", id), 1e9)*c.share
+	s, quota := c.tenants[id], c.facts.num(fmt.Sprintf("tenants.%d.quota_per_s", id), 1e9)
+	quota *= c.part.of(id, c.now, c.share)
 	saved := 2*quota + quotaSaved
 	if s == nil {
 		s = &tenantSeen{at: c.now, credit: saved}
@@ -364,9 +365,6 @@
 
 // head is the first parked job whose key lets it go.
 func (c *Controller) head(b *bucket) *job {
-	if b == nil {
-		return nil
-	}
 	i := slices.IndexFunc(b.fifo, c.turn)
 	if i < 0 {
 		return nil
@@ -765,7 +763,7 @@
 func (c *Controller) answer(ev Event) *bucket {
 	j := c.jobs[ev.Job]
 	if j == nil || j.flight == nil || j.flight.seq != ev.Seq {
-		return nil
+		return none
 	}
 	f, e, t := j.flight, j.flight.engine, j.typ
 	j.flight = nil
@@ -1015,7 +1013,10 @@
 		c.crowd += outStep * (c.outThreads/max(fewCores, c.even*c.cores) - c.crowd)
 	}
 	if c.crowd > 0 {
-		c.share += 0.05 * (min(1, max(c.even, c.outThreads/max(1, c.crowd*c.cores))) - c.share)
+		c.guess += 0.05 * (min(1, max(c.even, c.outThreads/max(1, c.crowd*c.cores))) - c.guess)
+	}
+	if c.share = c.guess; c.now < c.part.Until {
+		c.share = c.part.Share
 	}
 	c.reprice()
 	c.offered -= c.offered * float64(sweepEvery) / float64(offeredOver)
--- a/choice/learned.go
+++ b/choice/learned.go
@@ -14,6 +14,9 @@
 	return list
 }
 
+// Carries is what it goes by now of the fleet, of 1: told, or guessed. It decides nothing.
+func (c *Controller) Carries() float64 { return c.share }
+
 func (m *Means) parts() [9]*float64 {
 	return [9]*float64{&m.usual, &m.usualN, &m.costBias, &m.costN, &m.memBias, &m.memDev, &m.memN, &m.best, &m.slow}
 }
--- /dev/null
+++ b/choice/part_test.go
@@ -0,0 +1,59 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+)
+
+// What a controller carries of the fleet is told by the fleet's owner, for a while; told by nobody, it guesses as before.
+
+func TestAPartThatIsToldStandsInForTheGuessUntilItEnds(t *testing.T) {
+	const start = Nanos(1e15)
+	begin := func() *Controller {
+		c := &Controller{}
+		c.Decide(start, Event{Kind: Started, Seed: 1, Facts: Facts{"balancers": 4.0,
+			"tenants":    []any{map[string]any{"quota_per_s": 100.0}},
+			"classes":    []any{map[string]any{"name": "lookup", "idempotency": "repeatable", "aim_ns": 1e9, "gain": 1.0}},
+			"telemetry":  map[string]any{"fields": []any{"concurrent"}},
+			"invariants": map[string]any{}, "domain": map[string]any{"cpu_of_kind": []any{16.0}}}})
+		c.Decide(start, Event{Kind: Listed, List: WholeList, Lines: []Line{{Engine: 1, State: Ready}}})
+		return c
+	}
+	sweep := func(c *Controller, at Nanos) float64 {
+		c.Decide(at, Event{Kind: TimerDue, Mark: c.tick})
+		return c.share
+	}
+	inside := func(c *Controller) (n int) {
+		for c.withinShare(0) {
+			n++
+		}
+		return n
+	}
+	c, plain := begin(), begin()
+	if sweep(c, start+1e9) != 0.25 || inside(c) != int(2*100*0.25+quotaSaved) {
+		t.Errorf("told nothing: %v", c.share)
+	}
+	c.Decide(start+1e9, Event{Kind: Parted, Part: Part{Share: 0.1, Tenants: map[TenantID]float64{0: 0.6}, Until: start + 5e9}})
+	if got := sweep(c, start+2e9); got != 0.1 {
+		t.Errorf("share %v", got)
+	}
+	if delete(c.tenants, 0); inside(c) != int(2*100*0.6+quotaSaved) {
+		t.Error("the tenant's part is not taken")
+	}
+	if got := sweep(c, start+5e9); got != sweep(plain, start+5e9) {
+		t.Errorf("past its end %v", got)
+	}
+	for at := start + 6e9; at < start+60e9; at += 20e6 {
+		sweep(c, at)
+		sweep(plain, at)
+	}
+	if d := c.share - plain.share; d > 1e-6 || d < -1e-6 {
+		t.Errorf("long past its end %v, without one %v", c.share, plain.share)
+	}
+	if delete(c.tenants, 0); inside(c) != int(2*100*0.25+quotaSaved) {
+		t.Error("the tenant's part does not end")
+	}
+	if fmt.Sprint(c.View(start+60e9)) != fmt.Sprint(plain.View(start+60e9)) {
+		t.Error("what it believes of engines is not as without a part")
+	}
+}
--- a/choice/types.go
+++ b/choice/types.go
@@ -43,6 +43,7 @@
 	Planned  // a plan is to be followed from now on, or none any more
 	Restated // the settings anew (Facts); what was taken in and learned stays
 	Taught   // what an older process of this controller has learned (Means, by type)
+	Parted   // what we carry of the fleet, for a while (Part)
 	Elder    // an older process of this controller serves on what it owes (On), or has ended
 )
 
@@ -151,6 +152,7 @@
 	Plan *Plan // Planned; nil: none
 
 	On    bool    // Elder
+	Part  Part    // Parted
 	Means []Means // Taught: by type; one that is not sound teaches nothing
 }
 
@@ -189,6 +191,25 @@
 	Text     string // Log, Fault, and what Tell says
 }
 
+// Part is what this controller carries of the fleet, over 0 to 1, and of tenants' quotas, 0 to 1, until a time. Told by
+// nobody, it is zero.
+type Part struct {
+	Share   float64
+	Tenants map[TenantID]float64
+	Until   Nanos
+}
+
+// of is our part of a tenant's quota; absent: none is told.
+func (p Part) of(id TenantID, now Nanos, absent float64) float64 {
+	if part, told := p.Tenants[id]; told && now < p.Until {
+		return part
+	}
+	return absent
+}
+
+// none is a bucket without jobs.
+var none = &bucket{}
+
 // Plan is what was worked out ahead, as far as it bears on this controller. All rules, bounds and judgements of health
 // stand above it.
 type Plan struct {
@@ -281,7 +302,7 @@
 	zone                                 ZoneID
 	probes, cancels, swaps, grants       bool // grants: ours are heeded
 	priced, pressed, tracked             bool
-	even, share                          float64 // 1/controllers, and what we carry by the reports where more
+	even, guess, share                   float64 // 1/controllers; what we carry by the reports where more; or as told
 	mostTries, controllers, me           int
 	reach, concurrentAt, grantedAt       int     // engines looked at; places in a report: jobs in hand, memory
 	crossing, grantMost                  float64 // price of crossing; part of a memory that a job gets at most
@@ -300,6 +321,7 @@
 	lines                                map[Key]*keyLine         // dropped when empty and rested
 	tenants                              map[TenantID]*tenantSeen // dropped after tenantMemory
 	taken, further                       []Nanos                  // inside the rationing window
+	part                                 Part                     // told by the fleet's owner
 	plan                                 *Plan                    // worked out ahead; nil: none
 	hold, offered                        float64                  // how far it is followed; threads asked of us
 	words                                []word                   // of siblings, by number, at those who gather
--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -103,13 +103,12 @@
 	for _, ev := range known {
 		gate.List(ev, true)
 	}
-	if own.Plan != nil {
-		follow(gate, own)
-	}
+	followed := &plans{gate: gate}
+	followed.follow(own)
 	follower := feed.Follow(file.Feed, file.Known.N, func(ev feed.Event) { gate.List(ev, false) })
 	reloads := reloader{file: file, own: own, leaves: side.leaves, follower: follower, parts: parts, load: func() (config.File, error) { return config.Load(os.Getenv) },
 		operator: func() (operator.File, error) { return operator.Load(s.Operator) },
-		follow:   func(f operator.File) { follow(gate, f) },
+		follow:   followed.follow,
 		restate:  func(facts map[string]any) { gate.Restate(facts) },
 		force:    told.force, elder: gate.Elder,
 		done: make(chan struct{}), ended: make(chan struct{})}
@@ -141,16 +140,8 @@
 	reloads.close()
 	told.close()
 	follower.Close()
+	followed.close()
 	gate.Close()
 	slog.Info("stopped", append([]any{"after_ms", time.Since(at).Milliseconds()}, check.Told()...)...)
 	return nil
 }
-
-// follow takes over what the operator's file says of a plan.
-func follow(gate *gateway.Gateway, f operator.File) {
-	if f.Plan == nil {
-		gate.Follow(nil)
-		return
-	}
-	gate.Follow(&gateway.Plan{Steps: f.Plan.Answer.Steps, Factor: f.Plan.DemandFactor})
-}
--- a/cmd/swiftreel/tally.go
+++ b/cmd/swiftreel/tally.go
@@ -8,10 +8,12 @@
 	"net"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 
 	"swiftreel/choice"
+	"swiftreel/internal/boot"
 	"swiftreel/internal/change"
 	"swiftreel/internal/check"
 	"swiftreel/internal/fault"
@@ -45,11 +47,20 @@
 		now := t.inForce.Load()
 		r.Started, r.Version, r.Spec, r.Settings = began, version.Name, now.spec, now.settings
 		r.Ready, r.Refused, r.Aside = gate.Ready(), check.Of("reloads_failed"), gate.Aside()
+		r.Engines, r.Carries = gate.Engines(), int64(1e6*gate.Carries())
 		r.Learned, _ = json.Marshal(gate.Learned()) // figures that JSON cannot hold are not told
 		if owed, is := t.owed.Load().(func() int64); is {
 			r.Owed = owed()
 		}
 		return r
+	}, func(p tally.Part) {
+		quotas := map[string]float64{}
+		for name, n := range p.Quotas {
+			quotas[name] = float64(n) / 1e6
+		}
+		if left := p.UntilNS - boot.Now(); left > 0 {
+			gate.Part(float64(p.PerMillion)/1e6, quotas, time.Duration(left))
+		}
 	})
 	if err == nil {
 		slog.Info("serving_tally", "address", t.server.Address())
--- a/internal/change/change_test.go
+++ b/internal/change/change_test.go
@@ -49,7 +49,7 @@
 	if _, err := ReadOrder(strings.NewReader(good)); err != nil {
 		t.Fatal(err)
 	}
-	for _, c := range [][2]string{{`"by":"x"`, `"by":"x","hurry":true`}, {`"format":1`, `"format":3`}, {`"format":1`, `"format":0`}, {`"by":"x"`, `"by":"x","why":"y"`}, {`"format":1`, `"format":2,"why":"`+strings.Repeat("y", mostWhy+1)+`"`}, {`"turn":1`, `"turn":0`}, {`"by":"x"`, `"by":""`}, {`"digest":"d"`, `"digest":""`}, {`}}}`, `}}`}} {
+	for _, c := range [][2]string{{`"by":"x"`, `"by":"x","hurry":true`}, {`"format":1`, `"format":3`}, {`"format":1`, `"format":0`}, {`"by":"x"`, `"by":"x","why":"y"`}, {`"format":1`, `"format":2,"why":"` + strings.Repeat("y", mostWhy+1) + `"`}, {`"turn":1`, `"turn":0`}, {`"by":"x"`, `"by":""`}, {`"digest":"d"`, `"digest":""`}, {`}}}`, `}}`}} {
 		if _, err := ReadOrder(strings.NewReader(strings.Replace(good, c[0], c[1], 1))); err == nil || !strings.HasPrefix(err.Error(), "/") {
 			t.Errorf("%s: %v", c[1], err)
 		}
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -11,7 +11,6 @@
 	"swiftreel/internal/document"
 	"swiftreel/internal/operator"
 	"swiftreel/internal/plan"
-	"swiftreel/internal/solve"
 )
 
 // report is what check tells scripts.
@@ -39,7 +38,7 @@
 			case document.Plan:
 				_, err = plan.Load(args[0])
 			case document.Problem:
-				_, err = readProblem(args[0])
+				_, err = plan.Problem(args[0])
 			case document.Change:
 				_, err = change.Load(args[0])
 			case "config":
@@ -73,19 +72,3 @@
 	c.Flags().BoolVar(&forScripts, "json", false, "for scripts")
 	return c
 }
-
-// readProblem reads a problem and checks it whole.
-func readProblem(path string) (*solve.Problem, error) {
-	p := new(solve.Problem)
-	if err := document.Read(path, document.Problem, p); err != nil {
-		return nil, err
-	}
-	if list := p.Check(); len(list) > 0 {
-		f := &document.Faults{File: path}
-		for _, fault := range list {
-			f.List = append(f.List, fault.String())
-		}
-		return nil, f
-	}
-	return p, nil
-}
--- a/internal/cli/plan.go
+++ b/internal/cli/plan.go
@@ -56,7 +56,7 @@
 			if len(args) == 1 {
 				return nil
 			}
-			p, err := readProblem(args[1])
+			p, err := plan.Problem(args[1])
 			if err == nil {
 				err = plan.Check(p, a)
 			}
--- a/internal/conduct/fleet.go
+++ b/internal/conduct/fleet.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"swiftreel/internal/change"
+	"swiftreel/internal/handout"
 	"swiftreel/internal/judge"
 	"swiftreel/internal/keep"
 	"swiftreel/internal/operator"
@@ -24,6 +25,7 @@
 // counts at the next look.
 type Fleet struct {
 	Members  []operator.Member
+	Engines  bool // statuses are asked for with the engines seen
 	patience time.Duration
 	http     http.Client
 	places   chan struct{} // who may be spoken with at once
@@ -76,7 +78,11 @@
 }
 
 func (f *Fleet) status(ctx context.Context, m operator.Member) (a Answer) {
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.At()+"/v1/status", nil)
+	url := "http://" + m.At() + "/v1/status"
+	if f.Engines {
+		url += "?engines=1"
+	}
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err == nil {
 		var text []byte
 		if text, err = f.do(q, http.StatusOK); err == nil {
@@ -93,11 +99,20 @@
 // Order sends orders, by the member's place; it tells which were refused or did not arrive, as far as known by now. Where
 // the last is still on its way no other is sent: what is wanted is ordered again at the next look.
 func (f *Fleet) Order(ctx context.Context, orders map[int]change.Order) map[int]error {
-	f.speak(func(l *line) *bool { return &l.ordered }, func(i int) bool { _, is := orders[i]; return is }, func(i int) {
-		text, err := json.Marshal(orders[i])
+	return post(ctx, f, "/v1/order", orders)
+}
+
+// Hand sends words of the fleet's owner, as Order does.
+func (f *Fleet) Hand(ctx context.Context, words map[int]handout.Word) map[int]error {
+	return post(ctx, f, "/v1/word", words)
+}
+
+func post[T any](ctx context.Context, f *Fleet, path string, what map[int]T) map[int]error {
+	f.speak(func(l *line) *bool { return &l.ordered }, func(i int) bool { _, is := what[i]; return is }, func(i int) {
+		text, err := json.Marshal(what[i])
 		if err == nil {
 			var q *http.Request
-			if q, err = http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.Members[i].At()+"/v1/order", bytes.NewReader(text)); err == nil {
+			if q, err = http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.Members[i].At()+path, bytes.NewReader(text)); err == nil {
 				_, err = f.do(q, http.StatusNoContent)
 			}
 		}
--- a/internal/conduct/process_test.go
+++ b/internal/conduct/process_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,7 @@
 	"swiftreel/internal/keep"
 	"swiftreel/internal/operator"
 	"swiftreel/internal/owner"
+	"swiftreel/internal/parts"
 	"swiftreel/internal/rig"
 	"swiftreel/internal/rollout"
 	"swiftreel/internal/rulecheck"
@@ -713,3 +715,85 @@
 	}
 	finish(t, w, l)
 }
+
+// The owner tells each controller what it carries and hands out a plan. It is lost, and the next one goes on, never with more
+// than the whole out; with no owner each goes on to the end of its part and plan, and then as without one.
+func TestPartsAndPlansOutliveTheirOwnerToTheirEnds(t *testing.T) {
+	w, err := rig.Plan{Program: program, Seed: 6, Controllers: 4, Engines: 2, Voters: 3, Keepers: map[int]string{3: before}, Files: map[string]string{"problem.json": problem},
+		Parts: `"parts":{"life_ms":3000},"planning":{"problem":"problem.json","every_ms":60000,"least_ms":1000,"life_ms":4000},`}.Town()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	l := w.NewLoad(1, 3, 10*time.Millisecond, true)
+	cli(t, w, "fleet", "found")
+	told := w.Members[:3] // the fourth one's keeper is of the format before: it takes no words
+	most := int64(0)
+	statuses := func(of []*rig.Member) (list []keep.Status) {
+		sum := int64(0)
+		for _, m := range of {
+			if s, err := w.Status(m); err == nil {
+				list, sum = append(list, s), sum+s.Word.Part[parts.Fleet]
+			}
+		}
+		most = max(most, sum)
+		return list
+	}
+	settled := func(of []*rig.Member, reign int64) bool {
+		list := statuses(of)
+		for _, s := range list {
+			if near := s.Carries - s.Word.Part[parts.Fleet]; s.Word.Reign <= reign || s.Word.Plan == "" || s.Word.Part[parts.Fleet] == 0 || near < -1 || near > 1 {
+				return false
+			}
+		}
+		return len(list) == len(of)
+	}
+	until(t, w, "all go by their parts and a plan", func() bool {
+		list := statuses(told)
+		return settled(told, 0) && 2*list[0].Carries > 3*list[2].Carries // the first has double the clients
+	})
+	for _, m := range told {
+		until(t, w, "its controller follows it", func() bool { return strings.Contains(m.Keeper.Log(), "msg=plan_taken") })
+	}
+	var first *rig.Member
+	for _, m := range told {
+		if get(t, w, m).May {
+			first = m
+		}
+	}
+	if first == nil {
+		t.Fatal("nobody owns any more")
+	}
+	reign := int64(get(t, w, first).Reign)
+	first.Keeper.Signal(syscall.SIGSTOP)
+	others := slices.DeleteFunc(slices.Clone(told), func(m *rig.Member) bool { return m == first })
+	until(t, w, "the next owner goes on", func() bool { return settled(others, reign) })
+	first.Keeper.Signal(syscall.SIGCONT)
+	until(t, w, "all go by it", func() bool { return settled(told, reign) })
+	if most > parts.Whole {
+		t.Errorf("%d of %d were out", most, parts.Whole)
+	}
+	guess, err := w.Status(w.Members[3])
+	if err != nil || guess.Carries == 0 || guess.Word.Reign != 0 {
+		t.Errorf("the one of the format before: %+v %v", guess.Word, err)
+	}
+
+	// No owner: two of three keepers are stopped. Their controllers serve on, and end their plans by themselves.
+	for _, m := range told[1:] {
+		m.Keeper.Signal(syscall.SIGSTOP)
+	}
+	until(t, w, "part and plan end", func() bool {
+		s, err := w.Status(told[0])
+		return err == nil && s.Word.Plan == "" && len(s.Word.Part) == 0
+	})
+	until(t, w, "its controller guesses again", func() bool { s, err := w.Status(told[0]); return err == nil && s.Carries >= parts.Whole/4 })
+	done := l.Done.Load()
+	until(t, w, "jobs are served all the while", func() bool { return l.Done.Load() > done+50 })
+	for _, m := range told[1:] {
+		m.Keeper.Signal(syscall.SIGCONT)
+	}
+	for _, m := range told[1:] {
+		until(t, w, "its plan ended while its keeper slept", func() bool { return strings.Contains(m.Keeper.Log(), "msg=plan_ended") })
+	}
+	finish(t, w, l)
+}
--- a/internal/fleetcli/keep.go
+++ b/internal/fleetcli/keep.go
@@ -72,7 +72,10 @@
 					return cli.Failed(cli.ExitFailed, err)
 				}
 				defer node.Close()
-				duties := owner.NewDuties(node, f.Members)
+				duties, err := owner.NewDuties(node, f, filepath.Dir(file))
+				if err != nil {
+					return cli.BadInput(err)
+				}
 				node.Handle(mux)
 				duties.Handle(mux)
 				go duties.Run(ctx)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -196,6 +197,37 @@
 	slog.Info("settings_restated")
 }
 
+// Part tells the module what it carries of the fleet, and of quotas by the names of tenants, for so long.
+func (g *Gateway) Part(share float64, quotas map[string]float64, left time.Duration) {
+	p := choice.Part{Share: share, Tenants: map[choice.TenantID]float64{}, Until: g.clock.at(time.Now()) + choice.Nanos(left)}
+	for name, part := range quotas {
+		if id, is := g.names.tenants[name]; is {
+			p.Tenants[id] = part
+		}
+	}
+	g.tell(choice.Event{Kind: choice.Parted, Part: p})
+}
+
+// Carries is what the module goes by now of the fleet, of 1.
+func (g *Gateway) Carries() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.module.Carries()
+}
+
+// Engines are the names of those that the list says are ready, in order.
+func (g *Gateway) Engines() (names []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, l := range g.roster.byName {
+		if l.line.State == choice.Ready {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Elder tells the module that an older process of this controller still serves what it owes, or has ended. Together they
 // count as one controller.
 func (g *Gateway) Elder(on bool) {
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -13,7 +13,7 @@
 var eventNames = [...]string{choice.Started: "started", choice.Arrived: "arrived", choice.StreamBegan: "stream_began",
 	choice.Noted: "noted", choice.Answered: "answered", choice.ClientLeft: "client_left", choice.TimerDue: "timer",
 	choice.Listed: "listed", choice.Probed: "probed", choice.Heard: "heard", choice.Stopping: "stopping",
-	choice.Planned: "planned", choice.Restated: "restated", choice.Taught: "taught", choice.Elder: "elder"}
+	choice.Planned: "planned", choice.Restated: "restated", choice.Taught: "taught", choice.Elder: "elder", choice.Parted: "parted"}
 
 var actionNames = [...]string{choice.Dispatch: "dispatch", choice.Throttle: "throttle",
 	choice.CancelForGood: "cancel_for_good", choice.Retract: "retract", choice.Terms: "terms", choice.Timer: "timer",
--- a/internal/judge/group.go
+++ b/internal/judge/group.go
@@ -1,6 +1,9 @@
 package judge
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // MarshalText writes a group as a name in JSON objects: both names quoted.
 func (g Group) MarshalText() ([]byte, error) { return fmt.Appendf(nil, "%q %q", g.Type, g.Tenant), nil }
@@ -12,3 +15,8 @@
 	}
 	return nil
 }
+
+// Compare orders groups by type, then tenant.
+func (g Group) Compare(o Group) int {
+	return slices.Compare([]string{g.Type, g.Tenant}, []string{o.Type, o.Tenant})
+}
--- a/internal/keep/child.go
+++ b/internal/keep/child.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -17,13 +18,34 @@
 	"time"
 
 	"swiftreel/internal/change"
+	"swiftreel/internal/handout"
+	"swiftreel/internal/parts"
 	"swiftreel/internal/tally"
 )
 
 // told is what a process has been told by its operator's file.
 type told struct {
-	spec  change.Digest
-	elder bool
+	spec      change.Digest
+	elder     bool
+	plan      change.Digest // of the fleet's owner; none where the spec has one, which stands above
+	planUntil int64
+}
+
+// want is what a process is to be told.
+func want(h change.Held, word handout.Held, elder bool) told {
+	t := told{spec: h.Want.Digest(), elder: elder}
+	if len(h.Want.Plan) == 0 && word.Plan != "" {
+		t.plan, t.planUntil = word.Plan, word.PlanUntil
+	}
+	return t
+}
+
+// covers tells whether what it was told does for what it is to be told: the end of a plan is moved only once half of the
+// time to it is over, as each move is a reload.
+func (t told) covers(w told, now int64) bool {
+	near := w.plan == "" || 2*(t.planUntil-now) >= w.planUntil-now
+	t.planUntil, w.planUntil = 0, 0
+	return t == w && near
 }
 
 // child is a process of the controller.
@@ -37,6 +59,7 @@
 	ended   chan struct{}
 	err     error        // once ended
 	report  tally.Report // the last; under the keeper's lock
+	part    [2]int64     // reign and count of the last word whose part it has taken
 
 	mu      sync.Mutex
 	address string // of its tally, once it has said so
@@ -111,6 +134,36 @@
 	return r, json.NewDecoder(io.LimitReader(a.Body, mostReport)).Decode(&r)
 }
 
+// carry tells it what it carries.
+func (c *child) carry(ctx context.Context, h *http.Client, word handout.Held) bool {
+	c.mu.Lock()
+	address := c.address
+	c.mu.Unlock()
+	if address == "" {
+		return false
+	}
+	p := tally.Part{PerMillion: word.Part[parts.Fleet], Quotas: map[string]int64{}, UntilNS: word.PartUntil}
+	for of, n := range word.Part {
+		if tenant, is := of.Tenant(); is {
+			p.Quotas[tenant] = n
+		}
+	}
+	text, err := json.Marshal(p)
+	if err != nil {
+		return false
+	}
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/part", bytes.NewReader(text))
+	if err != nil {
+		return false
+	}
+	a, err := h.Do(q)
+	if err != nil {
+		return false
+	}
+	a.Body.Close()
+	return a.StatusCode == http.StatusNoContent
+}
+
 // mostReport bounds a tally's text.
 const mostReport = 16 << 20
 
--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -21,9 +22,12 @@
 
 	"github.com/google/renameio/v2"
 
+	"swiftreel/internal/boot"
 	"swiftreel/internal/change"
 	"swiftreel/internal/fault"
+	"swiftreel/internal/handout"
 	"swiftreel/internal/operator"
+	"swiftreel/internal/parts"
 )
 
 // Options are a keeper's.
@@ -45,8 +49,10 @@
 	wake chan struct{} // an order was taken
 	seq  int           // of operators' files written
 
+	life      string // of this process: words of the owner are for it alone
 	mu        sync.Mutex
 	held      change.Held
+	word      handout.Held
 	now, next *child   // who serves, and who is to
 	olds      []*child // that drain; they leave as they end, or are killed
 	failed    string
@@ -66,7 +72,7 @@
 // New reads what is held. A record that cannot be read is an error: a keeper that has forgotten what it took must not take
 // an order that was refused before.
 func New(o Options) (*Keeper, error) {
-	k := &Keeper{o: o, wake: make(chan struct{}, 1), http: http.Client{Timeout: 2 * time.Second}, asked: time.Now()}
+	k := &Keeper{o: o, wake: make(chan struct{}, 1), http: http.Client{Timeout: 2 * time.Second}, asked: time.Now(), life: rand.Text()}
 	if o.Operator != "" {
 		text, err := os.ReadFile(o.Operator)
 		if err != nil {
@@ -149,6 +155,25 @@
 	return nil
 }
 
+// Hear takes a word of the fleet's owner, or refuses it. It is not written down: it is for this process alone.
+func (k *Keeper) Hear(w handout.Word) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	next, err := k.word.Take(w, k.o.Name, k.life, boot.Now())
+	if err != nil {
+		return err
+	}
+	if next.Reign != k.word.Reign || next.Plan != k.word.Plan {
+		slog.Info("word_taken", "reign", next.Reign, "count", next.Count, "owner", next.Owner, "plan", next.Plan)
+	}
+	k.word = next
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
 // write writes a value whole or not at all, also where the machine stops in the midst.
 func write(path string, v any) error {
 	text, err := json.MarshalIndent(v, "", " ")
@@ -190,10 +215,11 @@
 		}
 	}
 	k.mu.Lock()
-	held, now, next := k.held, k.now, k.next
+	k.word = k.word.At(boot.Now())
+	held, word, now, next := k.held, k.word, k.now, k.next
 	s := scene{drain: held.Drain, now: now != nil, next: next != nil, olds: len(k.olds), wait: time.Now().Before(k.startAt)}
 	if now != nil {
-		s.nowFits, s.told = now.program == held.Want.Program, now.told == (told{held.Want.Digest(), len(k.olds) > 0})
+		s.nowFits, s.told = now.program == held.Want.Program, now.told.covers(want(held, word, len(k.olds) > 0), boot.Now())
 	}
 	if next != nil {
 		s.nextFits, s.nextReady = next.program == held.Want.Program, next.report.Ready && next.report.Spec == held.Want.Digest()
@@ -204,10 +230,15 @@
 	if again {
 		k.recheck(held.Want.Program)
 	}
+	for _, c := range []*child{now, next} {
+		if at := [2]int64{word.Reign, word.Count}; c != nil && word.Part[parts.Fleet] > 0 && c.part != at && c.carry(ctx, &k.http, word) {
+			c.part = at
+		}
+	}
 	switch s.decide() {
 	case startOne:
 		if k.fits(held.Want.Program) {
-			k.begin(held)
+			k.begin(held, word)
 		}
 	case promote:
 		slog.Info("controller_changes", "program", next.program.Path, "digest", next.program.Digest)
@@ -221,7 +252,7 @@
 		k.mu.Unlock()
 		k.end(next)
 	case tell:
-		if k.file(now, held, len(k.olds) > 0) {
+		if k.file(now, held, word, len(k.olds) > 0) {
 			now.cmd.Process.Signal(syscall.SIGHUP)
 		}
 	case endAll:
@@ -311,7 +342,7 @@
 }
 
 // file writes a process's operator's file: of what is held, and whether an older one still drains.
-func (k *Keeper) file(c *child, h change.Held, elder bool) bool {
+func (k *Keeper) file(c *child, h change.Held, word handout.Held, elder bool) bool {
 	parts := map[string]json.RawMessage{}
 	for name, text := range k.base {
 		if name != "fleet" && name != "shape" && name != "plan" {
@@ -329,20 +360,27 @@
 		parts["shape"] = h.Want.Shape
 	}
 	var err error
-	if len(h.Want.Plan) > 0 {
-		name := fmt.Sprintf("plan-%s.json", change.OfJSON(h.Want.Plan))
-		err = renameio.WriteFile(k.path(name), h.Want.Plan, 0o600)
+	text, tells := h.Want.Plan, want(h, word, elder)
+	if tells.plan != "" {
+		text = word.Text
+	}
+	if len(text) > 0 {
+		name := fmt.Sprintf("plan-%s.json", change.OfJSON(text))
+		err = renameio.WriteFile(k.path(name), text, 0o600)
 		k.forget(name)
 		plan := map[string]json.RawMessage{}
 		json.Unmarshal(k.base["plan"], &plan)
 		plan["file"] = fmt.Appendf(nil, "%q", name)
+		if tells.plan != "" {
+			plan["until_boot_ns"] = fmt.Appendf(nil, "%d", tells.planUntil)
+		}
 		parts["plan"], _ = json.Marshal(plan)
 	}
 	if err == nil {
 		err = write(c.file, parts)
 	}
 	if err == nil {
-		c.told = told{h.Want.Digest(), elder}
+		c.told = tells
 	}
 	return k.fail(err)
 }
@@ -371,13 +409,13 @@
 const files = 4
 
 // begin starts a process of the controller.
-func (k *Keeper) begin(h change.Held) {
+func (k *Keeper) begin(h change.Held, word handout.Held) {
 	k.seq++
 	c := &child{program: h.Want.Program, file: k.path(fmt.Sprintf("operator-%d.json", k.seq%files)), began: time.Now(), ended: make(chan struct{})}
 	k.mu.Lock()
 	beside := k.now != nil
 	k.mu.Unlock()
-	if !k.file(c, h, beside || len(k.olds) > 0) {
+	if !k.file(c, h, word, beside || len(k.olds) > 0) {
 		return
 	}
 	err := c.start(append(append([]string{}, k.o.Env...), "ROUTER_OPERATOR="+c.file), k.o.Log)
@@ -417,7 +455,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
-	s := Status{Format: change.Format, Name: k.o.Name, Spec: k.held.Want, Fence: k.held.Fence,
+	s := Status{Format: change.Format, Life: k.life, BootNS: boot.Now(), Word: k.word, Name: k.o.Name, Spec: k.held.Want, Fence: k.held.Fence,
 		By: k.held.By, Drained: k.drained, Failed: k.failed, Crashes: k.again.Crashes, OrderMS: -1, AskedMS: now.Sub(k.asked).Milliseconds()}
 	if k.asked = now; !k.ordered.IsZero() {
 		s.OrderMS = now.Sub(k.ordered).Milliseconds()
@@ -429,17 +467,34 @@
 		r := c.report
 		s.PID, s.Version, s.Settings, s.Running = c.cmd.Process.Pid, r.Version, r.Settings, r.Spec
 		s.Serves, s.Owed, s.Started, s.Probes, s.Aside, s.Work = r.Ready, r.Owed, r.Started, r.Probes, r.Aside, r.Work
+		s.Engines, s.Carries = r.Engines, r.Carries
 		s.MemoryMB, s.CPU = c.uses()
 	}
 	return s
 }
 
-// Handler speaks with conductors: GET /v1/status, POST /v1/order.
+// Handler speaks with conductors and the fleet's owner: GET /v1/status, POST /v1/order, POST /v1/word.
 func (k *Keeper) Handler() *http.ServeMux {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) {
+		s := k.Status()
+		if r.URL.Query().Get("engines") == "" { // hundreds of names, for who plans
+			s.Engines = nil
+		}
 		w.Header().Set("Content-Type", "application/json")
-		json.NewEncoder(w).Encode(k.Status())
+		json.NewEncoder(w).Encode(s)
+	})
+	mux.HandleFunc("POST /v1/word", func(w http.ResponseWriter, r *http.Request) {
+		o, err := handout.ReadWord(r.Body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusUnprocessableEntity)
+			return
+		}
+		if err := k.Hear(o); err != nil {
+			http.Error(w, err.Error(), http.StatusConflict)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
 	})
 	mux.HandleFunc("POST /v1/order", func(w http.ResponseWriter, r *http.Request) {
 		o, err := change.ReadOrder(r.Body)
--- a/internal/keep/keep_test.go
+++ b/internal/keep/keep_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"swiftreel/internal/change"
+	"swiftreel/internal/handout"
 )
 
 func TestEndsInARowAreWaitedOutLongerAndLonger(t *testing.T) {
@@ -55,7 +56,7 @@
 		t.Fatal(err)
 	}
 	c := &child{file: k.path("operator-1.json")}
-	if !k.file(c, k.held, true) || c.told != (told{k.held.Want.Digest(), true}) {
+	if !k.file(c, k.held, handout.Held{}, true) || c.told != (told{spec: k.held.Want.Digest(), elder: true}) {
 		t.Fatal(k.failed)
 	}
 	var parts map[string]json.RawMessage
--- a/internal/keep/status.go
+++ b/internal/keep/status.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"swiftreel/internal/change"
+	"swiftreel/internal/handout"
 	"swiftreel/internal/judge"
 )
 
@@ -31,8 +32,13 @@
 	CPU      int64                      `json:"cpu_ns"` // of the controller, since its start
 	Started  int64                      `json:"started"`
 	Probes   uint64                     `json:"probes"`
-	Aside    int                        `json:"aside"` // engines that it has set aside
-	Work     map[judge.Group]judge.Work `json:"work"`  // since its start
+	Aside    int                        `json:"aside"`               // engines that it has set aside
+	Work     map[judge.Group]judge.Work `json:"work"`                // since its start
+	Life     string                     `json:"life"`                // of this keeper's process; from format 2 on
+	BootNS   int64                      `json:"boot_ns"`             // the machine's own clock, now
+	Word     handout.Held               `json:"word"`                // what is held of the owner's words
+	Carries  int64                      `json:"carries_per_million"` // of the fleet, as its controller goes by
+	Engines  []string                   `json:"engines,omitempty"`   // that its controller sees ready; told where asked for
 	Others   map[string]json.RawMessage `json:"-"`
 }
 
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -24,6 +25,23 @@
 	DrainMS int64    `json:"drain_ms,omitempty"` // a controller that has not ended so long after SIGTERM is killed
 	Voters  []string `json:"voters,omitempty"`   // members that agree on an owner: three or five
 	Program string   `json:"program,omitempty"`  // that a keeper starts with no order; its own where absent
+
+	Parts    *Parts    `json:"parts,omitempty"`
+	Planning *Planning `json:"planning,omitempty"`
+}
+
+// Parts has the owner hand out what each controller carries.
+type Parts struct {
+	LifeMS int64 `json:"life_ms,omitempty"`
+}
+
+// Planning has the owner plan.
+type Planning struct {
+	Problem string `json:"problem"` // a file
+	EveryMS int64  `json:"every_ms,omitempty"`
+	LeastMS int64  `json:"least_ms,omitempty"`
+	LifeMS  int64  `json:"life_ms,omitempty"`
+	SolveMS int64  `json:"solve_ms,omitempty"`
 }
 
 // Member is a controller with its keeper.
@@ -42,6 +60,16 @@
 	if f.DrainMS == 0 {
 		f.DrainMS = usualDrain
 	}
+	if f.Parts != nil {
+		f.Parts.LifeMS = cmp.Or(f.Parts.LifeMS, 5000)
+	}
+	if p := f.Planning; p != nil {
+		p.EveryMS = cmp.Or(p.EveryMS, 180_000)
+		p.LeastMS, p.LifeMS, p.SolveMS = cmp.Or(p.LeastMS, p.EveryMS/10), cmp.Or(p.LifeMS, 600_000), cmp.Or(p.SolveMS, 1000)
+	}
+	if (f.Parts != nil || f.Planning != nil) && len(f.Voters) == 0 {
+		faults = append(faults, "/fleet: parts and planning are an owner's work: name voters")
+	}
 	names, places := map[string]bool{}, map[string]bool{}
 	for i, m := range f.Members {
 		at := fmt.Sprintf("/fleet/members/%d", i)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -23,6 +23,7 @@
 type Plan struct {
 	File         string  `json:"file"`
 	DemandFactor float64 `json:"demand_factor"`
+	UntilNS      int64   `json:"until_boot_ns"` // by the machine's clock; 0: it does not end
 
 	Answer solve.Answer `json:"-"` // as read
 }
--- a/internal/owner/duty.go
+++ b/internal/owner/duty.go
@@ -16,14 +16,19 @@
 	"swiftreel/internal/document"
 	"swiftreel/internal/operator"
 	"swiftreel/internal/rollout"
+	"swiftreel/internal/solve"
 )
 
 // Duties are what is done once for the whole fleet, by whoever owns it: now, conducting its changes. They begin under a
 // reign, end with it, and are taken up by the next owner from what was agreed.
 type Duties struct {
 	node    *Node
+	fleet   *operator.Fleet
 	members []operator.Member
-	one     sync.Mutex // a change is begun at a time
+	problem *solve.Problem // to plan from
+	one     sync.Mutex     // a change is begun at a time
+	count   int64          // of words handed out by this process: it rises over reigns too
+	refused string         // the last word that was, as logged
 }
 
 // agreement is what is agreed, under a reign.
@@ -40,9 +45,10 @@
 func (a agreement) Term() int64  { return int64(a.reign) }
 func (a agreement) Name() string { return a.node.name }
 
-// NewDuties are those of a process.
-func NewDuties(n *Node, members []operator.Member) *Duties {
-	return &Duties{node: n, members: members}
+// NewDuties are those of a process; folder is what files in the operator's part are relative to.
+func NewDuties(n *Node, f *operator.Fleet, folder string) (*Duties, error) {
+	p, err := problemOf(f, folder)
+	return &Duties{node: n, fleet: f, members: f.Members, problem: p}, err
 }
 
 // askTime is how long a keeper may take for an answer.
@@ -77,6 +83,16 @@
 		end()
 	}()
 	a := agreement{d.node, r}
+	var others sync.WaitGroup
+	defer others.Wait()
+	if d.fleet.Parts != nil || d.fleet.Planning != nil {
+		h, err := newHands(d, a)
+		if err != nil {
+			slog.Error("duty_ended", "reign", r, "reason", err)
+		} else {
+			others.Go(func() { h.run(ctx) })
+		}
+	}
 	for ctx.Err() == nil {
 		record, is, err := conduct.Agreed(a).Record()
 		if err == nil && is && (!record.State.Phase.Ends() || d.asked(a, record)) {
--- /dev/null
+++ b/internal/parts/ledger_test.go
@@ -0,0 +1,235 @@
+package parts
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"swiftreel/internal/judge"
+)
+
+// Owners come and go, members' clocks run unlike, words are late, doubled and lost: never more than the whole is out.
+
+type holder struct {
+	drift float64
+	off   int64
+	share Share
+	until int64 // its own time
+	reign int
+	count int64
+}
+
+func (h *holder) time(now int64) int64 { return int64(float64(now)*h.drift) + h.off }
+
+type given struct {
+	to    int
+	reign int
+	count int64
+	share Share
+	until int64
+	at    int64 // when it arrives
+}
+
+func TestNeverMoreThanTheWholeIsOut(t *testing.T) {
+	for seed := range uint64(300) {
+		if why := play(seed, func(r Record, life, now int64) *Ledger { return NewLedger(r, life, now) }); why != "" {
+			t.Errorf("seed %d: %s", seed, why)
+		}
+	}
+	found := 0
+	for seed := range uint64(100) { // who takes over and does not wait is found out
+		if play(seed, func(r Record, life, now int64) *Ledger { return NewLedger(r, life, now-10*life) }) != "" {
+			found++
+		}
+	}
+	if found < 50 {
+		t.Errorf("a new owner that does not wait is found in %d of 100", found)
+	}
+}
+
+func play(seed uint64, take func(Record, int64, int64) *Ledger) string {
+	r := rand.New(rand.NewPCG(seed, 1))
+	const life, look = int64(5000), int64(1000)
+	n := 2 + r.IntN(5)
+	holders := make([]holder, n)
+	for i := range holders {
+		holders[i] = holder{drift: 1 + 0.04*(r.Float64()-0.5), off: r.Int64N(1e9)}
+	}
+	ofs := []Of{Fleet, Quota("a"), Quota("")}
+	draw := func() map[string]Share {
+		want := map[string]Share{}
+		for _, of := range ofs {
+			left := int64(Whole)
+			for i := range n {
+				name := fmt.Sprint("c", i)
+				if want[name] == nil {
+					want[name] = Share{}
+				}
+				p := r.Int64N(left + 1)
+				want[name][of], left = p, left-p
+			}
+		}
+		delete(want, fmt.Sprint("c", r.IntN(3*n))) // one is gone
+		return want
+	}
+	var agreed Record
+	ledger, want, reign, count := take(agreed, life, 0), draw(), 1, int64(0)
+	var sky []given
+	moved := 0
+	for now := int64(0); now < 120_000; now += look / 2 {
+		if r.IntN(25) == 0 {
+			reign, count, ledger = reign+1, 0, take(agreed, life, now)
+		}
+		if r.IntN(15) == 0 {
+			want = draw()
+		}
+		if now%look == 0 {
+			heard := map[int]int64{}
+			for i := range holders {
+				if h := &holders[i]; r.IntN(5) > 0 {
+					heard[i] = h.time(now - r.Int64N(400)) // its answer took a while
+					if h.reign == reign {
+						ledger.Holds(fmt.Sprint("c", i), h.count)
+					}
+				}
+			}
+			if next, differs := ledger.Next(want, now); differs && r.IntN(6) > 0 { // else it is not agreed
+				agreed = next
+				ledger.Agreed(next)
+				moved++
+			}
+			for i := range holders {
+				if stamp, is := heard[i]; is {
+					count++
+					g := given{i, reign, count, ledger.Give(fmt.Sprint("c", i), want[fmt.Sprint("c", i)], now, count), stamp + life, now + r.Int64N(3000)}
+					if r.IntN(5) > 0 {
+						sky = append(sky, g)
+					}
+					if r.IntN(5) == 0 { // once more, and late
+						g.at += r.Int64N(9000)
+						sky = append(sky, g)
+					}
+				}
+			}
+			ledger.Forget(now)
+		}
+		var later []given
+		for _, g := range sky {
+			h := &holders[g.to]
+			switch {
+			case g.at > now:
+				later = append(later, g)
+			case g.reign > h.reign || g.reign == h.reign && g.count > h.count:
+				h.share, h.until, h.reign, h.count = g.share, g.until, g.reign, g.count
+			}
+		}
+		sky = later
+		for _, of := range ofs {
+			out, caps := int64(0), int64(0)
+			for i := range holders {
+				if h := &holders[i]; h.time(now) < h.until {
+					out += h.share[of]
+				}
+			}
+			for _, s := range agreed.Caps {
+				caps += s[of]
+			}
+			if out > Whole || caps > Whole {
+				return fmt.Sprintf("at %d %d of %s are out, %d are agreed", now, out, of, caps)
+			}
+		}
+	}
+	if moved < 3 {
+		return "nothing was agreed"
+	}
+	return ""
+}
+
+// What is wanted comes to be, once what was out has ended or been given back.
+func TestPartsConverge(t *testing.T) {
+	l := NewLedger(Record{}, 5000, 0)
+	two := func(a, b int64) map[string]Share { return map[string]Share{"a": {Fleet: a}, "b": {Fleet: b}} }
+	count := int64(0)
+	turn := func(now int64, want map[string]Share, heard bool) (got Share) {
+		if heard && count > 0 {
+			l.Holds("a", count-1)
+			l.Holds("b", count)
+		}
+		if r, differs := l.Next(want, now); differs {
+			l.Agreed(r)
+		}
+		if heard {
+			l.Give("a", want["a"], now, count+1)
+		}
+		count += 2
+		return l.Give("b", want["b"], now, count)
+	}
+	if got := turn(1000, two(900_000, 100_000), true); got[Fleet] != 100_000 {
+		t.Errorf("%v", got)
+	}
+	if got := turn(2000, two(100_000, 900_000), true); got[Fleet] != 100_000 {
+		t.Errorf("given before it was given back: %v", got)
+	}
+	if got := turn(3000, two(100_000, 900_000), true); got[Fleet] != 900_000 {
+		t.Errorf("given back, and not given on: %v", got)
+	}
+	// One that is not heard: its part is given on only when it has ended there.
+	turn(4000, two(800_000, 200_000), true)
+	turn(5000, two(800_000, 200_000), true)
+	for now := int64(6000); now < 5000+5250; now += 1000 {
+		if got := turn(now, two(0, Whole), false); got[Fleet] != 200_000 {
+			t.Errorf("at %d: %v", now, got)
+		}
+	}
+	if got := turn(5000+5251, two(0, Whole), false); got[Fleet] != Whole {
+		t.Errorf("%v, %v", got, l.Record())
+	}
+}
+
+func half([]uint64) float64 { return 2 }
+
+func TestPartsFollowWhatIsAsked(t *testing.T) {
+	d := NewDemand()
+	g, other := judge.Group{Type: "lookup", Tenant: "acme"}, judge.Group{Type: "lookup", Tenant: "bee"}
+	look := func(now int64, a, b uint64, heard bool) {
+		d.Look(now, []Seen{{Member: "a", Heard: true, Span: 1e9, Work: map[judge.Group]judge.Work{g: {Jobs: a, Done: a}}},
+			{Member: "b", Heard: heard, Span: 1e9, Work: map[judge.Group]judge.Work{g: {Jobs: b, Done: b}, other: {Jobs: b, Done: b}}},
+			{Member: "c", Heard: true, Span: 1e9}}, half)
+	}
+	for now := int64(1e9); now <= 60e9; now += 1e9 {
+		look(now, 80, 10, true)
+	}
+	want := d.Want(60e9)
+	sum := int64(0)
+	for _, m := range []string{"a", "b", "c"} {
+		sum += want[m][Fleet]
+	}
+	if sum > Whole || sum < Whole-3 || want["a"][Fleet] < 600_000 || want["c"][Fleet] < 50_000 || want["b"][Quota("bee")] < 800_000 || want["a"][Quota("acme")] < 700_000 {
+		t.Errorf("%v", want)
+	}
+	for now := int64(61e9); now < 64e9; now += 1e9 { // what changes by little changes nothing
+		if look(now, 80, 12, true); fmt.Sprint(d.Want(now)) != fmt.Sprint(want) {
+			t.Errorf("at %d: %v", now, d.Want(now))
+		}
+	}
+	for now := int64(64e9); now < 90e9; now += 1e9 {
+		look(now, 80, 0, false)
+	}
+	if got := d.Want(90e9); got["b"] == nil || got["b"][Fleet] > Whole/3+1 {
+		t.Errorf("one that is not heard: %v", got)
+	}
+	look(63e9+reserved, 80, 0, false)
+	if got := d.Want(63e9 + reserved); got["b"] != nil || got["a"][Fleet] < 700_000 {
+		t.Errorf("long not heard: %v", got)
+	}
+	d.Look(200e9, []Seen{{Member: "a", Heard: true}}, half)
+	if len(d.members) != 1 {
+		t.Errorf("%d are remembered", len(d.members))
+	}
+	if got := NewDemand(); true {
+		got.Look(1, []Seen{{Member: "a", Heard: true}, {Member: "b", Heard: true}}, half)
+		if w := got.Want(1); w["a"][Fleet] != Whole/2 || w["b"][Fleet] != Whole/2 {
+			t.Errorf("nothing asked: %v", w)
+		}
+	}
+}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -20,6 +20,22 @@
 	return a, nil
 }
 
+// Problem reads a problem and checks it whole.
+func Problem(path string) (*solve.Problem, error) {
+	p := new(solve.Problem)
+	if err := document.Read(path, document.Problem, p); err != nil {
+		return nil, err
+	}
+	if list := p.Check(); len(list) > 0 {
+		f := &document.Faults{File: path}
+		for _, fault := range list {
+			f.List = append(f.List, fault.String())
+		}
+		return nil, f
+	}
+	return p, nil
+}
+
 // faults are contradictions that a schema does not see.
 func faults(a solve.Answer) (list []string) {
 	for i, s := range a.Steps {
--- a/internal/rig/town.go
+++ b/internal/rig/town.go
@@ -70,13 +70,14 @@
 	Program              string
 	Seed                 uint64
 	Controllers, Engines int
-	Faults               bool           // of engines
-	Voters               int            // the first of the controllers' keepers
-	Keepers              map[int]string // programs of some keepers, where they are others
-	StartMS              int            // before a controller is ready; this and what follows: of builds with tag fault, steered
-	ClockMS              map[int]int    // what their time of day is off by
-	Env                  []string       // more of it
-	Parts                string         // more of the operator's part fleet, as JSON members, each followed by a comma
+	Faults               bool              // of engines
+	Voters               int               // the first of the controllers' keepers
+	Keepers              map[int]string    // programs of some keepers, where they are others
+	StartMS              int               // before a controller is ready; this and what follows: of builds with tag fault, steered
+	ClockMS              map[int]int       // what their time of day is off by
+	Env                  []string          // more of it
+	Files                map[string]string // beside the operator's file
+	Parts                string            // more of the operator's part fleet, as JSON members, each followed by a comma
 }
 
 // Town starts one.
@@ -131,6 +132,11 @@
 	if err != nil {
 		return t, err
 	}
+	for name, text := range o.Files {
+		if err := os.WriteFile(filepath.Join(t.Dir, name), []byte(text), 0o600); err != nil {
+			return t, err
+		}
+	}
 	for i, m := range t.Members {
 		config := filepath.Join(t.Dir, m.Name+".json")
 		text := fmt.Sprintf(`{"name":%q,"listen":%q,"seed":"%x","limits":{"cores":1,"memory_mb":192,"sockets":1024},"feed":%q,"known":{"n":1,"events":[%s]},"settings":%s}`,
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -101,6 +102,27 @@
 	Aside    int                        `json:"aside"`             // engines set aside now
 	Learned  json.RawMessage            `json:"learned,omitempty"` // by type, for a newer process of the same controller
 	Work     map[judge.Group]judge.Work `json:"work"`
+	Engines  []string                   `json:"engines,omitempty"`   // that are ready, in order of their names
+	Carries  int64                      `json:"carries_per_million"` // of the fleet, as the module goes by
+}
+
+// Part is what the controller carries of the fleet and of tenants' quotas, in millionths, until a time of the machine's clock.
+type Part struct {
+	PerMillion int64            `json:"per_million"`
+	Quotas     map[string]int64 `json:"quotas,omitempty"`
+	UntilNS    int64            `json:"until_boot_ns"`
+}
+
+// mostPart bounds a part's text.
+const mostPart = 1 << 20
+
+// sound tells whether it is one.
+func (p Part) sound() bool {
+	ok := p.PerMillion > 0 && p.PerMillion <= 1_000_000 && p.UntilNS > 0
+	for _, n := range p.Quotas {
+		ok = ok && n >= 0 && n <= 1_000_000
+	}
+	return ok
 }
 
 // Fill puts the counts into a report.
@@ -138,8 +160,8 @@
 	http     *http.Server
 }
 
-// Serve tells what report gives, at GET /tally, until closed.
-func Serve(address string, report func() Report) (*Server, error) {
+// Serve tells what report gives, at GET /tally, and hands on parts that come at POST /part, until closed.
+func Serve(address string, report func() Report, part func(Part)) (*Server, error) {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
@@ -149,6 +171,15 @@
 		w.Header().Set("Content-Type", "application/json")
 		json.NewEncoder(w).Encode(report())
 	})
+	mux.HandleFunc("POST /part", func(w http.ResponseWriter, r *http.Request) {
+		var p Part
+		if err := json.NewDecoder(io.LimitReader(r.Body, mostPart)).Decode(&p); err != nil || !p.sound() {
+			http.Error(w, "no part", http.StatusUnprocessableEntity)
+			return
+		}
+		part(p)
+		w.WriteHeader(http.StatusNoContent)
+	})
 	s := &Server{l, &http.Server{Handler: mux, ReadTimeout: 5 * time.Second, WriteTimeout: 10 * time.Second, IdleTimeout: 30 * time.Second, MaxHeaderBytes: 8 << 10}}
 	go s.http.Serve(l)
 	return s, nil
