--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 	go test -run '^$$' -fuzz FuzzParse -fuzztime 10s ./internal/feed
 	go test -run '^$$' -fuzz FuzzOrders -fuzztime 10s ./internal/change
 	go test -run '^$$' -fuzz FuzzGroup -fuzztime 10s ./internal/statement
+	go test -run '^$$' -fuzz FuzzWordsOfTheOwner -fuzztime 10s ./internal/handout
 
 lint:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
--- a/internal/conduct/fleet.go
+++ b/internal/conduct/fleet.go
@@ -32,6 +32,8 @@
 
 	mu    sync.Mutex
 	lines []line // by the member's place
+	heard int    // that answered at the last look
+	asked bool
 }
 
 // line is what goes on with a keeper: one question and one order at a time.
@@ -69,14 +71,28 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	list := make([]Answer, len(f.Members))
+	f.heard, f.asked = 0, true
 	for i := range f.lines {
 		if list[i].Err = errSilent; f.lines[i].answer != nil {
 			list[i], f.lines[i].answer = *f.lines[i].answer, nil
 		}
+		if list[i].Err == nil {
+			f.heard++
+		}
 	}
 	return list
 }
 
+// Heard is how many members answered at the last look, of how many; 0 of 0 before the first.
+func (f *Fleet) Heard() (n, of int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.asked {
+		return 0, 0
+	}
+	return f.heard, len(f.Members)
+}
+
 func (f *Fleet) status(ctx context.Context, m operator.Member) (a Answer) {
 	url := "http://" + m.At() + "/v1/status"
 	if f.Engines {
--- a/internal/conduct/process_test.go
+++ b/internal/conduct/process_test.go
@@ -797,3 +797,81 @@
 	}
 	finish(t, w, l)
 }
+
+// An owner whose controller stands still hands over in order; one whose disk is full falls silent, and the next is told to lead
+// at once. A voter that is gone for good is forgotten.
+func TestAnOwnerThatIsUnfitHandsOver(t *testing.T) {
+	w, err := rig.Plan{Program: steered, Seed: 8, Controllers: 3, Engines: 2, Voters: 3}.Town()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	cli(t, w, "fleet", "found")
+	acts := func(but ...*rig.Member) (m *rig.Member) {
+		t.Helper()
+		until(t, w, "somebody owns", func() bool {
+			for _, x := range w.Members {
+				if !slices.Contains(but, x) && get(t, w, x).May {
+					m = x
+					return true
+				}
+			}
+			return false
+		})
+		return m
+	}
+	first := acts()
+	s, err := w.Status(first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	syscall.Kill(s.PID, syscall.SIGSTOP)
+	second := acts(first)
+	syscall.Kill(s.PID, syscall.SIGCONT)
+	l := w.NewLoad(1, 1, 10*time.Millisecond, false) // not before: what stands still answers late
+	if text := first.Keeper.Log(); !strings.Contains(text, "msg=owner_hands_over") || !strings.Contains(text, `why="its controller does not serve"`) {
+		t.Errorf("%s", text)
+	}
+	if err := w.Disk(second.Name, "full"); err != nil {
+		t.Fatal(err)
+	}
+	c := exec.Command(program, "rollout", "start", "--agreed", write(t, w, "change.json", settings(1)))
+	c.Env = append(os.Environ(), "ROUTER_OPERATOR="+w.Fleet)
+	c.Run() // it may be begun by the next owner, or not at all
+	third := acts(second)
+	until(t, w, "it says why", func() bool { return strings.Contains(second.Keeper.Log(), "msg=owner_halted") })
+	if text := cli(t, w, "fleet", "owner"); !strings.Contains(text, "no space left") {
+		t.Error(text)
+	}
+	if err := w.Disk(second.Name, ""); err != nil {
+		t.Fatal(err)
+	}
+	l.Stop() // a keeper's death takes its controller with it
+	second.Keeper.End()
+	if err := w.Again(second); err != nil {
+		t.Fatal(err)
+	}
+	until(t, w, "it is back with its memory", func() bool { return get(t, w, second).Leader != "" })
+	acts()
+	gone := w.Members[0]
+	for _, m := range w.Members {
+		if m != third && m != acts() {
+			gone = m
+		}
+	}
+	gone.Keeper.End()
+	cli(t, w, "fleet", "forget", gone.Name)
+	if v := get(t, w, acts(gone)); len(v.Voters) != 2 || slices.Contains(v.Voters, gone.Name) {
+		t.Errorf("%+v", v)
+	}
+	if err := w.Again(gone); err != nil {
+		t.Fatal(err)
+	}
+	until(t, w, "its controller is back", func() bool { s, err := w.Status(gone); return err == nil && s.Serves })
+	if err := w.Stop(); err != nil {
+		t.Error(err)
+	}
+	for _, v := range rulecheck.Check(rig.Rules, w.Book.Log()) {
+		t.Error(v)
+	}
+}
--- a/internal/fleetcli/owner.go
+++ b/internal/fleetcli/owner.go
@@ -175,6 +175,23 @@
 			}
 		}),
 		recoverCommand(with),
+		with("forget VOTER", "Take a voter out that is gone for good", `Without another in its place: fewer are left to agree, and the fleet bears fewer losses. A majority of those left and the lost one
+together must be there. Take its name out of fleet.voters as well. To put another machine in its place: join.`, cobra.ExactArgs(1), func(_ *cobra.Command, v *voters, args []string) error {
+			var last error
+			for stop := time.Now().Add(ownerTime); time.Now().Before(stop); time.Sleep(200 * time.Millisecond) {
+				name, err := v.owner(ownerTime)
+				if err != nil {
+					return err
+				}
+				if _, last = v.ask(name, "/v1/owner/forget", args[0]); last != nil {
+					continue // one change of members at a time
+				}
+				if views, _ := v.views(); !isIn(views[name].Voters, args[0]) {
+					return nil
+				}
+			}
+			return fmt.Errorf("%s is not forgotten: %w", args[0], last)
+		}),
 		with("join VOTER", "Take a voter in that lost its memory", `Under its name comes a new member: what the lost one had promised is not known to it, so it must not vote as that. It hears the
 log until it has caught up, then votes in the place of the lost one. A majority of the others must be there.`, cobra.ExactArgs(1), func(_ *cobra.Command, v *voters, args []string) error {
 			id := number()
--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -467,7 +467,7 @@
 		r := c.report
 		s.PID, s.Version, s.Settings, s.Running = c.cmd.Process.Pid, r.Version, r.Settings, r.Spec
 		s.Serves, s.Owed, s.Started, s.Probes, s.Aside, s.Work = r.Ready, r.Owed, r.Started, r.Probes, r.Aside, r.Work
-		s.Engines, s.Carries = r.Engines, r.Carries
+		s.Engines, s.EngineCount, s.Carries = r.Engines, len(r.Engines), r.Carries
 		s.MemoryMB, s.CPU = c.uses()
 	}
 	return s
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"log"
 	"slices"
@@ -222,14 +223,15 @@
 	return c.rn.Propose(text)
 }
 
-// StepDown ends this member's acts at once, and then hands over to the voter that has come furthest.
-func (c *Core) StepDown() (Out, bool) {
+// StepDown ends this member's acts at once, and then hands over: to the voter of that name, or, where none is named, to that
+// which has come furthest.
+func (c *Core) StepDown(to string) (Out, bool) {
 	if !c.leads() {
 		return Out{}, false
 	}
 	var best, match uint64
 	c.rn.WithProgress(func(id uint64, _ raft.ProgressType, pr tracker.Progress) {
-		if id != c.id && !pr.IsLearner && pr.RecentActive && pr.Match >= match {
+		if id != c.id && !pr.IsLearner && pr.RecentActive && pr.Match >= match && (to == "" || c.agreed.Names[id] == to) {
 			best, match = id, pr.Match
 		}
 	})
@@ -241,6 +243,29 @@
 	return c.take(), true
 }
 
+// Forget takes a member out that is gone for good, without another in its place.
+func (c *Core) Forget(name string) (Out, error) {
+	if !c.leads() {
+		return Out{}, errors.New("another owns")
+	}
+	cc := &raftpb.ConfChangeV2{}
+	for _, id := range slices.Concat(c.conf.Voters, c.conf.Learners) {
+		if c.agreed.Names[id] != name {
+			continue
+		}
+		if id == c.id {
+			return Out{}, fmt.Errorf("%s owns: have it step down first", name)
+		}
+		remove := raftpb.ConfChangeRemoveNode
+		cc.Changes = append(cc.Changes, &raftpb.ConfChangeSingle{Type: &remove, NodeId: &id})
+	}
+	if len(cc.Changes) == 0 {
+		return Out{}, fmt.Errorf("%s is no member", name)
+	}
+	err := c.rn.ProposeConfChange(cc)
+	return c.take(), err
+}
+
 // Join takes a member in under a new number, in the place of one of the same name that lost its memory.
 func (c *Core) Join(id uint64, name string) (Out, error) {
 	if !c.leads() {
--- a/internal/owner/core_test.go
+++ b/internal/owner/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"go.etcd.io/raft/v3/raftpb"
@@ -218,7 +219,7 @@
 		clear(w.cut)
 	case 8:
 		if v.core != nil && v.stall <= w.now {
-			if out, is := v.core.StepDown(); is {
+			if out, is := v.core.StepDown(""); is {
 				w.does(id, out)
 			}
 		}
@@ -304,7 +305,7 @@
 		}
 	}
 	v := w.voters[first]
-	out, is := v.core.StepDown()
+	out, is := v.core.StepDown("")
 	if !is || v.core.May(w.local(v)) != 0 {
 		t.Fatal("it acts on after it stepped down")
 	}
@@ -396,6 +397,67 @@
 	t.Fatalf("it is not taken in: %v", w.voters[9].core.Voters())
 }
 
+// Five members, of which one is forgotten, and the others lose their memory one by one and come back under new numbers.
+func TestMembersAreForgottenAndChangedOneByOne(t *testing.T) {
+	w := newWorld(t, 11, 5)
+	w.start()
+	owner := func() (c *Core) {
+		for _, id := range w.ids {
+			if v := w.voters[id]; v.core != nil && v.core.May(w.local(v)) != 0 {
+				c = v.core
+			}
+		}
+		return c
+	}
+	until := func(what string, is func(c *Core) bool) {
+		t.Helper()
+		for end := w.now + 60e9; w.now < end; w.one() {
+			if c := owner(); c != nil && is(c) {
+				return
+			}
+		}
+		t.Fatalf("%s: %+v", what, owner())
+	}
+	until("an owner", func(*Core) bool { return true })
+	gone := uint64(1)
+	if owner().id == gone {
+		if _, err := owner().Forget("v1"); err == nil {
+			t.Error("an owner forgets itself")
+		}
+		gone = 2
+	}
+	name := fmt.Sprint("v", gone)
+	delete(w.voters, gone)
+	w.ids = slices.DeleteFunc(w.ids, func(id uint64) bool { return id == gone })
+	until("one is forgotten", func(c *Core) bool {
+		if out, err := c.Forget(name); err == nil {
+			w.does(c.id, out)
+		} else if err.Error() != "another owns" && !slices.Contains(c.Voters(), gone) {
+			return true // it is no member
+		}
+		return false
+	})
+	for i, id := range slices.Clone(w.ids) {
+		next := 100 + uint64(i)
+		name := fmt.Sprint("v", id)
+		delete(w.voters, id)
+		w.ids[slices.Index(w.ids, id)] = next
+		w.voters[next] = &voter{disk: Disk{ID: next, Hard: &raftpb.HardState{}, Snapshot: &raftpb.Snapshot{}}, drift: 1}
+		w.boot(next)
+		until(name+" comes back", func(c *Core) bool {
+			if w.r.IntN(20) == 0 {
+				if out, err := c.Join(next, name); err == nil {
+					w.does(c.id, out)
+				}
+			}
+			return slices.Contains(c.Voters(), next) && len(c.Voters()) == 4 && c.agreed.Names[id] == "" && len(w.voters[next].core.Voters()) == 4
+		})
+	}
+	if w.broken != "" {
+		t.Error(w.broken)
+	}
+}
+
 func TestWhatIsAgreedIsFencedAndBounded(t *testing.T) {
 	a := Agreed{}
 	for i, c := range []struct {
--- a/internal/owner/duty.go
+++ b/internal/owner/duty.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,8 +28,13 @@
 	members []operator.Member
 	problem *solve.Problem // to plan from
 	one     sync.Mutex     // a change is begun at a time
-	count   int64          // of words handed out by this process: it rises over reigns too
-	refused string         // the last word that was, as logged
+	fitness Fitness
+
+	mu    sync.Mutex
+	under []*conduct.Fleet // asked by duties under way
+
+	count   int64  // of words handed out by this process: it rises over reigns too
+	refused string // the last word that was, as logged
 }
 
 // agreement is what is agreed, under a reign.
@@ -93,12 +99,16 @@
 			others.Go(func() { h.run(ctx) })
 		}
 	}
+	others.Go(func() { d.watch(ctx, r) })
 	for ctx.Err() == nil {
 		record, is, err := conduct.Agreed(a).Record()
 		if err == nil && is && (!record.State.Phase.Ends() || d.asked(a, record)) {
 			var c *conduct.Conductor
-			if c, err = conduct.Take(conduct.Agreed(a), conduct.NewFleet(d.members, askTime, askTime)); err == nil {
+			fleet := conduct.NewFleet(d.members, askTime, askTime)
+			if c, err = conduct.Take(conduct.Agreed(a), fleet); err == nil {
+				done := d.asks(fleet)
 				err = c.Run(ctx)
+				done()
 			}
 		}
 		if err != nil && ctx.Err() == nil {
@@ -112,6 +122,66 @@
 	slog.Info("owner_ends", "reign", r)
 }
 
+// watchEvery is from one look at the voters' health to the next.
+const watchEvery = 500 * time.Millisecond
+
+// watch hands over by itself where another voter is fitter to own. It asks voters; how much of the fleet is heard it learns
+// from those of its duties that ask all.
+func (d *Duties) watch(ctx context.Context, r Reign) {
+	members := slices.DeleteFunc(slices.Clone(d.members), func(m operator.Member) bool { return !slices.Contains(d.fleet.Voters, m.Name) })
+	fleet := conduct.NewFleet(members, askTime, watchEvery)
+	heard, last := make([]time.Time, len(members)), make([]Health, len(members))
+	for ctx.Err() == nil {
+		now := time.Now()
+		for i, a := range fleet.Ask(ctx) {
+			if a.Err == nil {
+				heard[i], last[i] = now, Health{Serves: a.Status.Serves, Engines: a.Status.EngineCount}
+			}
+			last[i].Name, last[i].Reached = members[i].Name, !heard[i].IsZero() && now.Sub(heard[i]) < askTime
+		}
+		own, others := Health{}, []Health(nil)
+		for _, h := range last {
+			if h.Name == d.node.name {
+				own = h
+			} else {
+				others = append(others, h)
+			}
+		}
+		own.Stalls, own.Reached = d.node.Stalls(), true
+		for _, f := range d.asking() {
+			if n, of := f.Heard(); of > 0 && (own.Members == 0 || n < own.Heard) {
+				own.Heard, own.Members = n, of
+			}
+		}
+		if to, why := d.fitness.Look(int64(time.Since(d.node.began)), own, others); to != "" && d.node.May() == r {
+			slog.Warn("owner_hands_over", "reign", r, "to", to, "why", why)
+			d.node.StepDown(to)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(watchEvery):
+		}
+	}
+}
+
+// asks has the watch know of a duty that asks all members, until it is ended.
+func (d *Duties) asks(f *conduct.Fleet) (end func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.under = append(d.under, f)
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.under = slices.DeleteFunc(d.under, func(o *conduct.Fleet) bool { return o == f })
+	}
+}
+
+func (d *Duties) asking() []*conduct.Fleet {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.under)
+}
+
 // asked tells whether there is a wish for a change that has ended.
 func (d *Duties) asked(a agreement, r conduct.Record) bool {
 	w := conduct.Agreed(a).Wish()
--- a/internal/owner/hand.go
+++ b/internal/owner/hand.go
@@ -102,6 +102,7 @@
 
 // run hands out until ctx ends.
 func (h *hands) run(ctx context.Context) {
+	defer h.d.asks(h.fleet)()
 	tick := time.NewTicker(handEvery)
 	defer tick.Stop()
 	for {
--- a/internal/owner/history_test.go
+++ b/internal/owner/history_test.go
@@ -122,7 +122,7 @@
 						w.cut[[2]uint64{id, n}], w.cut[[2]uint64{n, id}] = true, true
 					}
 				default:
-					out, is := v.core.StepDown()
+					out, is := v.core.StepDown("")
 					if !is {
 						continue
 					}
--- a/internal/owner/node.go
+++ b/internal/owner/node.go
@@ -21,6 +21,16 @@
 	queued      = 64 // messages to one member; more are dropped, as a link may drop them
 )
 
+// stallPart of a lease is how late a tick may be.
+const stallPart = 4
+
+// Stalls counts the ticks that were later.
+func (n *Node) Stalls() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stalls
+}
+
 // nameHeader tells a message's sender by name.
 const nameHeader = "Owner-Name"
 
@@ -38,10 +48,13 @@
 	mu     sync.Mutex
 	core   *Core // nil: of no fleet yet
 	halted error // its disk failed: it says nothing any more
-	lastID uint64
-	asked  map[uint64]chan error // commands under way, until their time is over
-	links  map[string]chan []byte
-	heard  map[uint64]string // who has written, while what is agreed does not name them yet: one that joins must answer
+	stalls int64 // ticks that came so late that a lease would have suffered
+
+	lastTick int64
+	lastID   uint64
+	asked    map[uint64]chan error // commands under way, until their time is over
+	links    map[string]chan []byte
+	heard    map[uint64]string // who has written, while what is agreed does not name them yet: one that joins must answer
 }
 
 // Open starts a member with its disk; addr tells where members' keepers are.
@@ -74,6 +87,13 @@
 		case <-n.done:
 			return
 		case <-t.C:
+			now := n.now()
+			n.mu.Lock()
+			if n.lastTick != 0 && now-n.lastTick > n.pace.Lease/stallPart {
+				n.stalls++
+			}
+			n.lastTick = now
+			n.mu.Unlock()
 			n.with(func(c *Core) Out { return c.Tick(n.now()) })
 		}
 	}
@@ -90,6 +110,12 @@
 	if err := n.store.Save(out); err != nil {
 		n.halted = err // what it would say now it may not have on disk: it is silent, and others take over
 		slog.Error("owner_halted", "reason", err)
+		last, _ := n.core.StepDown("")
+		for _, m := range last.Messages {
+			if m.GetType() == raftpb.MsgTimeoutNow { // "lead you" promises nothing
+				n.send(m)
+			}
+		}
 		return false
 	}
 	for _, m := range out.Messages {
@@ -272,10 +298,10 @@
 	return err
 }
 
-// StepDown hands over.
-func (n *Node) StepDown() (is bool) {
+// StepDown hands over, to one of a name or, without one, to any.
+func (n *Node) StepDown(to string) (is bool) {
 	n.with(func(c *Core) (out Out) {
-		out, is = c.StepDown()
+		out, is = c.StepDown(to)
 		return out
 	})
 	return is
@@ -359,9 +385,21 @@
 		}
 		answer(w, n.View(), err)
 	})
+	mux.HandleFunc("POST /v1/owner/forget", func(w http.ResponseWriter, r *http.Request) {
+		var name string
+		err := json.NewDecoder(io.LimitReader(r.Body, 1<<16)).Decode(&name)
+		if err == nil {
+			err = errors.New("not a member")
+			n.with(func(c *Core) (out Out) {
+				out, err = c.Forget(name)
+				return out
+			})
+		}
+		answer(w, n.View(), err)
+	})
 	mux.HandleFunc("POST /v1/owner/step-down", func(w http.ResponseWriter, _ *http.Request) {
 		var err error
-		if !n.StepDown() {
+		if !n.StepDown("") {
 			err = errors.New("it owns nothing, or nobody else can")
 		}
 		answer(w, n.View(), err)
