--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,7 @@
 proof-owner: build
 	go run ./internal/proof/owner
 
-proof-owner-virtual:
+proof-owner-virtual: build
 	go run ./internal/proof/owner -only virtual
 
 proof-judge:
--- a/internal/conduct/process_test.go
+++ b/internal/conduct/process_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"swiftreel/internal/boot"
 	"swiftreel/internal/change"
 	"swiftreel/internal/conduct"
 	"swiftreel/internal/keep"
@@ -799,7 +800,7 @@
 // An owner whose controller stands still hands over in order; one whose disk is full falls silent, and the next is told to lead
 // at once. A voter that is gone for good is forgotten.
 func TestAnOwnerThatIsUnfitHandsOver(t *testing.T) {
-	w, err := rig.Plan{Program: steered, Seed: 8, Controllers: 3, Engines: 2, Voters: 3}.Town()
+	w, err := rig.Plan{Program: steered, Seed: 8, Controllers: 3, Engines: 2, Voters: 3, ClockMS: map[int]int{0: -420_000, 1: 420_000}}.Town()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -819,6 +820,11 @@
 		return m
 	}
 	first := acts()
+	c := exec.Command(program, "fleet", "found") // another fleet's operator, by mistake
+	c.Env = append(os.Environ(), "ROUTER_OPERATOR="+w.Fleet)
+	if text, err := c.CombinedOutput(); err == nil || !strings.Contains(string(text), "is a member already") {
+		t.Errorf("a fleet is founded twice: %s", text)
+	}
 	s, err := w.Status(first)
 	if err != nil {
 		t.Fatal(err)
@@ -833,7 +839,7 @@
 	if err := w.Disk(second.Name, "full"); err != nil {
 		t.Fatal(err)
 	}
-	c := exec.Command(program, "rollout", "start", "--agreed", write(t, w, "change.json", settings(1)))
+	c = exec.Command(program, "rollout", "start", "--agreed", write(t, w, "change.json", settings(1)))
 	c.Env = append(os.Environ(), "ROUTER_OPERATOR="+w.Fleet)
 	c.Run() // it may be begun by the next owner, or not at all
 	third := acts(second)
@@ -873,3 +879,41 @@
 		t.Error(v)
 	}
 }
+
+// A plan that the operator's file gives an end ends while a change is under way; the change goes through all the same.
+func TestAPlanEndsInTheMidstOfAChange(t *testing.T) {
+	dir := t.TempDir()
+	file := filepath.Join(dir, "problem.json")
+	if err := os.WriteFile(file, []byte(problem), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if text, err := exec.Command(program, "solve", file, "--out", filepath.Join(dir, "plan.json"), "--time", "20s").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, text)
+	}
+	ends := boot.Now() + int64(6*time.Second)
+	w, err := rig.Plan{Program: program, Seed: 9, Controllers: 2, Engines: 2, Operator: fmt.Sprintf(`"plan":{"file":%q,"until_boot_ns":%d},`, filepath.Join(dir, "plan.json"), ends)}.Town()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	l := w.NewLoad(1, 1, 10*time.Millisecond, false)
+	folder := filepath.Join(w.Dir, "record")
+	p, err := w.Rollout(program, folder, "start", write(t, w, "change.json", strings.Replace(settings(1), `"bake_ms":300`, `"bake_ms":4000`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	until(t, w, "the first stage", func() bool { return phase(folder).Phase == rollout.Baking || p.Over() })
+	if boot.Now() > ends {
+		t.Log("the machine is slow: it ended before the first stage")
+	}
+	if err := p.Await(); err != nil || phase(folder).Phase != rollout.Done {
+		t.Fatalf("%v: %s", err, p.Log())
+	}
+	for _, m := range w.Members {
+		until(t, w, "its plan has ended", func() bool { return strings.Count(m.Keeper.Log(), "msg=plan_ended") == 1 })
+		if strings.Count(m.Keeper.Log(), "msg=plan_taken") != 1 {
+			t.Errorf("%s", m.Keeper.Log())
+		}
+	}
+	finish(t, w, l)
+}
--- a/internal/proof/owner/main.go
+++ b/internal/proof/owner/main.go
@@ -49,7 +49,7 @@
 	if *only != "" {
 		err := error(nil)
 		if *only == "virtual" {
-			err = virtual()
+			err = virtual(*program)
 		}
 		if err != nil {
 			fmt.Println("FAILED:", err)
@@ -80,15 +80,16 @@
 	}
 	gaps := map[string][]time.Duration{}
 	jobs, done, broken, reigns, mostOut, plans := int64(0), int64(0), int64(0), 0, int64(0), 0
-	without := &play{program: *program, number: towns, plain: true}
+	without := &play{program: *program, number: towns + 1, plain: true}
 	wait.Go(func() {
 		if err := without.run(); err != nil {
 			fail(towns, "%v", err)
 		}
 	})
-	for i := range towns {
+	var lost []string
+	for i := range towns + 1 {
 		wait.Go(func() {
-			p := &play{program: *program, number: i, r: rand.New(rand.NewPCG(uint64(i), 9)), gaps: map[string][]time.Duration{}}
+			p := &play{program: *program, number: i, steps: i == towns, r: rand.New(rand.NewPCG(uint64(i), 9)), gaps: map[string][]time.Duration{}}
 			if err := p.run(); err != nil {
 				fail(i, "%v", err)
 			}
@@ -101,6 +102,7 @@
 				gaps[how] = append(gaps[how], list...)
 			}
 			jobs, done, broken, reigns = jobs+p.jobs, done+p.done, broken+p.broken, reigns+p.reigns
+			lost = append(lost, p.lost...)
 			mostOut, plans = max(mostOut, p.mostOut), plans+p.plans
 		})
 	}
@@ -113,6 +115,7 @@
 	}
 	fmt.Printf("  changes through all controllers %d, reigns seen at keepers %d, jobs %d, done %.2f%%, cut off %d (controllers of killed keepers die with them)\n",
 		towns*each, reigns, jobs, 100*float64(done)/float64(max(1, jobs)), broken)
+	fmt.Printf("  one owner lost in each step of a change: %v; then %d voters lost their memory one by one and came back under new numbers\n", lost, voters)
 	share, plain := float64(done)/float64(max(1, jobs)), float64(without.done)/float64(max(1, without.jobs))
 	fmt.Printf("  parts: at most %.1f%% of the whole out at a moment; plans taken %d; the same load without an owner: jobs %d, done %.2f%%\n", float64(mostOut)/1e4, plans, without.jobs, 100*plain)
 	if jobs == 0 || without.jobs == 0 || share < plain-0.01 || plans == 0 {
@@ -136,7 +139,9 @@
 	violations         []rulecheck.Violation
 	jobs, done, broken int64
 	reigns             int
-	plain              bool  // nobody owns anything
+	plain              bool // nobody owns anything
+	steps              bool // the owner is lost in each step of a change, and then the voters are changed
+	lost               []string
 	mostOut            int64 // parts of a million, at a moment
 	plans              int   // taken by controllers' keepers
 	asleep             []*rig.Member
@@ -169,7 +174,18 @@
 	if _, err := p.owner(""); err != nil {
 		return err
 	}
+	if p.steps {
+		if err := p.eachStep(); err != nil {
+			return err
+		}
+		if err := p.oneByOne(); err != nil {
+			return err
+		}
+	}
 	for n := range each {
+		if p.steps {
+			break
+		}
 		if err := p.schedule(n + 1); err != nil {
 			return fmt.Errorf("schedule %d: %w", n+1, err)
 		}
@@ -256,7 +272,12 @@
 	if err != nil {
 		return err
 	}
-	how, from := []string{"killed", "stopped", "cut off", "stepped down"}[p.r.IntN(4)], time.Now()
+	return p.strikeBy([]string{"killed", "stopped", "cut off", "stepped down"}[p.r.IntN(4)], m)
+}
+
+// strikeBy loses it so.
+func (p *play) strikeBy(how string, m *rig.Member) error {
+	from := time.Now()
 	heal := func() error { return nil }
 	switch how {
 	case "killed":
--- a/internal/proof/owner/virtual.go
+++ b/internal/proof/owner/virtual.go
@@ -6,6 +6,9 @@
 	"os/exec"
 	"strings"
 	"time"
+
+	"swiftreel/internal/owner"
+	"swiftreel/internal/rig"
 )
 
 // plainFor is how long the load without an owner is played.
@@ -17,8 +20,49 @@
 "tenants":[{"name":"acme"}],"zones":[{"name":"east"},{"name":"west"}],"must":{},"demand":[{"type":"lookup","tenant":"acme","zone":"east","jobs_per_1000s":1}]}`
 
 // virtual plays the tests of the agreement at full size, beside the processes: 1,000 worlds, 200 owners lost in each way, an
-// hour without trouble, and the walk of all that can come of two owners.
-func virtual() error {
+// hour without trouble, and the walk of all that can come of two owners. Real voters run beside it.
+func virtual(program string) error {
+	stop, ended := make(chan struct{}), make(chan error, 1)
+	go func() { ended <- loaded(program, stop) }()
+	err := played()
+	close(stop)
+	if e := <-ended; err == nil {
+		err = e
+	}
+	return err
+}
+
+// loaded counts how often the owner of three voters changes while all cores are busy with the tests.
+func loaded(program string, stop chan struct{}) error {
+	town, err := rig.Plan{Program: program, Seed: 50, Controllers: 3, Engines: 2, Voters: 3}.Town()
+	if err != nil {
+		return err
+	}
+	defer town.Close()
+	p := &play{program: program, town: town}
+	if err := p.cli("fleet", "found"); err != nil {
+		return err
+	}
+	var first, last owner.View
+	m, err := p.owner("")
+	if err != nil {
+		return err
+	}
+	if err := town.Get(m, "/v1/owner", &first); err != nil {
+		return err
+	}
+	from := time.Now()
+	<-stop
+	span := time.Since(from)
+	if err := town.Get(m, "/v1/owner", &last); err != nil {
+		return err
+	}
+	fmt.Printf("real processes beside that, all cores busy: the owner of 3 voters changed %d times in %.0f s\n", last.Reign-first.Reign, span.Seconds())
+	return town.Stop()
+}
+
+// played plays them.
+func played() error {
 	c := exec.Command("go", "test", "-count=1", "-v", "-run", "TestTimesWithoutAnOwner|TestOneOwnerAtATime", "./internal/owner", "-args", "-runs", "200", "-hours", "1", "-worlds", "1000")
 	text, err := c.CombinedOutput()
 	if err == nil {
--- a/internal/rig/town.go
+++ b/internal/rig/town.go
@@ -76,6 +76,7 @@
 	StartMS              int               // before a controller is ready; this and what follows: of builds with tag fault, steered
 	ClockMS              map[int]int       // what their time of day is off by
 	Env                  []string          // more of it
+	Operator             string            // more of the operator's file, as JSON members, each followed by a comma
 	Files                map[string]string // beside the operator's file
 	Parts                string            // more of the operator's part fleet, as JSON members, each followed by a comma
 }
@@ -127,7 +128,7 @@
 	t.Fleet = filepath.Join(t.Dir, "operator.json")
 	text, err := json.Marshal(own)
 	if err == nil {
-		err = os.WriteFile(t.Fleet, fmt.Appendf(nil, `{"fleet":{%s%s}`, o.Parts, text[1:]), 0o600)
+		err = os.WriteFile(t.Fleet, fmt.Appendf(nil, `{%s"fleet":{%s%s}`, o.Operator, o.Parts, text[1:]), 0o600)
 	}
 	if err != nil {
 		return t, err
