A newer process knows the engines set aside; silent members are backed off; the rest of the hard cases

Change: Taught carries health of engines (slowness, part that fails, aside); members that do not answer are asked less and less often, with jitter, in 8 places of 64. Result: 100 silent members, one that answers: heard at each look, 8 places held by the others. Process tests: an engine aside is aside for the newer process from its start, no job sent to it; a cold engine under both processes keeps rule 4 (at a hundredth of the bound the check finds it broken).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -99,6 +99,14 @@
 				c.types[i].Means = ev.Means[i]
 			}
 		}
+		for _, h := range ev.Health {
+			if i, known := c.find(h.Engine); known && h.sound() {
+				e := c.engines[i]
+				if e.slow, e.bad = h.Slow, h.Bad; h.Aside { // its own rest begins now
+					c.setAside(e, false)
+				}
+			}
+		}
 	case Parted: // by who knows what all were asked: until it ends it stands in for our own guess
 		c.part = ev.Part
 	case Elder: // until it has ended, nobody here knows what it sent
@@ -382,11 +390,6 @@
 	return !j.typ.ordered || j.key == 0 || l == nil || (l.jobs[0] == j && c.now >= max(l.rest, rest))
 }
 
-// borrows tells whether a job would go past its bucket's limit.
-func (c *Controller) borrows(j *job) bool {
-	return j.bucket.used > 0 && j.bucket.used+j.typ.threads > c.limit(j.bucket)
-}
-
 // send dispatches a job if its bucket and an engine let it, once the probes of its look are in.
 func (c *Controller) send(j *job) bool {
 	if !c.turn(j) {
@@ -461,7 +464,7 @@
 	}
 	start, memory := e.cores*c.share, max(e.memory*c.share, e.memory-e.others*c.grantEach())
 	most := 2 * start
-	if e.pressed || c.borrows(j) {
+	if b := j.bucket; e.pressed || (b.used > 0 && b.used+j.typ.threads > c.limit(b)) { // past it, it borrows
 		most, memory = e.bound, e.memory*c.share
 	}
 	if c.quick(j.typ) {
@@ -731,12 +734,6 @@
 	}
 }
 
-// lost tells that a dispatch ran far over its time, or that its notes stopped: an error of its engine.
-func (c *Controller) lost(f *flight) bool {
-	most := max(overdueTimes*c.scatter()*f.expect, float64(f.job.typ.aim)/2)
-	return c.silent(f) || float64(c.now-f.sent-f.still) > most
-}
-
 // scatter is how far over those times a good dispatch may run because its estimate was low, as answers show.
 func (c *Controller) scatter() float64 { return max(1, math.Exp(offWide*c.off)/badPlanTimes) }
 
@@ -903,9 +900,6 @@
 	}
 }
 
-// pays is what a job taken pays for maps: little in a calm fleet, where all engines have room.
-func (c *Controller) pays() float64 { return wordPoints * min(1, max(0.25, c.crowd/relaxed)) }
-
 // hear takes a word, or a map, which stands in for reports that lack and for our own few outcomes.
 func (c *Controller) hear(peer int, text []byte) {
 	first, entries, ok := decode(text)
@@ -915,7 +909,8 @@
 	if first == mapText && peer != c.me {
 		c.mapAt = c.now
 	} else if first != mapText {
-		c.words[peer], c.mapsLeft = word{entries, c.now}, c.mapsLeft+c.pays()*float64(first)
+		pays := wordPoints * min(1, max(0.25, c.crowd/relaxed)) // a job: little in a calm fleet, all have room
+		c.words[peer], c.mapsLeft = word{entries, c.now}, c.mapsLeft+pays*float64(first)
 	}
 	for _, e := range c.engines {
 		if n, told := about(e, entries); told && first != mapText {
@@ -966,7 +961,8 @@
 			if c.silent(f) && !j.typ.keyed && !j.typ.repeatable {
 				c.giveUp(j) // its answer will not come, and its key's next jobs wait for it
 			}
-		case f != nil && !f.called && c.lost(f):
+		case f != nil && !f.called && (c.silent(f) || float64(c.now-f.sent-f.still) > // its notes stopped, or it is
+			max(overdueTimes*c.scatter()*f.expect, float64(j.typ.aim)/2)): // far over its time: an engine's error
 			if !f.blamed {
 				f.blamed = true
 				c.judge(f.engine, TimedOut)
--- a/choice/elder_test.go
+++ b/choice/elder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math"
 	"testing"
 )
@@ -107,6 +108,11 @@
 	if c.types[0].Means != old.types[0].Means || c.types[1].Means != fresh {
 		t.Errorf("%+v %+v", c.types[0].Means, c.types[1].Means)
 	}
+	c.Decide(1e15+2, Event{Kind: Listed, List: WholeList, Lines: []Line{{Engine: 1, State: Ready}, {Engine: 2, State: Ready}, {Engine: 3, State: Ready}, {Engine: 4, State: Ready}}})
+	c.Decide(1e15+3, Event{Kind: Taught, Health: []Health{{1, 2.5, 0.4, true}, {2, 1.5, 0.1, false}, {3, math.NaN(), 0, true}, {9, 1, 0, true}}})
+	if got := fmt.Sprint(c.Health()); got != "[{1 2.5 0.4 true} {2 1.5 0.1 false} {3 1 0 false} {4 1 0 false}]" {
+		t.Errorf("%s", got)
+	}
 	for _, bad := range []string{`[[1,2,3]]`, `[["x"]]`, `{}`} {
 		if json.Unmarshal([]byte(bad), &told) == nil {
 			t.Errorf("%s is read", bad)
--- a/choice/learned.go
+++ b/choice/learned.go
@@ -14,6 +14,19 @@
 	return list
 }
 
+// Health is what the module's jobs have taught it of engines that are ready, in its order. It decides nothing.
+func (c *Controller) Health() (list []Health) {
+	for _, e := range c.engines {
+		if e.State == Ready {
+			list = append(list, Health{e.Engine, e.slow, e.bad, e.aside})
+		}
+	}
+	return list
+}
+
+// sound tells whether a process can have learned this.
+func (h Health) sound() bool { return h.Slow > 0 && h.Slow <= 1000 && h.Bad >= 0 && h.Bad <= 1 }
+
 // Carries is what it goes by now of the fleet, of 1: told, or guessed. It decides nothing.
 func (c *Controller) Carries() float64 { return c.share }
 
--- a/choice/types.go
+++ b/choice/types.go
@@ -151,9 +151,10 @@
 
 	Plan *Plan // Planned; nil: none
 
-	On    bool    // Elder
-	Part  Part    // Parted
-	Means []Means // Taught: by type; one that is not sound teaches nothing
+	On     bool     // Elder
+	Part   Part     // Parted
+	Means  []Means  // Taught: by type; one that is not sound teaches nothing
+	Health []Health // Taught: of engines, each once
 }
 
 // ActionKind says what is to be done.
@@ -361,6 +362,13 @@
 	best, slow            float64 // latency over (work / threads): the best seen, and lately
 }
 
+// Health is what jobs taught of an engine.
+type Health struct {
+	Engine    EngineID
+	Slow, Bad float64 // latency over best; part lost or failed
+	Aside     bool
+}
+
 // job is a job taken that is not over, or has a dispatch out.
 type job struct {
 	id                        JobID
--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -97,12 +97,13 @@
 		return err
 	}
 	told.force(own.Tally, facts)
-	if teach(own.Tally, gate); elder(own) {
+	if elder(own) {
 		gate.Elder(true)
 	}
 	for _, ev := range known {
 		gate.List(ev, true)
 	}
+	teach(own.Tally, gate)
 	followed := &plans{gate: gate}
 	followed.follow(own)
 	follower := feed.Follow(file.Feed, file.Known.N, func(ev feed.Event) { gate.List(ev, false) })
--- a/cmd/swiftreel/tally.go
+++ b/cmd/swiftreel/tally.go
@@ -47,6 +47,7 @@
 		now := t.inForce.Load()
 		r.Started, r.Version, r.Spec, r.Settings = began, version.Name, now.spec, now.settings
 		r.Ready, r.Refused, r.Aside = gate.Ready(), check.Of("reloads_failed"), gate.Aside()
+		r.Health, _ = json.Marshal(gate.Health())
 		r.Engines, r.Carries = gate.Engines(), int64(1e6*gate.Carries())
 		r.Learned, _ = json.Marshal(gate.Learned()) // figures that JSON cannot hold are not told
 		if owed, is := t.owed.Load().(func() int64); is {
@@ -93,7 +94,11 @@
 		slog.Warn("not_taught", "reason", err)
 		return
 	}
-	gate.Teach(named)
+	var engines map[string]gateway.Health
+	if len(o.Health) > 0 && json.Unmarshal(o.Health, &engines) != nil {
+		engines = nil // of another form: they are seen anew
+	}
+	gate.Teach(named, engines)
 }
 
 // elder tells whether a file says that an older process of this controller still runs.
--- /dev/null
+++ b/internal/conduct/backoff_test.go
@@ -0,0 +1,88 @@
+package conduct
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"swiftreel/internal/operator"
+)
+
+func TestOneThatDoesNotAnswerIsAskedLessAndLessOften(t *testing.T) {
+	var b backoff
+	r := rand.New(rand.NewPCG(1, 1))
+	asked := []int64{}
+	for now := int64(0); now < 60e9; now += 10e6 {
+		if b.due(now) {
+			asked = append(asked, now)
+			b.ended(now, false, r)
+		}
+	}
+	if len(asked) < 25 || len(asked) > 45 { // each look would be 6,000
+		t.Errorf("asked %d times in a minute", len(asked))
+	}
+	if b.ended(60e9, true, r); !b.due(0) {
+		t.Error("it answers, and is not asked")
+	}
+}
+
+// A hundred members that take a connection and say nothing do not keep the others from being heard at each look.
+func TestSilentMembersCostThemselves(t *testing.T) {
+	silent, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	var dials atomic.Int64
+	go func() {
+		for {
+			c, err := silent.Accept()
+			if err != nil {
+				return
+			}
+			dials.Add(1)
+			defer c.Close()
+		}
+	}()
+	well := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { w.Write([]byte(`{"format":2,"name":"good"}`)) }))
+	defer well.Close()
+	members := []operator.Member{}
+	for range 100 {
+		members = append(members, operator.Member{Name: "silent", Listen: silent.Addr().String()})
+	}
+	members = append(members, operator.Member{Name: "good", Listen: strings.TrimPrefix(well.URL, "http://")})
+	f := NewFleet(members, 300*time.Millisecond, 30*time.Millisecond)
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	for len(f.Ask(ctx)) > 0 { // until all have failed once
+		f.mu.Lock()
+		all := !slices.ContainsFunc(f.lines[:100], func(l line) bool { return l.back.failed == 0 })
+		f.mu.Unlock()
+		if all {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	for range 20 { // the good one is asked at each look, and answers while the others are waited for
+		heard := false
+		for stop := time.Now().Add(10 * time.Second); !heard && time.Now().Before(stop); time.Sleep(time.Millisecond) {
+			heard = f.Ask(ctx)[100].Err == nil
+		}
+		if !heard {
+			t.Fatal("it is not heard")
+		}
+		if len(f.doubtful) > doubtful || len(f.places) > doubtful+1 {
+			t.Errorf("%d silent ones are spoken with at once, %d in all", len(f.doubtful), len(f.places))
+		}
+	}
+	if n := dials.Load(); n < 100 || n > 400 {
+		t.Errorf("%d dials of silent ones", n)
+	}
+}
--- a/internal/conduct/fleet.go
+++ b/internal/conduct/fleet.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -29,6 +31,9 @@
 	patience time.Duration
 	http     http.Client
 	places   chan struct{} // who may be spoken with at once
+	doubtful chan struct{} // of these, who failed last
+	began    time.Time
+	chance   *rand.Rand // under the lock
 
 	mu    sync.Mutex
 	lines []line // by the member's place
@@ -38,6 +43,7 @@
 
 // line is what goes on with a keeper: one question and one order at a time.
 type line struct {
+	back           backoff
 	asked, ordered bool
 	answer         *Answer
 	refused        error
@@ -48,7 +54,12 @@
 
 // NewFleet speaks with those named. limit is for one answer; patience is for a look at all, and no more than that.
 func NewFleet(members []operator.Member, limit, patience time.Duration) *Fleet {
-	return &Fleet{Members: members, patience: min(limit, patience), places: make(chan struct{}, inFlight), lines: make([]line, len(members)),
+	seed := fnv.New64a()
+	for _, m := range members {
+		seed.Write([]byte(m.Name))
+	}
+	return &Fleet{Members: members, patience: min(limit, patience), places: make(chan struct{}, inFlight), doubtful: make(chan struct{}, doubtful), began: time.Now(),
+		chance: rand.New(rand.NewPCG(seed.Sum64(), uint64(len(members)))), lines: make([]line, len(members)),
 		http: http.Client{Timeout: limit, Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}}}
 }
 
@@ -66,6 +77,7 @@
 		a := f.status(ctx, f.Members[i])
 		f.mu.Lock()
 		f.lines[i].answer = &a
+		f.lines[i].back.ended(int64(time.Since(f.began)), a.Err == nil, f.chance)
 		f.mu.Unlock()
 	})
 	f.mu.Lock()
@@ -147,15 +159,20 @@
 	return errs
 }
 
-// speak does something with each member that is to be spoken with and is not spoken with so already, and waits for all, but
-// no longer than its patience.
+// speak does something with each member that is to be spoken with, that is due and not spoken with so already, and waits for all,
+// but no longer than its patience.
 func (f *Fleet) speak(busy func(*line) *bool, with func(int) bool, do func(int)) {
 	var wait sync.WaitGroup
 	for i := range f.Members {
 		f.mu.Lock()
-		if b := busy(&f.lines[i]); with(i) && !*b {
+		if b := busy(&f.lines[i]); with(i) && !*b && f.lines[i].back.due(int64(time.Since(f.began))) {
 			*b = true
+			failed := f.lines[i].back.failed > 0
 			wait.Go(func() {
+				if failed {
+					f.doubtful <- struct{}{}
+					defer func() { <-f.doubtful }()
+				}
 				f.places <- struct{}{}
 				do(i)
 				<-f.places
--- a/internal/conduct/process_test.go
+++ b/internal/conduct/process_test.go
@@ -134,6 +134,7 @@
 }
 
 func TestSettingsReachAllThoughAConductorDiesAndAnotherSleeps(t *testing.T) {
+	t.Parallel()
 	w, l := town(t, 3)
 	folder, copied := filepath.Join(w.Dir, "record"), filepath.Join(w.Dir, "copied")
 	p, err := w.Rollout(program, folder, "start", write(t, w, "change.json", settings(1)))
@@ -183,6 +184,7 @@
 }
 
 func TestAProgramThatDiesIsTakenBack(t *testing.T) {
+	t.Parallel()
 	w, l := town(t, 3)
 	folder := filepath.Join(w.Dir, "record")
 	p, err := w.Rollout(program, folder, "start", write(t, w, "change.json", fmt.Sprintf(`{"number":1,"kind":"program","to":{"program":%q},%s}`, dying, strings.Replace(pace, `"jobs_wanted":5`, `"jobs_wanted":100000`, 1))))
@@ -204,6 +206,7 @@
 
 // An order that was held up on the way comes after later ones, one by one and twice, also past a restart of the keeper.
 func TestLateOrdersChangeNothingPastARestartOfTheKeeper(t *testing.T) {
+	t.Parallel()
 	w, l := town(t, 3)
 	folder := filepath.Join(w.Dir, "record")
 	p, err := w.Rollout(program, folder, "start", write(t, w, "change.json", settings(1)))
@@ -272,6 +275,7 @@
 }
 
 func TestOneOutOfReachConvergesWhenItIsHeardAgain(t *testing.T) {
+	t.Parallel()
 	w, l := town(t, 3)
 	folder := filepath.Join(w.Dir, "record")
 	p, err := w.Rollout(program, folder, "start", write(t, w, "change.json", settings(1)))
@@ -302,6 +306,7 @@
 }
 
 func TestNothingIsOrderedThatCannotBeRecorded(t *testing.T) {
+	t.Parallel()
 	w, l := town(t, 2)
 	folder := filepath.Join(w.Dir, "record")
 	p, err := w.Rollout(program, folder, "start", write(t, w, "change.json", strings.Replace(settings(1), `"base_ms":300`, `"base_ms":3000`, 1)))
@@ -329,6 +334,7 @@
 // Disks that are full or slow at one place after the other, times of day a quarter of an hour apart, controllers that take
 // their time to start: the change waits for what is mended, and reaches all.
 func TestDisksThatAreFullOrSlowAndClocksApart(t *testing.T) {
+	t.Parallel()
 	w, err := rig.Plan{Program: steered, Seed: 3, Controllers: 3, Engines: 2, StartMS: 300, ClockMS: map[int]int{0: -420_000, 2: 420_000}}.Town()
 	if err != nil {
 		t.Fatal(err)
@@ -372,6 +378,7 @@
 
 // A keeper of the format before takes orders of a newer conductor, and newer keepers those of a conductor of the format before.
 func TestOldAndNewFormatsSideBySide(t *testing.T) {
+	t.Parallel()
 	w, err := rig.Plan{Program: program, Seed: 4, Controllers: 3, Engines: 2, Keepers: map[int]string{0: before}}.Town()
 	if err != nil {
 		t.Fatal(err)
@@ -398,6 +405,7 @@
 }
 
 func TestAnotherFleetsMemberIsNotTaken(t *testing.T) {
+	t.Parallel()
 	w, l := town(t, 2)
 	folder, other := filepath.Join(w.Dir, "record"), filepath.Join(w.Dir, "other")
 	p, err := w.Rollout(program, folder, "start", write(t, w, "change.json", settings(1)))
@@ -424,6 +432,7 @@
 
 // A key whose job still runs under the older process of a controller goes on under the newer one only once that is over.
 func TestAKeyWaitsForTheOlderProcess(t *testing.T) {
+	t.Parallel()
 	w, err := rig.NewTown(program, 1, 1, 1, false)
 	if err != nil {
 		t.Fatal(err)
@@ -510,6 +519,7 @@
 // While a controller cannot be reached the change is taken back by hand; it converges when it is heard again. Meanwhile
 // somebody sends signals by hand.
 func TestGoingBackWhileSomeCannotBeReached(t *testing.T) {
+	t.Parallel()
 	w, l := town(t, 3)
 	folder := filepath.Join(w.Dir, "record")
 	p, err := w.Rollout(program, folder, "start", write(t, w, "change.json", strings.Replace(strings.Replace(settings(1), `"jobs_wanted":5`, `"jobs_wanted":1000000`, 1), `"apply_ms":20000`, `"apply_ms":5000`, 1)))
@@ -565,6 +575,7 @@
 // An owner is stopped in the midst of a change: another takes it over where it stood; the one that wakes up finds that it
 // owns no more, and nothing that it does then is taken.
 func TestAnOwnerThatWakesUpLateDoesNoHarm(t *testing.T) {
+	t.Parallel()
 	w, err := rig.Plan{Program: program, Seed: 1, Controllers: 3, Engines: 2, Voters: 3}.Town()
 	if err != nil {
 		t.Fatal(err)
@@ -684,6 +695,7 @@
 
 // A plan goes through a fleet as settings do, and a change after it takes it along; one with a lower number is refused.
 func TestAPlanGoesThroughAFleet(t *testing.T) {
+	t.Parallel()
 	w, l := town(t, 2)
 	folder := filepath.Join(w.Dir, "record")
 	cli(t, w, "solve", write(t, w, "problem.json", problem), "--out", filepath.Join(w.Dir, "plan.json"), "--time", "20s")
@@ -720,6 +732,7 @@
 // The owner tells each controller what it carries and hands out a plan. It is lost, and the next one goes on, never with more
 // than the whole out; with no owner each goes on to the end of its part and plan, and then as without one.
 func TestPartsAndPlansOutliveTheirOwnerToTheirEnds(t *testing.T) {
+	t.Parallel()
 	w, err := rig.Plan{Program: program, Seed: 6, Controllers: 4, Engines: 2, Voters: 3, Keepers: map[int]string{3: before}, Files: map[string]string{"problem.json": problem},
 		Parts: `"parts":{"life_ms":3000},"planning":{"problem":"problem.json","every_ms":60000,"least_ms":1000,"life_ms":4000},`}.Town()
 	if err != nil {
@@ -800,6 +813,7 @@
 // An owner whose controller stands still hands over in order; one whose disk is full falls silent, and the next is told to lead
 // at once. A voter that is gone for good is forgotten.
 func TestAnOwnerThatIsUnfitHandsOver(t *testing.T) {
+	t.Parallel()
 	w, err := rig.Plan{Program: steered, Seed: 8, Controllers: 3, Engines: 2, Voters: 3, ClockMS: map[int]int{0: -420_000, 1: 420_000}}.Town()
 	if err != nil {
 		t.Fatal(err)
@@ -882,6 +896,7 @@
 
 // A plan that the operator's file gives an end ends while a change is under way; the change goes through all the same.
 func TestAPlanEndsInTheMidstOfAChange(t *testing.T) {
+	t.Parallel()
 	dir := t.TempDir()
 	file := filepath.Join(dir, "problem.json")
 	if err := os.WriteFile(file, []byte(problem), 0o600); err != nil {
@@ -917,3 +932,156 @@
 	}
 	finish(t, w, l)
 }
+
+// order has a keeper run another program, past any conductor.
+func order(t *testing.T, m *rig.Member, was keep.Status, path string) {
+	t.Helper()
+	want := was.Spec
+	want.Program.Path = path
+	var err error
+	if want.Program.Digest, err = change.OfFile(path); err != nil {
+		t.Fatal(err)
+	}
+	fleet := conduct.NewFleet([]operator.Member{{Name: m.Name, Listen: m.Keeps}}, 2*time.Second, 2*time.Second)
+	if errs := fleet.Order(context.Background(), map[int]change.Order{0: {Format: 1, Fence: change.Fence{Number: 1, Term: 1, Turn: 1}, By: "x", Member: m.Name, Want: want}}); len(errs) > 0 {
+		t.Fatal(errs)
+	}
+}
+
+// An engine just started while an older and a newer process of one controller live: together they keep rule 4.
+func TestAColdEngineIsSparedByBothProcesses(t *testing.T) {
+	t.Parallel()
+	w, err := rig.Plan{Program: program, Seed: 10, Controllers: 1, Engines: 2, Cold: true}.Town()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	w.Fates.Takes(120 * time.Millisecond)
+	l := w.NewLoad(10, 60, 10*time.Millisecond, false)
+	m := w.Members[0]
+	until(t, w, "jobs are done", func() bool { return l.Done.Load() > 200 })
+	s, err := w.Status(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Reborn("e2")
+	order(t, m, s, other)
+	until(t, w, "both live", func() bool { s, err := w.Status(m); return err == nil && s.Version == "other" && len(s.Drains) == 1 })
+	w.Reborn("e2") // once more, while they do
+	until(t, w, "the older one has ended", func() bool { s, err := w.Status(m); return err == nil && len(s.Drains) == 0 })
+	cold := func() (n int) {
+		started := int64(0)
+		for _, e := range w.Book.Log() {
+			if e.What == rulecheck.Listed && e.Engine == "e2" {
+				started = e.Started
+			}
+			if e.What == rulecheck.Began && e.Engine == "e2" && started != 0 && e.T < started+rig.ColdRules().Warm {
+				n++
+			}
+		}
+		return n
+	}
+	was := cold()
+	until(t, w, "the cold engine is given work by the newer one", func() bool { return cold() > was+5 })
+	l.Stop()
+	if err := w.Stop(); err != nil {
+		t.Error(err)
+	}
+	for _, v := range rulecheck.Check(rig.ColdRules(), w.Book.Log()) {
+		t.Error(v)
+	}
+	tight := rig.ColdRules()
+	tight.FallPerCore /= 100
+	if !slices.ContainsFunc(rulecheck.Check(tight, w.Book.Log()), func(v rulecheck.Violation) bool { return v.Rule == 4 }) {
+		t.Error("so little was sent to it that nothing is shown")
+	}
+}
+
+// What the older process has learned of engines goes over: one that it set aside is aside for the newer one from its start.
+func TestAnEngineSetAsideIsAsideForTheNewerProcess(t *testing.T) {
+	t.Parallel()
+	w, err := rig.NewTown(program, 11, 1, 3, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	l := w.NewLoad(11, 10, 10*time.Millisecond, false)
+	m := w.Members[0]
+	w.Fates.Break("e2", true)
+	var was keep.Status
+	until(t, w, "it is set aside", func() bool { was, err = w.Status(m); return err == nil && was.Aside == 1 })
+	broken := func() (n int) {
+		for _, e := range w.Book.Log() {
+			if e.What == rulecheck.Began && e.Engine == "e2" {
+				n++
+			}
+		}
+		return n
+	}
+	l.Stop() // no job of the older one's is to count below
+	order(t, m, was, other)
+	until(t, w, "the newer one serves", func() bool { s, err := w.Status(m); return err == nil && s.Version == "other" && s.Serves })
+	if s, err := w.Status(m); err != nil || s.Aside != 1 || !strings.Contains(m.Keeper.Log(), "msg=taught types=2 engines=3") {
+		t.Errorf("%d aside, %v: %s", s.Aside, err, m.Keeper.Log())
+	}
+	before := broken()
+	l = w.NewLoad(12, 10, 10*time.Millisecond, false)
+	until(t, w, "jobs are done", func() bool { return l.Done.Load() > 100 })
+	if n := broken() - before; n > 0 {
+		t.Errorf("%d jobs were sent to it", n)
+	}
+	finish(t, w, l)
+}
+
+// A keeper takes its order and dies before it says so, an old controller is ended by hand meanwhile: the change goes through.
+func TestAMemberThatDiesWithItsOrder(t *testing.T) {
+	t.Parallel()
+	w, err := rig.Plan{Program: steered, Seed: 13, Controllers: 3, Engines: 2}.Town()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	l := w.NewLoad(13, 1, 10*time.Millisecond, false)
+	folder := filepath.Join(w.Dir, "record")
+	p, err := w.Rollout(steered, folder, "start", write(t, w, "change.json", strings.Replace(settings(1), `"bake_ms":300`, `"bake_ms":1000`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	until(t, w, "the first stage bakes", func() bool { return phase(folder).Phase == rollout.Baking || p.Over() })
+	r, _, _ := conduct.Look(folder).Record()
+	var next, old *rig.Member
+	for _, m := range w.Members {
+		if !slices.Contains(r.Stages[0], m.Name) {
+			next, old = m, next
+		}
+	}
+	if next == nil || old == nil {
+		t.Fatalf("%v", r.Stages)
+	}
+	s, err := w.Status(old)
+	if err != nil {
+		t.Fatal(err)
+	}
+	syscall.Kill(s.PID, syscall.SIGTERM) // by hand: its keeper starts it again
+	if err := w.Disk(next.Name, "400ms"); err != nil {
+		t.Fatal(err)
+	}
+	until(t, w, "it is ordered, and has not said so", func() bool {
+		text, _ := os.ReadFile(filepath.Join(w.Dir, next.Name, "held.json"))
+		return strings.Contains(string(text), `"budget_free"`) || p.Over()
+	})
+	next.Keeper.End()
+	if err := w.Disk(next.Name, ""); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.Again(next); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Await(); err != nil || phase(folder).Phase != rollout.Done {
+		t.Fatalf("%v, %+v: %s", err, phase(folder), p.Log())
+	}
+	if !all(t, w, func(s keep.Status) bool { return s.Running == r.To.Digest() && s.Serves }) {
+		t.Error("not all run it")
+	}
+	finish(t, w, l)
+}
--- a/internal/fleetcli/owner.go
+++ b/internal/fleetcli/owner.go
@@ -183,12 +183,11 @@
 				if err != nil {
 					return err
 				}
-				if _, last = v.ask(name, "/v1/owner/forget", args[0]); last != nil {
-					continue // one change of members at a time
-				}
-				if views, _ := v.views(); !isIn(views[name].Voters, args[0]) {
-					return nil
+				views, _ := v.views()
+				if own := views[name]; len(own.Voters) > 0 && !isIn(own.Voters, args[0]) {
+					return nil // it was agreed, by this or an earlier word
 				}
+				_, last = v.ask(name, "/v1/owner/forget", args[0]) // one change of members at a time
 			}
 			return fmt.Errorf("%s is not forgotten: %w", args[0], last)
 		}),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -248,17 +249,45 @@
 	return named
 }
 
-// Teach tells the module what an older process of this controller has learned. Types that the settings do not name are
-// passed over; the module says what it takes.
-func (g *Gateway) Teach(named map[string]choice.Means) {
+// Health is what jobs have taught the module of engines, by their names.
+type Health struct {
+	Slow  float64 `json:"slow"`
+	Bad   float64 `json:"bad"`
+	Aside bool    `json:"aside,omitempty"`
+}
+
+// Health tells it.
+func (g *Gateway) Health() map[string]Health {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	named := map[string]Health{}
+	for _, h := range g.module.Health() {
+		if l := g.roster.byID[h.Engine]; l != nil {
+			named[string(l.host.Name)] = Health{h.Slow, h.Bad, h.Aside}
+		}
+	}
+	return named
+}
+
+// Teach tells the module what an older process of this controller has learned. Types that the settings do not name, and
+// engines that no list has named, are passed over; the module says what it takes.
+func (g *Gateway) Teach(named map[string]choice.Means, engines map[string]Health) {
 	list := make([]choice.Means, len(g.names.types))
 	for name, m := range named {
 		if id, is := g.names.types[name]; is {
 			list[id] = m
 		}
 	}
-	g.tell(choice.Event{Kind: choice.Taught, Means: list})
-	slog.Info("taught", "types", len(named))
+	var health []choice.Health
+	g.mu.Lock()
+	for _, name := range slices.Sorted(maps.Keys(engines)) {
+		if l, h := g.roster.byName[name], engines[name]; l != nil {
+			health = append(health, choice.Health{Engine: l.id, Slow: h.Slow, Bad: h.Bad, Aside: h.Aside})
+		}
+	}
+	g.mu.Unlock()
+	g.tell(choice.Event{Kind: choice.Taught, Means: list, Health: health})
+	slog.Info("taught", "types", len(named), "engines", len(health))
 }
 
 // Aside counts the engines that the module has set aside.
--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -352,7 +352,7 @@
 	own := operator.Tally{Listen: "127.0.0.1:0", Spec: h.Want.Digest(), Elder: elder}
 	k.mu.Lock()
 	if k.now != nil && c != k.now { // it has one to learn from
-		own.Learned = k.now.report.Learned
+		own.Learned, own.Health = k.now.report.Learned, k.now.report.Health
 	}
 	k.mu.Unlock()
 	parts["tally"], _ = json.Marshal(own)
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -17,6 +17,7 @@
 	Elder  bool          `json:"elder"` // an older process of this controller serves on what it owes
 
 	Learned json.RawMessage `json:"learned,omitempty"` // what that has learned, as its tally tells it; what cannot be read teaches nothing
+	Health  json.RawMessage `json:"health,omitempty"`  // the same of engines
 }
 
 // Fleet is the controllers that changes go through in stages. Keepers and conductors read it; a controller does not.
--- a/internal/rig/book.go
+++ b/internal/rig/book.go
@@ -37,6 +37,7 @@
 	r    *rand.Rand
 	on   bool
 	work time.Duration
+	bad  map[string]bool // engines
 }
 
 // NewFates draws from a seed; off, all go well.
@@ -79,3 +80,20 @@
 	defer f.mu.Unlock()
 	f.work = work
 }
+
+// Break has an engine fail all that it is asked, or serve again.
+func (f *Fates) Break(engine string, is bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.bad == nil {
+		f.bad = map[string]bool{}
+	}
+	f.bad[engine] = is
+}
+
+// Broken tells whether it does.
+func (f *Fates) Broken(engine string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.bad[engine]
+}
--- a/internal/rig/engine.go
+++ b/internal/rig/engine.go
@@ -24,9 +24,16 @@
 		}
 		switch c.Word {
 		case "stats", "alive":
+			if f.Broken(name) {
+				s.Answer(c.ID, "failed", "", "")
+				return
+			}
 			s.Answer(c.ID, "well", fmt.Sprintf("load=concurrent:%d", len(running)), "")
 		case "fetch":
 			what := f.Draw()
+			if f.Broken(name) {
+				what = Fails
+			}
 			if what == Full {
 				b.Add(rulecheck.Entry{What: rulecheck.Reached, Job: c.ID, Engine: name, Protocol: "line"})
 				s.Answer(c.ID, "full", "", "")
--- a/internal/rig/load.go
+++ b/internal/rig/load.go
@@ -19,14 +19,14 @@
 	pause time.Duration
 	stop  chan struct{}
 	wait  sync.WaitGroup
-	next  atomic.Uint64
+	work  int // ms that jobs say they take
 
 	Done, Throttled, Cancelled, Broken atomic.Int64 // Broken: the connection, before the answer
 }
 
 // NewLoad starts clients at each controller; uneven: the first has double, the last a third.
 func (t *Town) NewLoad(seed uint64, clients int, pause time.Duration, uneven bool) *Load {
-	l := &Load{town: t, seed: seed, pause: pause, stop: make(chan struct{})}
+	l := &Load{town: t, work: int(max(1, t.Fates.Work().Milliseconds())), seed: seed, pause: pause, stop: make(chan struct{})}
 	for i, m := range t.Members {
 		n := clients
 		if uneven && i == 0 {
@@ -84,11 +84,14 @@
 	}
 }
 
+// says is the work that jobs tell of themselves: as it was when the load began.
+func (l *Load) says() string { return fmt.Sprint(l.work) }
+
 // job asks for one; it tells whether the connection still serves.
 func (l *Load) job(c *toy.Caller, name string, chance *rand.Rand) bool {
-	job := fmt.Sprintf("%s%012x", name, l.next.Add(1))
+	job := fmt.Sprintf("%s%012x", name, l.town.jobs.Add(1))
 	typ, ttl, key := "lookup", 2*time.Second, ""
-	fields := []string{"call", job, "ttl", "2000", "org", "acme", "work", "4", "est_mb", "8"}
+	fields := []string{"call", job, "ttl", "2000", "org", "acme", "work", l.says(), "est_mb", "8"}
 	if n := chance.IntN(10); n < 4 {
 		if typ, ttl, fields[3] = "import", 4*time.Second, "4000"; n == 0 {
 			key = "k" + name
--- a/internal/rig/town.go
+++ b/internal/rig/town.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,6 +35,17 @@
 var Rules = rulecheck.Rules{Types: map[string]rulecheck.Type{"lookup": {Effect: rulecheck.Restartable}, "import": {Effect: rulecheck.RunOnce, Ordered: true}},
 	Slack: int64(500 * time.Millisecond), Grace: int64(400 * time.Millisecond)}
 
+// ColdRules are those of a town whose engines start cold: a window of a second, and twice of the third that they begin with.
+func ColdRules() rulecheck.Rules {
+	r := Rules
+	r.Warm, r.Fall, r.FallPerCore = int64(coldFor), int64(time.Second), int64(2*time.Second/3)
+	return r
+}
+
+const coldFor = 6 * time.Second
+
+var coldSettings = strings.Replace(settings, `"invariants":{`, fmt.Sprintf(`"invariants":{"warm_within_ns":%d,"fall_ns":1000000000,"fall_multiple":2,"start_capacity":0.333,`, coldFor), 1)
+
 // Town is engines, a feed, controllers with their keepers, and links between conductors and keepers.
 type Town struct {
 	Dir     string
@@ -44,6 +56,7 @@
 
 	subnet string
 	lock   net.Listener
+	jobs   atomic.Uint64 // numbered
 	feed   *toy.Feed
 	engine map[string]*toy.Engine
 	http   http.Client
@@ -76,6 +89,7 @@
 	StartMS              int               // before a controller is ready; this and what follows: of builds with tag fault, steered
 	ClockMS              map[int]int       // what their time of day is off by
 	Env                  []string          // more of it
+	Cold                 bool              // rule 4 holds: ColdRules
 	Operator             string            // more of the operator's file, as JSON members, each followed by a comma
 	Files                map[string]string // beside the operator's file
 	Parts                string            // more of the operator's part fleet, as JSON members, each followed by a comma
@@ -108,7 +122,7 @@
 			return t, err
 		}
 		t.engine[name] = e
-		hosts = append(hosts, t.host(name, "ready"))
+		hosts = append(hosts, t.host(name, "ready", 0))
 		t.Book.Add(rulecheck.Entry{What: rulecheck.Listed, Engine: name, State: "ready", Zone: "east", Kind: "std", Cores: 16})
 	}
 	known := t.feed.Add(true, "["+strings.Join(hosts, ",")+"]")
@@ -133,6 +147,7 @@
 	if err != nil {
 		return t, err
 	}
+	of := map[bool]string{false: settings, true: coldSettings}
 	for name, text := range o.Files {
 		if err := os.WriteFile(filepath.Join(t.Dir, name), []byte(text), 0o600); err != nil {
 			return t, err
@@ -141,18 +156,18 @@
 	for i, m := range t.Members {
 		config := filepath.Join(t.Dir, m.Name+".json")
 		text := fmt.Sprintf(`{"name":%q,"listen":%q,"seed":"%x","limits":{"cores":1,"memory_mb":192,"sockets":1024},"feed":%q,"known":{"n":1,"events":[%s]},"settings":%s}`,
-			m.Name, m.Clients, seed*100+uint64(i)+1, t.feed.Address(), known, fmt.Sprintf(settings, controllers, i, i%2))
+			m.Name, m.Clients, seed*100+uint64(i)+1, t.feed.Address(), known, fmt.Sprintf(of[o.Cold], controllers, i, i%2))
 		if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
 			return t, err
 		}
-		of := program
+		keeper := program
 		if other := o.Keepers[i]; other != "" {
-			of = other
+			keeper = other
 		}
 		env := append(t.faults(m.Name), "ROUTER_CONFIG="+config, "ROUTER_NAME="+m.Name, "ROUTER_OPERATOR="+t.Fleet,
 			fmt.Sprint("FAULT_CLOCK_MS=", o.ClockMS[i]), fmt.Sprint("FAULT_START_MS=", o.StartMS))
 		env = append(env, o.Env...)
-		m.start = func() (*Process, error) { return Start(of, env, "keep", "--state", filepath.Join(t.Dir, m.Name)) }
+		m.start = func() (*Process, error) { return Start(keeper, env, "keep", "--state", filepath.Join(t.Dir, m.Name)) }
 		if m.Keeper, err = m.start(); err != nil {
 			return t, err
 		}
@@ -165,13 +180,20 @@
 	return t, nil
 }
 
-func (t *Town) host(name, state string) string {
-	return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"east","class":"std","block":0,"health":%q,"share":1,"born_ms":0}`, name, t.engine[name].Address(), state)
+func (t *Town) host(name, state string, born int64) string {
+	return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"east","class":"std","block":0,"health":%q,"share":1,"born_ms":%d}`, name, t.engine[name].Address(), state, born)
+}
+
+// Reborn lists an engine as just started. It is told to controllers first: what they send is counted from then on.
+func (t *Town) Reborn(name string) {
+	now := time.Now()
+	t.Book.Add(rulecheck.Entry{What: rulecheck.Listed, Engine: name, State: "ready", Zone: "east", Kind: "std", Cores: 16, Started: now.UnixNano()})
+	t.feed.Add(false, "["+t.host(name, "ready", now.UnixMilli())+"]")
 }
 
 // List tells the feed of an engine's state, and the book after: the grace counts from what controllers could know.
 func (t *Town) List(name, state string) {
-	t.feed.Add(false, "["+t.host(name, state)+"]")
+	t.feed.Add(false, "["+t.host(name, state, 0)+"]")
 	t.Book.Add(rulecheck.Entry{What: rulecheck.Listed, Engine: name, State: state, Zone: "east", Kind: "std", Cores: 16})
 }
 
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -101,6 +101,7 @@
 	Probes   uint64                     `json:"probes"`
 	Aside    int                        `json:"aside"`             // engines set aside now
 	Learned  json.RawMessage            `json:"learned,omitempty"` // by type, for a newer process of the same controller
+	Health   json.RawMessage            `json:"health,omitempty"`  // of engines, by name, for the same
 	Work     map[judge.Group]judge.Work `json:"work"`
 	Engines  []string                   `json:"engines,omitempty"`   // that are ready, in order of their names
 	Carries  int64                      `json:"carries_per_million"` // of the fleet, as the module goes by
