--- a/internal/owner/core_test.go
+++ b/internal/owner/core_test.go
@@ -286,6 +286,32 @@
 	t.Logf("%d worlds, %d acts: never two that may act", *worlds, acts.Load())
 }
 
+// A ring of cuts: each of five members does not hear the next one, and everyone hears someone. Somebody owns, one at a time, and
+// goes on to do so.
+func TestARingOfCutsHasOneOwner(t *testing.T) {
+	for seed := range uint64(8) {
+		w := newWorld(t, seed, 5)
+		w.start()
+		for i, id := range w.ids {
+			w.cut[[2]uint64{id, w.ids[(i+1)%5]}] = true
+		}
+		for w.now < 60e9 {
+			w.one()
+		}
+		reigns := len(w.owners)
+		if w.broken != "" || reigns == 0 {
+			t.Fatalf("seed %d: %d owners, %s", seed, reigns, w.broken)
+		}
+		acts := w.acts
+		for w.now < 120e9 {
+			w.one()
+		}
+		if w.broken != "" || w.acts-acts < 1000 || len(w.owners)-reigns > 6 {
+			t.Errorf("seed %d: %d acts and %d more owners in a minute, %s", seed, w.acts-acts, len(w.owners)-reigns, w.broken)
+		}
+	}
+}
+
 func TestBrokenVariantsAreFound(t *testing.T) {
 	for name, broken := range map[string]func(*world){"no lease": func(w *world) { w.noLease = true }, "a number reused after its memory was lost": func(w *world) { w.reuse = true }} {
 		found := ""
