A store's first part: a log that survives crashes, and what is known of jobs after one

Nothing serves from it yet: no part of the operator's file names a folder. Change: internal/store (segments whose records are chained, one sync for many, checkpoints; after an error of write or sync it takes nothing more), internal/recovery (fates of jobs, order of keys, answers to repeat; free of I/O), internal/shaky (a disk that loses, tears, reorders, fails and dies at any call), swiftreel store inspect|verify, make proof-store.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # build, test, lint, run. .ci/run does what lint, build and test do, with the test command of README.md.
 
-.PHONY: all build test race fuzz lint run clean proof-solve proof-sparql proof-rollout proof-judge proof-owner proof-owner-virtual sparql
+.PHONY: all build test race fuzz lint run clean proof-solve proof-sparql proof-rollout proof-judge proof-owner proof-owner-virtual proof-store sparql
 
 all: lint build test
 
@@ -54,6 +54,9 @@
 proof-owner-virtual: build
 	go run ./internal/proof/owner -only virtual
 
+proof-store:
+	go run ./internal/proof/store
+
 proof-judge:
 	go run ./internal/proof/rollout -only virtual
 
--- a/internal/fleetcli/fleetcli.go
+++ b/internal/fleetcli/fleetcli.go
@@ -14,6 +14,6 @@
 func Run(args []string, out, errs io.Writer) int {
 	root := &cobra.Command{Use: "swiftreel", Short: "Commands for fleets of controllers", Version: version.Name, SilenceErrors: true, SilenceUsage: true}
 	root.CompletionOptions.HiddenDefaultCmd = true
-	root.AddCommand(keepCommand(), rolloutCommand(), fleetCommand())
+	root.AddCommand(keepCommand(), rolloutCommand(), fleetCommand(), storeCommand())
 	return cli.Execute(root, args, out, errs)
 }
--- /dev/null
+++ b/internal/fleetcli/store_test.go
@@ -0,0 +1,71 @@
+package fleetcli
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"swiftreel/internal/recovery"
+	"swiftreel/internal/store"
+)
+
+func TestAStoreIsLookedAtAndNotChanged(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "store")
+	f, err := store.OpenFolder(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g, _, err := store.Open(f, store.Usual(), func(store.Record) error { return nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range []struct {
+		k store.Kind
+		v any
+	}{{recovery.TakenKind, recovery.Taken{Call: "c1", Type: "import", Key: "k", Effect: recovery.RunOnce}}, {recovery.SentKind, recovery.Sent{Call: "c1", Engine: "e1"}},
+		{recovery.TakenKind, recovery.Taken{Call: "c2", Type: "import", Effect: recovery.RunOnce}}} {
+		r, err := recovery.Entry(v.k, v.v)
+		if err == nil {
+			_, err = g.Append([]store.Record{r})
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	run := func(args ...string) (string, int) {
+		var out, errs bytes.Buffer
+		code := Run(append([]string{"store"}, args...), &out, &errs)
+		return out.String() + errs.String(), code
+	}
+	// Another process has it: it can be looked at all the same.
+	if text, code := run("verify", dir); code != 0 || !strings.Contains(text, "3 records, 2 jobs open, 0 answers kept") {
+		t.Errorf("%d %s", code, text)
+	}
+	text, code := run("inspect", dir)
+	if code != 0 || !strings.Contains(text, "cancel for good") || !strings.Contains(text, "may go again") {
+		t.Errorf("%d %s", code, text)
+	}
+	g.Close()
+	f.Close()
+	names, err := filepath.Glob(filepath.Join(dir, "log-*"))
+	if err != nil || len(names) != 1 {
+		t.Fatal(names, err)
+	}
+	text2, err := os.ReadFile(names[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	text2[70] ^= 0xff
+	text2[80] ^= 0xff
+	if err := os.WriteFile(names[0], text2, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if text, code := run("verify", dir); code != 2 || !strings.Contains(text, filepath.Base(names[0])+", offset") {
+		t.Errorf("%d %s", code, text)
+	}
+	if now, err := os.ReadFile(names[0]); err != nil || !bytes.Equal(now, text2) {
+		t.Error("looking at it changes it")
+	}
+}
