A lower part counts as taken once the controller goes by it, not when its keeper has heard

Cause, found by reading: the owner took a keeper's word for its controller's: between the two (50 ms, or as long as a controller hangs) the controller went by the higher part while the rest was given on. A hanging controller also held its keeper up by 2 s a turn. Change: status tells carried_word (all processes of the controller, none older); the ledger goes by that; parts are carried to those that answer. The committer of the store copies the first batch. The watch of the proof counts what controllers go by.

--- a/internal/conduct/process_test.go
+++ b/internal/conduct/process_test.go
@@ -481,15 +481,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := was.Spec
-	want.Program.Path = other
-	if want.Program.Digest, err = change.OfFile(other); err != nil {
-		t.Fatal(err)
-	}
-	fleet := conduct.NewFleet([]operator.Member{{Name: m.Name, Listen: m.Keeps}}, 2*time.Second, 2*time.Second)
-	if errs := fleet.Order(context.Background(), map[int]change.Order{0: {Format: 1, Fence: change.Fence{Number: 1, Term: 1, Turn: 1}, By: "x", Member: m.Name, Want: want}}); len(errs) > 0 {
-		t.Fatal(errs)
-	}
+	order(t, m, was, other)
 	until(t, w, "the other program serves", func() bool {
 		s, err := w.Status(m)
 		return err == nil && s.Version == "other" && s.Serves && len(s.Drains) == 1
--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -224,15 +224,23 @@
 	if next != nil {
 		s.nextFits, s.nextReady = next.program == held.Want.Program, next.report.Ready && next.report.Spec == held.Want.Digest()
 	}
+	var carry []*child // those that answer: one that hangs must not hold up orders
+	for _, c := range []*child{now, next} {
+		if c != nil && c.report.Ready && word.Part[parts.Fleet] > 0 {
+			carry = append(carry, c)
+		}
+	}
 	k.drained = held.Drain && now == nil && next == nil && len(k.olds) == 0
 	again := k.drained && k.failed != "" && time.Since(k.checked) >= recheck
 	k.mu.Unlock()
 	if again {
 		k.recheck(held.Want.Program)
 	}
-	for _, c := range []*child{now, next} {
-		if at := [2]int64{word.Reign, word.Count}; c != nil && word.Part[parts.Fleet] > 0 && c.part != at && c.carry(ctx, &k.http, word) {
+	for _, c := range carry {
+		if at := [2]int64{word.Reign, word.Count}; c.part != at && c.carry(ctx, &k.http, word) {
+			k.mu.Lock()
 			c.part = at
+			k.mu.Unlock()
 		}
 	}
 	switch s.decide() {
@@ -460,6 +468,7 @@
 	if k.asked = now; !k.ordered.IsZero() {
 		s.OrderMS = now.Sub(k.ordered).Milliseconds()
 	}
+	s.Carried = k.carried()
 	for _, c := range k.olds {
 		s.Drains = append(s.Drains, c.cmd.Process.Pid)
 	}
@@ -473,6 +482,19 @@
 	return s
 }
 
+// carried is the last word by whose part all that lives here goes; 0: one of them may go by an earlier one yet, as it was not told,
+// or as a part that ends is not taken back. The lock is held.
+func (k *Keeper) carried() int64 {
+	all := len(k.olds) == 0
+	for _, c := range []*child{k.now, k.next} {
+		all = all && (c == nil || c.part == [2]int64{k.word.Reign, k.word.Count})
+	}
+	if !all {
+		return 0
+	}
+	return k.word.Count
+}
+
 // Handler speaks with conductors and the fleet's owner: GET /v1/status, POST /v1/order, POST /v1/word.
 func (k *Keeper) Handler() *http.ServeMux {
 	mux := http.NewServeMux()
--- a/internal/keep/keep_test.go
+++ b/internal/keep/keep_test.go
@@ -2,14 +2,20 @@
 
 import (
 	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"swiftreel/internal/boot"
 	"swiftreel/internal/change"
 	"swiftreel/internal/handout"
+	"swiftreel/internal/parts"
+	"swiftreel/internal/tally"
 )
 
 func TestEndsInARowAreWaitedOutLongerAndLonger(t *testing.T) {
@@ -128,3 +134,55 @@
 		t.Errorf("%+v", k.Status())
 	}
 }
+
+// A lower part counts as taken once the controller goes by it: that its keeper has heard of it is not enough.
+func TestAPartIsTakenOnceTheControllerHasIt(t *testing.T) {
+	dir := t.TempDir()
+	program := filepath.Join(dir, "program")
+	os.WriteFile(program, []byte("x"), 0o700)
+	k, err := New(Options{Name: "c1", State: filepath.Join(dir, "state"), Program: program})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []tally.Part
+	well := false
+	door := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var p tally.Part
+		if !well || json.NewDecoder(r.Body).Decode(&p) != nil {
+			http.Error(w, "not now", http.StatusServiceUnavailable)
+			return
+		}
+		got = append(got, p)
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	defer door.Close()
+	c := &child{program: k.held.Want.Program, ended: make(chan struct{}), address: strings.TrimPrefix(door.URL, "http://")}
+	c.report.Ready = true
+	c.cmd = exec.Command("true")
+	c.cmd.Process = &os.Process{Pid: os.Getpid()}
+	k.now = c
+	hear := func(count, share int64) {
+		t.Helper()
+		if err := k.Hear(handout.Word{Reign: 1, Count: count, Owner: "a", Member: "c1", Life: k.life, Part: parts.Share{parts.Fleet: share, parts.Quota("acme"): 7}, PartUntil: boot.Now() + 60e9}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	hear(3, 500_000)
+	if c.carry(t.Context(), &k.http, k.word) || k.Status().Carried != 0 {
+		t.Error("it counts as taken, and was not")
+	}
+	well = true
+	if !c.carry(t.Context(), &k.http, k.word) || len(got) != 1 || got[0].PerMillion != 500_000 || got[0].Quotas["acme"] != 7 {
+		t.Fatalf("%+v", got)
+	}
+	if c.part = [2]int64{1, 3}; k.Status().Carried != 3 {
+		t.Error("it was taken, and does not count")
+	}
+	if hear(4, 100_000); k.Status().Carried != 0 {
+		t.Error("the next counts before it is taken")
+	}
+	k.olds = append(k.olds, &child{cmd: c.cmd})
+	if c.part = [2]int64{1, 4}; k.Status().Carried != 0 {
+		t.Error("an older process goes by an earlier part, and it counts")
+	}
+}
--- a/internal/keep/status.go
+++ b/internal/keep/status.go
@@ -38,6 +38,7 @@
 	BootNS      int64                      `json:"boot_ns"`             // the machine's own clock, now
 	Word        handout.Held               `json:"word"`                // what is held of the owner's words
 	Carries     int64                      `json:"carries_per_million"` // of the fleet, as its controller goes by
+	Carried     int64                      `json:"carried_word"`        // the last word by whose part its controller goes for certain; 0: not known
 	EngineCount int                        `json:"engine_count"`        // that its controller sees ready
 	Engines     []string                   `json:"engines,omitempty"`   // that its controller sees ready; told where asked for
 	Others      map[string]json.RawMessage `json:"-"`
--- a/internal/owner/hand.go
+++ b/internal/owner/hand.go
@@ -193,7 +193,7 @@
 				}
 			}
 			if h.ledger != nil && a.Status.Word.Reign == int64(h.a.reign) {
-				h.ledger.Holds(m.Name, a.Status.Word.Count)
+				h.ledger.Holds(m.Name, a.Status.Carried)
 			}
 			if len(a.Status.Engines) > 0 {
 				engines = append(engines, a.Status.Engines)
--- a/internal/parts/ledger.go
+++ b/internal/parts/ledger.go
@@ -75,7 +75,7 @@
 // Record is what is agreed.
 func (l *Ledger) Record() Record { return l.record }
 
-// Holds takes in that a member says which word it took last: what was given before is over.
+// Holds takes in that a member says by which word's part it goes, controller and all: what was given before is over.
 func (l *Ledger) Holds(member string, count int64) {
 	if h := l.out[member]; h.count > 0 && count == h.count {
 		h.most = h.last
--- a/internal/rig/parts.go
+++ b/internal/rig/parts.go
@@ -9,7 +9,7 @@
 	"swiftreel/internal/parts"
 )
 
-// PartsWatch looks again and again at what a town's controllers hold of the whole. It counts only what was held at one
+// PartsWatch looks again and again at what a town's controllers go by of the whole. It counts only what was held at one
 // moment for certain: what two looks, one after the other, both show, or what one that cannot be asked must still hold.
 type PartsWatch struct {
 	town *Town
@@ -62,7 +62,7 @@
 	for i, m := range p.town.Members {
 		wait.Go(func() {
 			now[i] = last[i]
-			if s, err := p.town.Status(m); err == nil {
+			if s, err := p.town.Status(m); err == nil && s.Carried != 0 { // else its controller goes by the part before
 				now[i] = partAt{s.Word.Part[parts.Fleet], s.Word.PartUntil}
 			}
 		})
--- a/internal/store/commit.go
+++ b/internal/store/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -87,7 +88,7 @@
 
 // batch commits one and what waits behind it.
 func (c *Committer) batch(first waiting) {
-	list, records, size := []waiting{first}, first.records, 0
+	list, records, size := []waiting{first}, slices.Clone(first.records), 0
 	for more := true; more && size < mostBatch; {
 		select {
 		case w := <-c.queue:
