A parts record that may still be agreed is written over before anything is given

Cause, found by reading: a write that timed out ("it may be yet") left the ledger with the record before it; where the wish went back meanwhile, parts were given by that, and an owner who took over could go by the late record and give the same part twice. Change: the ledger is in doubt after such a write, and when it begins (a reign may be taken up again by one process); Next then asks for a write also where nothing differs, and nothing is given in that look. Result: the test failed without it (nothing written over); parts, the walk of two owners and the owner's tests pass.

--- a/internal/owner/hand.go
+++ b/internal/owner/hand.go
@@ -133,6 +133,7 @@
 				err = h.a.Write(partsItem, text)
 			}
 			if err != nil {
+				h.ledger.Doubt()
 				return err
 			}
 			h.ledger.Agreed(next)
--- a/internal/parts/ledger.go
+++ b/internal/parts/ledger.go
@@ -42,6 +42,7 @@
 	record Record
 	life   int64 // of a part, by its holder's clock, ns
 	out    map[string]held
+	doubt  bool // a record that was not known to be agreed may be yet, until a later one is
 }
 
 // held is what a member may hold: the most of all that it was given and that has not ended.
@@ -54,7 +55,7 @@
 
 // NewLedger takes over from an owner before: all that was agreed may be out until one life from now on.
 func NewLedger(r Record, life, now int64) *Ledger {
-	l := &Ledger{record: Record{Caps: map[string]Share{}}, life: life, out: map[string]held{}}
+	l := &Ledger{record: Record{Caps: map[string]Share{}}, life: life, out: map[string]held{}, doubt: true}
 	for m, s := range r.Caps {
 		l.record.Caps[m] = maps.Clone(s)
 		l.out[m] = held{most: maps.Clone(s), ends: now + l.outlives()}
@@ -84,7 +85,7 @@
 }
 
 // Next is the record that comes closest to what is wanted now: a cap falls to what may still be out, and rises into what is
-// free by the record as it stands. It tells whether it differs; then it has to be agreed, and taken, before it counts.
+// free by the record as it stands. It tells whether it differs, or one is in doubt; then it has to be agreed, and taken, before it counts.
 func (l *Ledger) Next(want map[string]Share, now int64) (r Record, differs bool) {
 	r.Caps = map[string]Share{}
 	free := map[Of]int64{}
@@ -122,11 +123,15 @@
 			delete(r.Caps, m)
 		}
 	}
-	return r, !maps.EqualFunc(r.Caps, l.record.Caps, maps.Equal[Share, Share])
+	return r, l.doubt || !maps.EqualFunc(r.Caps, l.record.Caps, maps.Equal[Share, Share])
 }
 
 // Agreed takes a record that was agreed.
-func (l *Ledger) Agreed(r Record) { l.record = r }
+func (l *Ledger) Agreed(r Record) { l.record, l.doubt = r, false }
+
+// Doubt takes in that a record may be agreed later, or never. Until one behind it is agreed nothing may be given: who takes
+// over might go by that one.
+func (l *Ledger) Doubt() { l.doubt = true }
 
 // Give is what a member is given now, with a word of that number: no more than is agreed. heard is when its own time, from
 // which its part's life counts, came to be known. What is over is forgotten.
--- a/internal/parts/ledger_test.go
+++ b/internal/parts/ledger_test.go
@@ -145,6 +145,30 @@
 	return ""
 }
 
+// A record whose write timed out may be agreed later: one that is wanted no more must be written over before anything is given.
+func TestARecordInDoubtIsWrittenOver(t *testing.T) {
+	l := NewLedger(Record{}, 5000, 0)
+	want := map[string]Share{"a": {Fleet: 700_000}, "b": {Fleet: 300_000}}
+	r, differs := l.Next(want, 1)
+	if l.Agreed(r); !differs {
+		t.Error("the first is not written")
+	}
+	if _, differs := l.Next(want, 2); differs {
+		t.Error("what is agreed is written again")
+	}
+	if _, differs := l.Next(map[string]Share{"a": {Fleet: 300_000}}, 3); !differs {
+		t.Error("a change is not written")
+	}
+	l.Doubt() // it timed out, and what was wanted before is wanted again
+	r, differs = l.Next(want, 4)
+	if !differs {
+		t.Error("nothing is written over it")
+	}
+	if l.Agreed(r); l.Give("a", want["a"], 5, 1)[Fleet] != 700_000 {
+		t.Error("it is not given once it is agreed")
+	}
+}
+
 // What is wanted comes to be, once what was out has ended or been given back.
 func TestPartsConverge(t *testing.T) {
 	l := NewLedger(Record{}, 5000, 0)
