--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -28,11 +28,12 @@
 )
 
 // lateArrivals is how long after SIGTERM jobs may still come: on new connections for 0.4 s, 0.2 s more on open ones,
-// and some to spare. Then the program ends once nothing was owed for quietLast, in which it must not have stood still:
-// what came meanwhile would lie unread.
+// and some to spare; what comes later is throttled. Then the program ends once nothing was owed, nor lay unread or half
+// read, for quietLast, in which it must not have stood still. Half a message is waited for no longer than lateMost.
 const (
 	quietLast = 100 * time.Millisecond
 	quietLook = 10 * time.Millisecond
+	lateMost  = 2 * time.Second
 )
 
 var lateArrivals = time.Second // shorter in tests where nothing comes late
@@ -130,7 +131,11 @@
 	for quiet, last := time.Duration(0), at; quiet < quietLast; {
 		time.Sleep(quietLook)
 		now := time.Now()
-		if quiet += quietLook; now.Sub(at) < lateArrivals || front.Owed()+side.owed() > 0 || now.Sub(last) > 5*quietLook {
+		if now.Sub(at) >= lateArrivals {
+			front.Refuse()
+		}
+		if quiet += quietLook; now.Sub(at) < lateArrivals || front.Owed()+side.owed() > 0 || now.Sub(last) > 5*quietLook ||
+			now.Sub(at) < lateArrivals+lateMost && front.Unread() {
 			quiet = 0
 		}
 		last = now
--- a/internal/client/call.go
+++ b/internal/client/call.go
@@ -66,20 +66,33 @@
 	if wait > 0 {
 		field, value = fieldWait, strconv.FormatInt(max(1, wait.Milliseconds()), 10)
 	}
-	l.conn.pace.refused()
-	l.answer(net.Buffers{appendError(nil, l.id, wordThrottle, field, value)})
+	l.refuse(appendError(nil, l.id, wordThrottle, field, value))
 }
 
 // Failed answers that the job is cancelled for good, which promises nothing.
 func (l *call) Failed(reason string) {
+	l.refuse(appendError(nil, l.id, wordFailed, "reason", reason))
+}
+
+// refuse answers without a result, and does not wait for the client to read it.
+func (l *call) refuse(b []byte) {
 	l.conn.pace.refused()
-	l.answer(net.Buffers{appendError(nil, l.id, wordFailed, "reason", reason)})
+	if l.conn.settle(l, 0) {
+		if l.conn.reply(b) != nil {
+			l.conn.nc.Close()
+		}
+		l.conn.front.owed.Add(-1)
+	}
 }
 
+// Here looks whether the client is still there, as far as its connection shows: also where the reader has not come to
+// its close, behind all that it sent before.
+func (l *call) Here() bool { return !l.conn.gone() }
+
 // answer writes the one answer of a call, unless the client left before.
 func (l *call) answer(parts net.Buffers) {
-	if l.conn.settle(l) {
-		l.conn.writeAll(parts)
+	if l.conn.settle(l, 1) {
+		l.conn.writeResult(parts)
 		l.conn.front.owed.Add(-1)
 	}
 }
--- /dev/null
+++ b/internal/client/crossing_test.go
@@ -0,0 +1,412 @@
+package client
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"swiftreel/internal/check"
+	"swiftreel/internal/gateway"
+	"swiftreel/internal/limits"
+)
+
+// Pairs of events that can cross, each held in its bad order by a gate: never by how long something takes.
+
+// taker hands on what is taken; held, it keeps the reader in its first Take until it is let go.
+type taker struct {
+	asks chan gateway.Ask
+	held chan struct{}
+}
+
+func (t *taker) Ready() bool { return true }
+func (t *taker) Take(a gateway.Ask) {
+	t.asks <- a
+	if t.held != nil {
+		<-t.held
+	}
+}
+
+func (t *taker) got(test *testing.T) gateway.Ask {
+	test.Helper()
+	select {
+	case a := <-t.asks:
+		return a
+	case <-time.After(20 * time.Second):
+		test.Fatal("nothing is taken")
+	}
+	return gateway.Ask{}
+}
+
+// door accepts a connection once it is opened, and has it made with small buffers.
+type door struct {
+	*net.TCPListener
+	open chan struct{}
+}
+
+func (d door) Accept() (net.Conn, error) {
+	nc, err := d.TCPListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	nc.(*net.TCPConn).SetWriteBuffer(64 << 10)
+	<-d.open
+	return nc, nil
+}
+
+type stand struct {
+	t     *testing.T
+	front *Front
+	taker *taker
+	door  door
+}
+
+func newStand(t *testing.T, most int64) *stand {
+	parts := new(limits.Parts)
+	parts.ClientConns.Store(most)
+	parts.Bytes.Allow(1 << 20)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &stand{t: t, taker: &taker{asks: make(chan gateway.Ask, 1000)}, door: door{l.(*net.TCPListener), make(chan struct{})}}
+	s.front = NewFront(s.taker, parts)
+	t.Cleanup(func() {
+		l.Close()
+		s.front.Close()
+	})
+	go s.front.Serve(s.door)
+	return s
+}
+
+func (s *stand) dial() *net.TCPConn {
+	nc, err := net.Dial("tcp", s.door.Addr().String())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { nc.Close() })
+	return nc.(*net.TCPConn)
+}
+
+func (s *stand) until(what string, is func() bool) {
+	s.t.Helper()
+	for stop := time.Now().Add(20 * time.Second); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(stop) {
+			s.t.Fatal(what)
+		}
+	}
+}
+
+func callOf(id uint32, body string) []byte {
+	return AppendCall(nil, id, "lookup", []string{"call", fmt.Sprintf("%016x", id), "ttl", "20000"}, []byte(body))
+}
+
+// The client has closed, behind more calls than one read takes: none of them is taken.
+func TestNothingIsTakenOfAClientThatHasGone(t *testing.T) {
+	for name, end := range map[string]func(*net.TCPConn){
+		"close": func(c *net.TCPConn) { c.Close() },
+		"reset": func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStand(t, 6)
+			c := s.dial()
+			for id := range uint32(200) {
+				c.Write(callOf(id, "SELECT 1 FROM a_1.b"))
+			}
+			end(c)
+			close(s.door.open)
+			s.until("its connection stays", func() bool {
+				s.front.mu.Lock()
+				defer s.front.mu.Unlock()
+				return len(s.front.conns) == 0
+			})
+			if n := len(s.taker.asks); n > 0 {
+				t.Errorf("%d calls are taken", n)
+			}
+			s.until("answers stay owed", func() bool { return s.front.Owed() == 0 })
+		})
+	}
+}
+
+// The calls' revokes lie behind more bytes than one read takes.
+func TestACallIsNotTakenWhoseRevokeLiesUnread(t *testing.T) {
+	s := newStand(t, 6)
+	c := s.dial()
+	body := string(make([]byte, 1000))
+	for id := range uint32(30) {
+		c.Write(callOf(id+1, body))
+	}
+	for id := range uint32(30) {
+		c.Write(AppendRevoke(nil, id+1))
+	}
+	c.Write(callOf(31, "last"))
+	close(s.door.open)
+	if a := s.taker.got(t); string(a.Statement) != "last" {
+		t.Errorf("a call is taken whose revoke had come: %.10q", a.Statement)
+	}
+}
+
+// A client that reads nothing fills the way back, and then takes a call back: the reader must not wait to be read.
+func TestARevokeIsReadWhileAnswersAreNot(t *testing.T) {
+	s := newStand(t, 6)
+	close(s.door.open)
+	c := s.dial()
+	c.Write(callOf(1, "SELECT 1 FROM a_1.b"))
+	c.Write(callOf(2, "SELECT 1 FROM a_1.b"))
+	one, two := s.taker.got(t), s.taker.got(t)
+	left := make(chan struct{})
+	two.From.OnLeave(func() { close(left) })
+	var wrote sync.WaitGroup
+	wrote.Go(func() { one.From.Done([][]byte{make([]byte, 8<<20)}) }) // far past what the system takes of it
+	defer wrote.Wait()
+	defer c.Close()
+	s.until("no answer is being written", func() bool { return s.front.writing() })
+	broken := check.Of("client_writes_broken")
+	c.Write(AppendHeartbeat(nil, 3))
+	c.Write(AppendRevoke(nil, 2))
+	select {
+	case <-left:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the revoke is not read")
+	}
+	if check.Of("client_writes_broken") != broken {
+		t.Error("it was read only once the connection had ended")
+	}
+}
+
+// writing tells whether some result is being written.
+func (f *Front) writing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if c.mu.Lock(); c.results > 0 {
+			c.mu.Unlock()
+			return true
+		}
+		c.mu.Unlock()
+	}
+	return false
+}
+
+// One that asks on and reads nothing is bounded: it loses its connection.
+func TestAnswersThatNobodyReadsAreBounded(t *testing.T) {
+	s := newStand(t, 6)
+	close(s.door.open)
+	c := s.dial()
+	for id := uint32(1); ; id++ {
+		if _, err := c.Write(AppendHeartbeat(nil, id)); err != nil {
+			break // reset, or closed
+		}
+		if id == 10_000_000 {
+			t.Fatal("never ended")
+		}
+	}
+}
+
+// A connection makes way while its client's next call is on its way, and the last answer lies unread with the client:
+// the answer is not lost, the call is not taken, and the client sees an end in order.
+func TestACallThatCrossesTheCloseOfAnIdleConnection(t *testing.T) {
+	s := newStand(t, 1)
+	close(s.door.open)
+	c := s.dial()
+	c.Write(AppendHeartbeat(nil, 1))
+	s.until("no answer written", func() bool { return s.front.idleNow() == 1 })
+	other := s.dial() // has no room: the idle one makes way
+	if !ready(other) {
+		t.Fatal("no answer")
+	}
+	crossed := check.Of("calls_crossed")
+	c.Write(callOf(2, "SELECT 1 FROM a_1.b"))
+	s.until("what crossed is not read", func() bool { return check.Of("calls_crossed") > crossed })
+	got, err := io.ReadAll(c)
+	if a, n, bad := ParseAnswer(got); err != nil || bad != nil || !a.Ready || n != len(got) {
+		t.Errorf("%q, %v", got, err)
+	}
+	if len(s.taker.asks) > 0 {
+		t.Error("the call is taken")
+	}
+}
+
+// idleNow counts the connections that asked and have been answered.
+func (f *Front) idleNow() (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if _, said, idle := c.idle(); said && idle {
+			n++
+		}
+	}
+	return n
+}
+
+// A result is being written on a connection with nothing else open: it is not idle, and does not make way.
+func TestAConnectionThatIsWrittenToDoesNotMakeWay(t *testing.T) {
+	s := newStand(t, 1)
+	close(s.door.open)
+	c := s.dial()
+	c.Write(callOf(1, "SELECT 1 FROM a_1.b"))
+	one := s.taker.got(t)
+	const size = 8 << 20
+	var wrote sync.WaitGroup
+	wrote.Go(func() { one.From.Done([][]byte{make([]byte, size)}) })
+	s.until("no answer is being written", func() bool { return s.front.writing() })
+	full := check.Of("client_conns_full")
+	other := s.dial()
+	s.until("nobody is at the door", func() bool { return check.Of("client_conns_full") > full })
+	b := make([]byte, size)
+	if _, err := io.ReadFull(c, b); err != nil {
+		t.Errorf("the answer is cut: %v", err)
+	}
+	wrote.Wait()
+	if !ready(other) {
+		t.Error("no room once it was written")
+	}
+}
+
+// The controller ends with a call unread behind an answer that was just written.
+func TestAnAnswerIsNotLostToACallUnreadAtTheEnd(t *testing.T) {
+	s := newStand(t, 6)
+	s.taker.held = make(chan struct{})
+	close(s.door.open)
+	c := s.dial()
+	c.Write(callOf(1, "SELECT 1 FROM a_1.b"))
+	one := s.taker.got(t) // the reader stands still
+	c.Write(callOf(2, "SELECT 1 FROM a_1.b"))
+	s.until("the second call has not come", s.front.Unread)
+	one.From.Done([][]byte{[]byte("a\tb\tc\n")})
+	ended := make(chan struct{})
+	go func() {
+		s.front.Close()
+		close(ended)
+	}()
+	s.until("not closing", func() bool {
+		s.front.mu.Lock()
+		defer s.front.mu.Unlock()
+		return s.front.ended
+	})
+	close(s.taker.held)
+	got, err := io.ReadAll(c)
+	if a, n, bad := ParseAnswer(got); err != nil || bad != nil || string(a.Body) != "a\tb\tc\n" || n != len(got) {
+		t.Errorf("%q, %v", got, err)
+	}
+	<-ended
+	if len(s.taker.asks) > 0 {
+		t.Error("the second call is taken")
+	}
+	s.front = NewFront(s.taker, s.front.parts) // for the clean-up to close
+}
+
+// A call that is read once the controller takes nothing more is throttled and not sent on.
+func TestWhatIsReadAfterTheEndBeganIsThrottled(t *testing.T) {
+	s := newStand(t, 6)
+	c := s.dial()
+	c.Write(callOf(1, "SELECT 1 FROM a_1.b"))
+	s.front.Refuse()
+	close(s.door.open)
+	b := make([]byte, 100)
+	c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	n, err := c.Read(b)
+	if a, _, bad := ParseAnswer(b[:n]); err != nil || bad != nil || a.Error != wordThrottle || len(s.taker.asks) > 0 {
+		t.Errorf("%+v, %v, %v", a, err, bad)
+	}
+	s.until("an answer stays owed", func() bool { return s.front.Owed() == 0 })
+}
+
+// What was accepted by the system only, lies unread, or was read in part is seen before the end.
+func TestUnreadIsSeen(t *testing.T) {
+	s := newStand(t, 6)
+	s.taker.held = make(chan struct{})
+	if s.front.Unread() {
+		t.Error("something is seen where nothing came")
+	}
+	first, second := s.dial(), s.dial() // the door holds the first; the second waits with the system
+	s.until("who waits to be accepted is not seen", s.front.Unread)
+	close(s.door.open)
+	s.until("both are accepted", func() bool { return !s.front.Unread() })
+	first.Write(callOf(1, "SELECT 1 FROM a_1.b"))
+	s.taker.got(t)
+	first.Write([]byte{0x94})
+	s.until("what lies unread is not seen", s.front.Unread)
+	second.Write(append(AppendHeartbeat(nil, 1), 0x94))
+	s.until("half a message is not seen", func() bool {
+		s.front.mu.Lock()
+		defer s.front.mu.Unlock()
+		for c := range s.front.conns {
+			if c.half.Load() {
+				return true
+			}
+		}
+		return false
+	})
+	close(s.taker.held)
+}
+
+// Where all have asked of late and one more is at the door, the one idle longest makes way at once. Seen on sockets: idle
+// clients held all places, each newcomer waited for one of them to be silent for long enough, 841 of 2,650 requests were
+// never taken up, and one of a key overtook another that waited at the door.
+func TestIdleClientsMakeWayForWhoeverIsAtTheDoor(t *testing.T) {
+	s := newStand(t, 100)
+	close(s.door.open)
+	now := time.Now()
+	conns := map[*conn]struct{}{}
+	for i := range 40 {
+		there := s.dial()
+		nc, err := net.Dial("tcp", s.door.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		_ = there
+		conns[&conn{front: s.front, nc: nc.(*net.TCPConn), came: now.Add(-time.Second), said: true, used: now.Add(-time.Duration(i) * time.Millisecond),
+			open: map[uint32]*call{}}] = struct{}{}
+	}
+	nc, err := net.Dial("tcp", s.door.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	newcomer := &conn{front: s.front, nc: nc.(*net.TCPConn), came: now.Add(-silentLeast / 2), open: map[uint32]*call{}}
+	conns[newcomer] = struct{}{}
+	f := &Front{conns: conns}
+	c := f.spare(now)
+	if c == nil || now.Sub(c.used) != 39*time.Millisecond {
+		t.Fatalf("%+v makes way", c)
+	}
+	for range 6 { // a flood of those that say nothing: they make way themselves, once they had their moment
+		conns[&conn{front: s.front, nc: newcomer.nc, came: newcomer.came, open: map[uint32]*call{}}] = struct{}{}
+	}
+	if c := f.spare(now); c != nil {
+		t.Errorf("%+v makes way for a flood", c)
+	}
+	if c := f.spare(now.Add(silentLeast)); c == nil || c.said {
+		t.Errorf("%+v makes way instead of one of the flood", c)
+	}
+}
+
+// Lingering connections are bounded: clients that never close cost no more descriptors.
+func TestLingeringIsBounded(t *testing.T) {
+	s := newStand(t, 1)
+	close(s.door.open)
+	var conns []*net.TCPConn
+	for range 10 {
+		c := s.dial()
+		if !ready(c) {
+			t.Fatal("no answer")
+		}
+		conns = append(conns, c)
+		s.front.mu.Lock()
+		if n := len(s.front.lingering); n > 1 {
+			t.Errorf("%d linger", n)
+		}
+		s.front.mu.Unlock()
+	}
+	for _, c := range conns[:9] {
+		c.SetReadDeadline(time.Now().Add(20 * time.Second))
+		if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+			t.Errorf("not closed in order: %v", err)
+		}
+	}
+}
--- a/internal/client/front.go
+++ b/internal/client/front.go
@@ -4,8 +4,10 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"swiftreel/internal/check"
@@ -34,13 +36,16 @@
 	bad, unusable check.Grumble
 	pulse         *pulse
 	owed          atomic.Int64 // answers owed or being written
+	refusing      atomic.Bool  // nothing more is taken
 	done          chan struct{}
 	reading       sync.WaitGroup
 
-	mu    sync.Mutex
-	room  *sync.Cond
-	conns map[*conn]struct{} // until closed
-	ended bool
+	mu        sync.Mutex
+	room      *sync.Cond
+	conns     map[*conn]struct{} // until closed, or lingering
+	lingering []*conn            // half-closed by us, until their clients close them too; the first for longest
+	listener  syscall.Conn       // nil: not known
+	ended     bool
 }
 
 // NewFront serves a taker within its part of the limits.
@@ -55,6 +60,9 @@
 
 // Serve accepts connections until the listener is closed.
 func (f *Front) Serve(l net.Listener) error {
+	f.mu.Lock()
+	f.listener, _ = l.(syscall.Conn)
+	f.mu.Unlock()
 	for {
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -90,9 +98,10 @@
 	for len(f.conns) >= f.parts.ClientConns.Most() && !f.ended {
 		check.Count("client_conns_full")
 		if c := f.spare(time.Now()); c != nil {
-			c.nc.Close()
-			delete(f.conns, c)
-			return
+			if c.leaveIdle() { // else a call came just now: it stays, and another makes way
+				f.linger(c)
+			}
+			continue
 		}
 		wake := time.AfterFunc(silentLeast/4, f.room.Signal)
 		f.room.Wait()
@@ -100,9 +109,9 @@
 	}
 }
 
-// spare finds the connection that makes way. In a flood of clients that say nothing it is the oldest of those; else the
-// one idle longest, if usual clients would have closed it by now, or nobody is silent. Never one with something to be
-// read, which may be a call.
+// spare finds the connection that makes way. In a flood of clients that say nothing it is the oldest of those, once it
+// had its moment; else the one idle longest, if usual clients would have closed it by now, or nobody is silent: its client
+// loses nothing, where one who waits at the door loses its time. Never one with something to be read, which may be a call.
 func (f *Front) spare(now time.Time) *conn {
 	var silent, idle *conn
 	var since time.Time
@@ -119,18 +128,32 @@
 			idle, since = c, used
 		}
 	}
+	flood := unsaid > len(f.conns)/floodPart
 	switch {
-	case silent != nil && unsaid > len(f.conns)/floodPart:
+	case silent != nil && flood:
 		return silent
-	case idle != nil && (unsaid == 0 || now.Sub(since) >= usualIdle):
+	case idle != nil && (silent == nil && !flood || now.Sub(since) >= usualIdle):
 		return idle
 	}
 	return silent
 }
 
+// linger takes a half-closed connection out of the count. Its descriptor is one of the reserved ones (limits) until its
+// client closes it too; where too many do not, the first is closed for good. The lock is held.
+func (f *Front) linger(c *conn) {
+	delete(f.conns, c)
+	f.lingering = append(f.lingering, c)
+	if len(f.lingering) > max(1, f.parts.Lingering.Most()) {
+		check.Count("lingering_full")
+		f.lingering[0].nc.Close()
+		f.lingering = slices.Delete(f.lingering, 0, 1)
+	}
+}
+
 func (f *Front) drop(c *conn) {
 	f.mu.Lock()
 	delete(f.conns, c)
+	f.lingering = slices.DeleteFunc(f.lingering, func(o *conn) bool { return o == c })
 	f.mu.Unlock()
 	f.room.Signal()
 }
@@ -138,13 +161,32 @@
 // Owed counts the calls whose answer has not gone out.
 func (f *Front) Owed() int64 { return f.owed.Load() }
 
-// Close ends all connections, and waits for what reads them.
+// Refuse has all calls throttled that are taken from now on; what was taken before is owed its answer.
+func (f *Front) Refuse() { f.refusing.Store(true) }
+
+// Unread tells whether something that clients sent lies unread, was read in part, or waits to be accepted.
+func (f *Front) Unread() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listener != nil && waits(f.listener) {
+		return true
+	}
+	for c := range f.conns {
+		if c.half.Load() || c.hasUnread() {
+			return true
+		}
+	}
+	return false
+}
+
+// Close ends all connections, and waits for what reads them. Each is half-closed first: an answer that was just written
+// reaches a client that had written more, which is not sent on.
 func (f *Front) Close() {
 	f.mu.Lock()
 	f.ended = true
 	close(f.done)
 	for c := range f.conns {
-		c.nc.Close()
+		c.halfClose()
 	}
 	f.room.Broadcast()
 	f.mu.Unlock()
--- a/internal/client/pace.go
+++ b/internal/client/pace.go
@@ -24,12 +24,14 @@
 func (p *pace) message() { p.spent.Add(1) }
 func (p *pace) refused() { p.spent.Add(paceRefused - 1) }
 
-// rest is called between reads, and sleeps where too much came.
-func (p *pace) rest(now time.Time) {
-	if wait := p.owes(now); wait > 0 {
+// rest is called between reads, and sleeps where too much came; it tells whether it did.
+func (p *pace) rest(now time.Time) bool {
+	wait := p.owes(now)
+	if wait > 0 {
 		check.Count("clients_slowed")
 		time.Sleep(wait)
 	}
+	return wait > 0
 }
 
 // owes tells how long the next read must wait. What was sent is forgiven as time passes.
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -38,6 +38,7 @@
 	Throttled(wait time.Duration)
 	Failed(reason string)
 	OnLeave(func())
+	Here() bool // whether the client is still there, looked at anew; it never waits
 }
 
 // job is one that was taken and whose function has not returned.
@@ -177,6 +178,15 @@
 			write()
 		}
 	}
+	// left is over with a job whose client has gone.
+	left := func() {
+		if !answered {
+			answered = true
+			g.answered(j)
+			g.count(j, tally.Left, count, 0)
+			g.tell(choice.Event{Kind: choice.ClientLeft, Job: j.id})
+		}
+	}
 	for !answered || now != nil || !g.forget(j) {
 		m, is := j.in.next()
 		if !is {
@@ -198,12 +208,7 @@
 		}
 		switch {
 		case m.left:
-			if !answered {
-				answered = true
-				g.answered(j)
-				g.count(j, tally.Left, count, 0)
-				g.tell(choice.Event{Kind: choice.ClientLeft, Job: j.id})
-			}
+			left()
 		case m.given != 0:
 			ended(m.from, m.given, back.Reply{})
 		case m.from != nil:
@@ -241,6 +246,10 @@
 		case m.order.Kind == choice.Dispatch:
 			s := &sent{seq: count, engine: m.order.Engine, at: time.Now()}
 			count++
+			if !answered && !j.From.Here() { // its leave may stand behind this order, or behind what lies unread
+				check.Count("dispatches_for_nobody")
+				left()
+			}
 			host, is := g.host(s.engine, j.Protocol)
 			if check.That(is && now == nil, "dispatch_out_of_turn"); !is || now != nil || answered || !s.at.Before(lost) {
 				g.moot(j, s, answered)
--- a/internal/gateway/names_test.go
+++ b/internal/gateway/names_test.go
@@ -106,6 +106,7 @@
 func (a asker) Throttled(time.Duration) { a.said <- "throttled" }
 func (a asker) Failed(string)           { a.said <- "failed" }
 func (a asker) OnLeave(left func())     { a.leave(left) }
+func (a asker) Here() bool              { return true }
 
 func TestAFloodEndsInThrottling(t *testing.T) {
 	facts := choice.Facts{"classes": []any{map[string]any{"name": "lookup", "idempotency": "repeatable", "aim_ns": 5e8}},
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -14,6 +14,7 @@
 type Parts struct {
 	ClientConns Count // well over the third of the descriptors that usual clients hold
 	EngineConns Count // the same at least
+	Lingering   Count // closed by us, not yet by their clients: of the reserve
 	Jobs        Count // taken and not over
 	Bytes       Bytes // statements and results
 	Reads       Bytes // messages of clients that are being read
@@ -25,7 +26,8 @@
 // Most gives it.
 func (c *Count) Most() int { return int(c.Load()) }
 
-// reserve is for standard streams, poller, listener, feeds, the configuration, and what the runtime opens for a moment.
+// reserve is for standard streams, poller, listener, feeds, the configuration, what the runtime opens for a moment, and
+// connections that linger.
 func reserve(sockets int) int { return min(40, 12+sockets/32) }
 
 // Apply sets the runtime's bounds and divides the rest. What is held over a bound that shrank runs out by and by.
@@ -34,6 +36,7 @@
 	debug.SetMemoryLimit(int64(l.MemoryMB * 0.7 * (1 << 20)))
 	left := l.Sockets - reserve(l.Sockets)
 	p.ClientConns.Store(int64(max(1, left/2)))
+	p.Lingering.Store(int64(max(1, (reserve(l.Sockets)-12)/2)))
 	p.EngineConns.Store(int64(max(1, left-left/2)))
 	p.Jobs.Store(int64(min(1<<20, 64*l.MemoryMB)))
 	p.Bytes.Allow(int64(l.MemoryMB * 0.2 * (1 << 20)))
--- a/internal/sparql/front/front.go
+++ b/internal/sparql/front/front.go
@@ -374,6 +374,13 @@
 	}
 }
 
+// Here implements gateway.Asker.
+func (a *answer) Here() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.gone
+}
+
 // wait ends with the answer out, or the client gone.
 func (a *answer) wait() {
 	defer close(a.over)
