--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -33,10 +33,10 @@
 const (
 	quietLast = 100 * time.Millisecond
 	quietLook = 10 * time.Millisecond
-	lateMost  = 2 * time.Second
 )
 
-var lateArrivals = time.Second // shorter in tests where nothing comes late
+// Variables for tests, where nothing comes late, or half a message is held for as long as it takes.
+var lateArrivals, lateMost = time.Second, 2 * time.Second
 
 func main() {
 	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr, serve))
--- a/cmd/swiftreel/main_test.go
+++ b/cmd/swiftreel/main_test.go
@@ -567,6 +567,70 @@
 	w.caller = nil
 }
 
+// What was begun before the end, and what comes once nothing is taken any more, is answered and not sent on; a client that
+// rests until the controller ends it sees an end in order.
+func TestWhatIsHalfReadAtTheEndIsAnswered(t *testing.T) {
+	w := newTown(t, "e1")
+	usual := lateMost
+	lateMost = time.Minute
+	defer func() { lateMost = usual }()
+	late, resting := w.dial(), w.dial()
+	defer late.Conn.Close()
+	defer resting.Conn.Close()
+	for _, c := range []*toy.Caller{late, resting} {
+		if ready, err := c.Ready(); !ready || err != nil {
+			t.Fatal(ready, err)
+		}
+	}
+	call := client.AppendCall(nil, 9, "lookup", []string{"call", "00000000000000bb", "ttl", "20000", "org", "acme"}, []byte("SELECT 1 FROM a_1.b"))
+	late.Conn.Write(call[:20])
+	before := check.Of("calls_after_stop")
+	w.stop <- syscall.SIGTERM
+	for taken := 0; check.Of("calls_after_stop") == before; taken++ { // until nothing is taken any more
+		id, err := w.caller.Send("lookup", "SELECT 1 FROM a_1.b", "call", fmt.Sprintf("%016x", 0xcc00+taken), "ttl", "20000", "org", "acme")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if check.Of("calls_after_stop") == before {
+			select {
+			case c := <-w.commands:
+				c.from.Answer(c.ID, "data", "sheets=1", "one\tb\tc\n")
+			case <-w.refused(before):
+			}
+		}
+		if a, err := w.caller.Read(20 * time.Second); err != nil || a.ID != id || a.Error != "" && a.Error != "Overloaded" {
+			t.Fatal(a, err)
+		}
+	}
+	late.Conn.Write(call[20:])
+	if a, err := late.Read(20 * time.Second); err != nil || a.ID != 9 || a.Error != "Overloaded" {
+		t.Fatal(a, err)
+	}
+	if len(w.commands) > 0 {
+		t.Errorf("sent on: %+v", <-w.commands)
+	}
+	if err := <-w.ended; err != nil {
+		t.Fatal(err)
+	}
+	if _, err := resting.Read(20 * time.Second); err != io.EOF {
+		t.Errorf("not ended in order: %v", err)
+	}
+	w.caller.Conn.Close()
+	w.caller = nil
+}
+
+// refused is closed once a call was throttled because nothing is taken any more.
+func (w *town) refused(before uint64) <-chan struct{} {
+	seen := make(chan struct{})
+	go func() {
+		for stop := time.Now().Add(20 * time.Second); check.Of("calls_after_stop") == before && time.Now().Before(stop); {
+			time.Sleep(time.Millisecond)
+		}
+		close(seen)
+	}()
+	return seen
+}
+
 func (w *town) dialReady() (bool, error) {
 	c := w.dial()
 	defer c.Conn.Close()
