A dispatch has an end by which its first byte goes; a cold engine is counted in calls

Seen in reading and in tests: (1) a dial that came up within the dial time-out sent its dispatch although the grace of a drain (250 ms) or a keyed job's window of repeats was over by then: engine/conn.go send knew the dial time-out only. The module now says until when (Action.Until: now + drain grace; for what may have run, the end of its window). (2) A dispatch went over an idle connection that the engine had closed, where the reader had not come to that, or that held half a line: a run-once job was lost with it. send looks at the socket (POLLRDHUP), idleTo passes over half lines.

Causes: many short calls fill a budget of work (now a call counts as 0.51 of the mean at least, so the budget is at most N calls); turns went by each controller's own start and number of turns (now by the clock that all share, nested, so that who counts more turns adds few); an engine that refused and had not been heard since was thought warm once the outage was old (now it starts at the earliest now).

coldSafety 0.51 is the product of the two factors that stood there (0.6 x 0.85).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -46,7 +46,7 @@
 
 	planPull, planMissing, planBack, offeredOver = 1.0, 0.2, 0.5, 10 * second // threads a core; part gone, back
 
-	coldSafety, turnPart, swapPart = 0.6, 0.75, 0.8   // of what a cold engine stands; in turns; of paged memory
+	coldSafety, turnPart, swapPart = 0.51, 0.75, 0.8  // of what a cold engine stands; in turns; of paged memory
 	emptied, outageLasts           = 0.15, 5 * second // of jobs usual: fewer, it just started; after a refusal
 	fewOut, fewCores, ownGrant     = 2.0, 4.0, 1.25   // jobs, cores: fewer tell little; granted over an estimate
 
@@ -78,10 +78,10 @@
 	case Answered:
 		own = c.answer(ev)
 	case StreamBegan, ClientLeft:
-		if j := c.jobs[ev.Job]; j == nil || j.over {
-			break
-		} else if j.streaming = ev.Kind == StreamBegan; !j.streaming {
-			c.end(j)
+		if j := c.jobs[ev.Job]; j != nil && !j.over {
+			if j.streaming = ev.Kind == StreamBegan; !j.streaming {
+				c.end(j)
+			}
 		}
 	case Probed:
 		c.probed(ev)
@@ -149,7 +149,7 @@
 	}
 	c.zone, c.crossing = ZoneID(f.num("locality", 0)), f.num("tariffs.cross_zone", 0)
 	c.probes, c.cancels = f.flag("limits.probes"), f.flag("limits.cancel")
-	c.warmWithin = f.span("invariants.warm_within_ns")
+	c.warmWithin, c.grace = f.span("invariants.warm_within_ns"), Nanos(f.num("invariants.drain_grace_ns", 1e18))
 	c.swaps, c.step = f.text("domain.memory_short") == "swap", f.span("step_ns")
 	c.period, c.grantMost = f.span("domain.note_period_ns"), f.num("domain.max_grant_share", 1)
 	c.concurrentAt = slices.Index(f.list("telemetry.fields"), any("concurrent"))
@@ -294,11 +294,9 @@
 		return true
 	}
 	if ends > j.due {
-		if worth *= t.late; worth == 0 {
-			return true
-		}
+		worth *= t.late
 	}
-	return worth/j.work < t.price*c.worthMean/c.workMean
+	return (worth == 0 && ends > j.due) || worth/j.work < t.price*c.worthMean/c.workMean
 }
 
 func (c *Controller) bucketOf(t *jobType, tenant TenantID) *bucket {
@@ -508,7 +506,9 @@
 
 // started is when an engine last started, as far as known or feared: in an outage any not heard of since.
 func (c *Controller) started(e *engine) Nanos {
-	if c.now-c.refused < outageLasts && e.heard < c.outage {
+	if e.down { // it refused, and was not heard since: it starts now at the earliest
+		return c.now
+	} else if c.now-c.refused < outageLasts && e.heard < c.outage {
 		return max(e.StartedAt, e.back, c.outage)
 	}
 	return max(e.StartedAt, e.back)
@@ -588,25 +588,24 @@
 // coldRoom is rule 4: our part of what a just-started engine stands in any window, even where that holds a
 // job, else by turns. Who just started, or lost an elder, waits a window: what it sent before is not known.
 func (c *Controller) coldRoom(j *job, e *engine) bool {
-	if c.warmth(e) >= 1 {
-		return true
-	}
-	window := c.facts.span("invariants.fall_ns")
+	window, sum := c.facts.span("invariants.fall_ns"), c.coldWork(j)
 	stands := c.facts.num("invariants.fall_multiple", 1) * c.facts.num("invariants.start_capacity", 0)
-	budget := coldSafety * stands * 0.85 * e.cores * float64(window)
-	sum := max(j.work, j.typ.usual)
+	budget := coldSafety * stands * e.cores * float64(window)
 	for _, s := range e.sent {
 		sum += s.work
 	}
 	turns, ours := max(1, int(budget/max(1, c.longest()))), true
-	if turns < c.controllers {
-		slot := int((c.now-c.started(e))/max(window, 1)) + int(e.Engine)
-		ours = (c.me+c.controllers-slot*turns%c.controllers)%c.controllers < turns
+	if turns < c.controllers { // by the clock, which all share: who thinks of more turns adds few others to them
+		ours = (c.me+int(c.now/max(window, 1))+int(e.Engine))%c.controllers < turns
 		budget *= turnPart // two turns may meet in a window
 	}
-	return ours && c.now-max(c.booted, c.alone) >= window && sum <= budget/float64(min(turns, c.controllers))
+	return c.warmth(e) >= 1 || (ours && c.now-max(c.booted, c.alone) >= window &&
+		sum <= budget/float64(min(turns, c.controllers)))
 }
 
+// coldWork is what a job counts of that: a part of the mean at least, so that many short ones are few calls.
+func (c *Controller) coldWork(j *job) float64 { return max(j.work, j.typ.usual, coldSafety*c.workMean) }
+
 // rationed is rule 7: whether one more dispatch beyond a job's first keeps within the stated budget.
 func (c *Controller) rationed() bool {
 	window, free := c.facts.span("invariants.extra_window_ns"), c.facts.num("invariants.budget_free", 0)
@@ -646,14 +645,18 @@
 	if c.grants || c.facts.flag("domain.takes_priority") {
 		c.do(Action{Kind: Terms, Job: j.id, Priority: priority, MemoryMB: grant})
 	}
-	c.do(Action{Kind: Dispatch, Job: j.id, Engine: e.Engine})
+	until := c.now + c.grace // later it may be told to be draining for too long
+	if j.mayHaveRun && !t.repeatable {
+		until = min(until, j.firstAt+t.window-2*c.step)
+	}
+	c.do(Action{Kind: Dispatch, Job: j.id, Engine: e.Engine, Until: until})
 	f := &flight{job: j, engine: e, seq: Seq(j.dispatches), sent: c.now, noted: c.now, memory: held,
 		expect: j.work / t.threads * t.slow}
 	if j.dispatches > 0 {
 		c.further = append(c.further, c.now)
 	}
 	if c.warmth(e) < 1 {
-		e.sent = append(e.sent, sentWork{c.now, max(j.work, t.usual)})
+		e.sent = append(e.sent, sentWork{c.now, c.coldWork(j)})
 	}
 	if !j.mayHaveRun {
 		j.firstAt, j.first = c.now, e
@@ -853,16 +856,15 @@
 			c.fresh(e, fmt.Sprintf("holds %.0f jobs where %.0f are usual", holds, usual))
 		}
 		c.others(e, (holds-float64(len(e.flights)))*c.threadsEach())
+		e.loaded = c.now
 	} else if each := c.grantEach(); told(c.grantedAt) && each*e.memory > 0 {
 		held := min(load[c.grantedAt], 1e3) * e.memory
 		if !c.grants {
 			held /= ownGrant
 		}
 		c.others(e, (held-e.grants)/each)
-	} else {
-		return
+		e.loaded = c.now
 	}
-	e.loaded = c.now
 }
 
 // others notes the threads of siblings at an engine, as just told by it or by them.
--- /dev/null
+++ b/choice/cold_test.go
@@ -0,0 +1,291 @@
+package choice
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand"
+	"testing"
+)
+
+// A cold engine under a whole fleet, in virtual time: what all controllers together send it in any window is held against
+// the budget of the settings, in calls and in calls of mean work, of which 2 roots and 2 are chance.
+
+// coldDay is one draw of a fleet.
+type coldDay struct {
+	controllers int
+	uneven      bool  // one in four has nine times the traffic of the others
+	late        Nanos // the start is told within so long, to each at a time of its own
+	untold      bool  // no list tells it: each finds out by itself
+	restarts    int   // controllers that start anew while the engine is cold
+	skew        Nanos // of the controllers' clocks
+	multiple    float64
+}
+
+// knownStart tells whether a controller was told of an engine's start, saw that it came back, or saw it refuse.
+func (e *engine) knownStart() bool { return e.StartedAt > 0 || e.back > 0 || e.down }
+
+type coldCall struct {
+	at   Nanos
+	work float64
+}
+
+type ending struct {
+	at     Nanos
+	of     int // controller
+	job    JobID
+	seq    Seq
+	engine EngineID
+	sent   Nanos
+	result Result
+}
+
+type endings []ending
+
+func (q endings) Len() int           { return len(q) }
+func (q endings) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q endings) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *endings) Push(v any)        { *q = append(*q, v.(ending)) }
+func (q *endings) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+type coldJob struct {
+	work, threads float64
+	at            EngineID
+	seq           Seq
+	out           bool
+}
+
+const (
+	coldEngine           = EngineID(900)
+	coldCores, warmCount = 16.0, 7
+	coldWindow, coldWarm = 2 * second, 14 * second
+	coldCapacity         = 0.36
+)
+
+var coldWorks, coldShares, coldThreads = []float64{0.3e9, 6e9, 10e9}, []float64{0.76, 0.17, 0.07}, []float64{1, 3, 2}
+
+func coldFacts(d coldDay, me int) Facts {
+	f := plainFacts().set("balancers", float64(d.controllers)).set("me", float64(me)).set("domain.cpu_of_kind", []any{coldCores}).
+		set("domain.class_threads", []any{1.0, 3.0, 2.0}).set("domain.size_mb", []any{64000.0}).set("tariffs", map[string]any{"probe": 0.01}).
+		set("invariants.start_capacity", coldCapacity).set("invariants.fall_multiple", d.multiple).
+		set("invariants.fall_ns", float64(coldWindow)).set("invariants.warm_within_ns", float64(coldWarm))
+	return f
+}
+
+// play gives the most calls, and the most work in calls of mean work, that the cold engine got in any window, as a part of
+// what stands, and what part of N was used over the warm-up.
+func (d coldDay) play(seed int64) (calls, works, used float64, n float64) {
+	chance := rand.New(rand.NewSource(seed))
+	mean := 0.0
+	for i, w := range coldWorks {
+		mean += w * coldShares[i]
+	}
+	n = d.multiple * coldCapacity * coldCores * float64(coldWindow) / mean
+	const warm = Nanos(1e15)
+	begin, born := warm, warm+12*second
+	type fleetOf struct {
+		c      *Controller
+		timers map[Mark]Nanos
+		jobs   map[JobID]*coldJob
+		last   JobID
+		skew   Nanos
+		rate   float64
+		hears  Nanos
+		dies   Nanos
+	}
+	fleet := make([]*fleetOf, d.controllers)
+	inHand := map[EngineID]int{}
+	var queue endings
+	var got []coldCall
+	now := begin
+	var carry func(i int, acts []Action)
+	tell := func(i int, ev Event) { carry(i, append([]Action(nil), fleet[i].c.Decide(now+fleet[i].skew, ev)...)) }
+	carry = func(i int, acts []Action) {
+		o := fleet[i]
+		for _, a := range acts {
+			switch a.Kind {
+			case Timer:
+				o.timers[a.Mark] = now + a.Span
+			case Probe:
+				result, load := Done, []float64{float64(inHand[a.Engine])}
+				if a.Engine == coldEngine && now < born {
+					result, load = Unreachable, nil
+				}
+				tell(i, Event{Kind: Probed, Engine: a.Engine, Result: result, Load: load})
+			case Dispatch:
+				j := o.jobs[a.Job]
+				j.at, j.out = a.Engine, true
+				e := ending{at: now + Nanos(j.work/j.threads*(1+0.2*chance.Float64())), of: i, job: a.Job, seq: j.seq, engine: a.Engine, sent: now, result: Done}
+				if a.Engine == coldEngine && now < born {
+					e.at, e.result = now+ms, Unreachable
+				} else if at, _ := o.c.find(coldEngine); a.Engine == coldEngine && o.c.engines[at].knownStart() {
+					got = append(got, coldCall{now, j.work})
+					inHand[a.Engine]++
+				} else {
+					inHand[a.Engine]++
+				}
+				j.seq++
+				heap.Push(&queue, e)
+			case Retract:
+				if j := o.jobs[a.Job]; j != nil && j.out {
+					for q := range queue {
+						if queue[q].of == i && queue[q].job == a.Job {
+							queue[q].at, queue[q].result = now+10*ms, Retracted
+							heap.Init(&queue)
+							break
+						}
+					}
+				}
+			case Throttle, CancelForGood:
+				if j := o.jobs[a.Job]; j != nil && !j.out {
+					delete(o.jobs, a.Job)
+				}
+			}
+		}
+	}
+	lines := func(cold bool) []Line {
+		var list []Line
+		for e := range warmCount {
+			list = append(list, Line{Engine: EngineID(100 + e), State: Ready})
+		}
+		if d.untold {
+			list = append(list, Line{Engine: coldEngine, State: Ready})
+		} else if cold {
+			list = append(list, Line{Engine: coldEngine, State: Ready, StartedAt: born})
+		}
+		return list
+	}
+	start := func(i int) {
+		o := fleet[i]
+		o.c, o.timers, o.jobs = &Controller{}, map[Mark]Nanos{}, map[JobID]*coldJob{}
+		for q := range queue { // nobody hears of what was out
+			if queue[q].of == i {
+				queue[q].of = -1
+			}
+		}
+		tell(i, Event{Kind: Started, Seed: uint64(seed)*1000 + uint64(i), Facts: coldFacts(d, i)})
+		tell(i, Event{Kind: Listed, List: CachedList, Lines: lines(now >= o.hears)})
+	}
+	total := 0.0
+	for i := range fleet {
+		o := &fleetOf{rate: 1, hears: born + Nanos(chance.Float64()*float64(d.late)), skew: Nanos((chance.Float64() - 0.5) * float64(d.skew)), dies: math.MaxInt64}
+		if d.uneven && i%4 == 0 {
+			o.rate = 9
+		}
+		if i < d.restarts {
+			o.dies = born + Nanos(chance.Float64()*8e9)
+		}
+		total += o.rate
+		fleet[i] = o
+		start(i)
+	}
+	perSecond := 0.85 * coldCores * warmCount * float64(second) / mean // calls, over all
+	for now = begin; now < born+coldWarm; now += 5 * ms {
+		for len(queue) > 0 && queue[0].at <= now {
+			e := heap.Pop(&queue).(ending)
+			if e.result != Unreachable {
+				inHand[e.engine]--
+			}
+			if e.of < 0 {
+				continue
+			}
+			o := fleet[e.of]
+			j := o.jobs[e.job]
+			if j == nil {
+				continue
+			}
+			if j.out = false; e.result == Done {
+				delete(o.jobs, e.job)
+			}
+			bill, load := uint32(0), []float64{float64(inHand[e.engine])}
+			if e.result == Unreachable {
+				load = nil
+			}
+			if e.result == Done {
+				bill = uint32(min(j.work/1e6, 1<<20-1)) << 12
+			}
+			tell(e.of, Event{Kind: Answered, Job: e.job, Seq: e.seq, Engine: e.engine, Result: e.result, Latency: now - e.sent, Final: e.result == Done,
+				Bill: bill, Load: load})
+		}
+		for i, o := range fleet {
+			if now >= o.dies {
+				o.dies = math.MaxInt64
+				start(i)
+			}
+			if now >= o.hears && now-5*ms < o.hears && !d.untold {
+				tell(i, Event{Kind: Listed, List: ListChanges, Lines: []Line{{Engine: coldEngine, State: Ready, StartedAt: born}}})
+			}
+			for mark, at := range o.timers {
+				if at <= now {
+					delete(o.timers, mark)
+					tell(i, Event{Kind: TimerDue, Mark: mark})
+				}
+			}
+			for expect := perSecond * o.rate / total * 0.005; chance.Float64() < expect; expect-- {
+				kind, p := 0, chance.Float64()
+				for p -= coldShares[0]; p > 0 && kind < 2; p -= coldShares[kind] {
+					kind++
+				}
+				work := coldWorks[kind] * math.Exp(0.8*chance.NormFloat64()-0.32)
+				o.last++
+				o.jobs[o.last] = &coldJob{work: work, threads: coldThreads[kind]}
+				cost := work * math.Exp(0.3*chance.NormFloat64())
+				tell(i, Event{Kind: Arrived, Job: o.last, Type: TypeID(kind), Key: Key(chance.Int63()), Tables: TableSet(chance.Intn(20)), Left: 40 * second, Cost: Nanos(cost), CostKnown: true, MemoryMB: 100})
+			}
+		}
+	}
+	allowed := func(at Nanos) float64 { // what the settings allow it then
+		return n * (1 + (1/coldCapacity-1)*min(1, float64(at-born)/float64(coldWarm)))
+	}
+	whole := 0.0
+	for at := born; at < born+coldWarm; at += coldWindow {
+		whole += allowed(at)
+	}
+	for i, first := range got {
+		count, sum := 0.0, 0.0
+		for _, c := range got[i:] {
+			if c.at >= first.at+coldWindow {
+				break
+			}
+			count, sum = count+1, sum+c.work/mean
+		}
+		stands := allowed(first.at)
+		stands += 2*math.Sqrt(stands) + 2
+		calls, works = max(calls, count/stands), max(works, sum/stands)
+	}
+	return calls, works, float64(len(got)) / whole, n
+}
+
+func TestAColdEngineStandsUnderTheSumOfAllControllers(t *testing.T) {
+	for _, n := range []int{3, 20, 30} {
+		for _, multiple := range []float64{2.5, 0.5} { // 0.5: a part is far under one call
+			for name, d := range map[string]coldDay{
+				"even":                    {},
+				"uneven":                  {uneven: true},
+				"told at different times": {uneven: true, late: 3 * second},
+				"restarted meanwhile":     {uneven: true, restarts: (n + 1) / 2, late: second},
+				"told by no list":         {uneven: true, untold: true},
+				"clocks apart":            {uneven: true, skew: 100 * ms, late: second},
+			} {
+				d.controllers, d.multiple = n, multiple
+				t.Run(fmt.Sprintf("%d controllers, times %.1f, %s", n, multiple, name), func(t *testing.T) {
+					t.Parallel()
+					mostCalls, mostWorks, used, budget := 0.0, 0.0, 0.0, 0.0
+					const seeds = 6
+					for seed := range int64(seeds) {
+						calls, works, u, b := d.play(seed)
+						mostCalls, mostWorks, used, budget = max(mostCalls, calls), max(mostWorks, works), used+u/seeds, b
+					}
+					t.Logf("N=%.1f: at most %.2f of what stands in calls, %.2f in work; used %.2f of N", budget, mostCalls, mostWorks, used)
+					if mostCalls > 1 || mostWorks > 1 {
+						t.Error("pushed over")
+					}
+				})
+			}
+		}
+	}
+}
--- a/choice/replay_test.go
+++ b/choice/replay_test.go
@@ -3,6 +3,7 @@
 import (
 	"compress/gzip"
 	"encoding/gob"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"hash/fnv"
@@ -27,12 +28,16 @@
 	h := fnv.New64a()
 	fmt.Fprintf(h, "%d", sum)
 	for _, a := range acts {
-		fmt.Fprintf(h, "|%d %d %d %d %d %d %x %d %d %v %q", a.Kind, a.Job, a.Engine, a.Seq, a.Span, a.Priority, a.MemoryMB, a.Mark, a.Peer,
+		fmt.Fprintf(h, "|%d %d %d %d %d %d %d %x %d %d %v %q", a.Kind, a.Job, a.Engine, a.Seq, a.Span, a.Until, a.Priority, a.MemoryMB, a.Mark, a.Peer,
 			a.On, a.Text)
 	}
 	return h.Sum64()
 }
 
+// GobEncode and GobDecode let streams be recorded whose events can teach: Means has no exported fields.
+func (m Means) GobEncode() ([]byte, error)   { return json.Marshal(m) }
+func (m *Means) GobDecode(text []byte) error { return json.Unmarshal(text, m) }
+
 // variants of settings, each a stream.
 var variants = map[string]func(Facts) Facts{
 	"few":    func(f Facts) Facts { return f },
--- a/choice/types.go
+++ b/choice/types.go
@@ -184,6 +184,7 @@
 	Engine   EngineID
 	Seq      Seq
 	Span     Nanos // Dispatch: time-out; Throttle: retry-after; Timer: delay
+	Until    Nanos // Dispatch: later than this not one byte of it may go out, and it never ran
 	Priority uint8
 	MemoryMB float64
 	Mark     Mark
@@ -291,46 +292,46 @@
 
 // Controller decides for one instance.
 type Controller struct {
-	facts                                Facts
-	chance                               pcg
-	acts                                 []Action
-	tick                                 Mark  // of the last timer set
-	now, booted, swept, asked, until     Nanos // asked: for changes of the list; until: we stop
-	alone                                Nanos // since when no older process of ours runs: far ahead while one does
-	outage, refused, reportedLast        Nanos // engines refuse since, and last did; last report
-	saved                                Nanos // when a probe was last paid for
-	warmWithin, step, period, retryAfter Nanos // step: between batches; period: between notes
-	zone                                 ZoneID
-	probes, cancels, swaps, grants       bool // grants: ours are heeded
-	priced, pressed, tracked             bool
-	even, guess, share                   float64 // 1/controllers; what we carry by the reports where more; or as told
-	mostTries, controllers, me           int
-	reach, concurrentAt, grantedAt       int     // engines looked at; places in a report: jobs in hand, memory
-	crossing, grantMost                  float64 // price of crossing; part of a memory that a job gets at most
-	cores, crowd                         float64 // of ready engines; threads a core over the fleet, by reports
-	outJobs, outThreads, outGrants       float64 // ours out of late
-	off, offN                            float64 // of answers: log of the time taken over the time expected
-	slowMean, badMean                    float64 // of engines not aside: latency over best, part lost or failed
-	arrivals, worthMean, workMean        float64
-	spanMean, holdMean                   float64 // of jobs taken: work/threads, and memory times that
-	probesLeft, spare                    float64 // probes, and further dispatches of what may have run, paid for
-	types                                []*jobType
-	engines                              []*engine                // by id; a gone one leaves once nothing is out
-	jobs                                 map[JobID]*job           // until over and nothing is out
-	live                                 []*job                   // the same, in order of arrival
-	buckets                              []*bucket                // emptied by completions, dropped once idle
-	lines                                map[Key]*keyLine         // dropped when empty and rested
-	tenants                              map[TenantID]*tenantSeen // dropped after tenantMemory
-	taken, further                       []Nanos                  // inside the rationing window
-	part                                 Part                     // told by the fleet's owner
-	plan                                 *Plan                    // worked out ahead; nil: none
-	hold, offered                        float64                  // how far it is followed; threads asked of us
-	words                                []word                   // of siblings, by number, at those who gather
-	said                                 string                   // our last word
-	saidAt, mapAt, mapped                Nanos                    // our last word; last map heard, and sent
-	wordsLeft, mapsLeft                  float64                  // points for them
-	round                                int
-	untold, next                         int // jobs taken since our word; map's next engine
+	facts                                       Facts
+	chance                                      pcg
+	acts                                        []Action
+	tick                                        Mark  // of the last timer set
+	now, booted, swept, asked, until            Nanos // asked: for changes of the list; until: we stop
+	alone                                       Nanos // since when no older process of ours runs: far ahead while one does
+	outage, refused, reportedLast               Nanos // engines refuse since, and last did; last report
+	saved                                       Nanos // when a probe was last paid for
+	warmWithin, grace, step, period, retryAfter Nanos // step: between batches; period: between notes
+	zone                                        ZoneID
+	probes, cancels, swaps, grants              bool // grants: ours are heeded
+	priced, pressed, tracked                    bool
+	even, guess, share                          float64 // 1/controllers; what we carry by the reports where more; or as told
+	mostTries, controllers, me                  int
+	reach, concurrentAt, grantedAt              int     // engines looked at; places in a report: jobs in hand, memory
+	crossing, grantMost                         float64 // price of crossing; part of a memory that a job gets at most
+	cores, crowd                                float64 // of ready engines; threads a core over the fleet, by reports
+	outJobs, outThreads, outGrants              float64 // ours out of late
+	off, offN                                   float64 // of answers: log of the time taken over the time expected
+	slowMean, badMean                           float64 // of engines not aside: latency over best, part lost or failed
+	arrivals, worthMean, workMean               float64
+	spanMean, holdMean                          float64 // of jobs taken: work/threads, and memory times that
+	probesLeft, spare                           float64 // probes, and further dispatches of what may have run, paid for
+	types                                       []*jobType
+	engines                                     []*engine                // by id; a gone one leaves once nothing is out
+	jobs                                        map[JobID]*job           // until over and nothing is out
+	live                                        []*job                   // the same, in order of arrival
+	buckets                                     []*bucket                // emptied by completions, dropped once idle
+	lines                                       map[Key]*keyLine         // dropped when empty and rested
+	tenants                                     map[TenantID]*tenantSeen // dropped after tenantMemory
+	taken, further                              []Nanos                  // inside the rationing window
+	part                                        Part                     // told by the fleet's owner
+	plan                                        *Plan                    // worked out ahead; nil: none
+	hold, offered                               float64                  // how far it is followed; threads asked of us
+	words                                       []word                   // of siblings, by number, at those who gather
+	said                                        string                   // our last word
+	saidAt, mapAt, mapped                       Nanos                    // our last word; last map heard, and sent
+	wordsLeft, mapsLeft                         float64                  // points for them
+	round                                       int
+	untold, next                                int // jobs taken since our word; map's next engine
 }
 
 // typeTerms are a reservation type's settings, read at the start and again when they are restated.
--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -65,6 +65,7 @@
 	Priority            uint8
 	Lane                Lane
 	Ordered             time.Time // it is not sent later than the dial time-out after this
+	Until               time.Time // nor later than this; zero: no such bound
 }
 
 // Lane keeps apart what may be broken off, to be sent again elsewhere, from what may not: a connection that falls
--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -13,6 +13,7 @@
 
 	"swiftreel/internal/check"
 	"swiftreel/internal/gateway"
+	"swiftreel/internal/sock"
 )
 
 const (
@@ -100,7 +101,7 @@
 			return
 		}
 		c.bound()
-		if c.pace.rest(time.Now()) && c.gone() {
+		if c.pace.rest(time.Now()) && sock.PeerClosed(c.nc) {
 			return
 		}
 	}
@@ -275,7 +276,7 @@
 	if c.ahead = 0; len(c.pending) == 0 {
 		return nil
 	}
-	if c.gone() {
+	if sock.PeerClosed(c.nc) {
 		return io.EOF
 	}
 	for _, p := range c.pending {
--- a/internal/client/front.go
+++ b/internal/client/front.go
@@ -13,6 +13,7 @@
 	"swiftreel/internal/check"
 	"swiftreel/internal/gateway"
 	"swiftreel/internal/limits"
+	"swiftreel/internal/sock"
 )
 
 // Taker is who the calls are for.
@@ -168,7 +169,7 @@
 func (f *Front) Unread() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.listener != nil && waits(f.listener) {
+	if f.listener != nil && sock.Readable(f.listener) {
 		return true
 	}
 	for c := range f.conns {
--- a/internal/client/unread.go
+++ b/internal/client/unread.go
@@ -1,10 +1,6 @@
 package client
 
-import (
-	"syscall"
-
-	"golang.org/x/sys/unix"
-)
+import "syscall"
 
 // What a look at a connection shows, without reading it.
 const (
@@ -38,33 +34,3 @@
 	}
 	return is
 }
-
-// gone looks whether the client has closed or reset its connection, whatever lies unread before that.
-func (c *conn) gone() bool {
-	const ends = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
-	events, err := look(c.nc, unix.POLLRDHUP)
-	return err != nil || events&ends != 0
-}
-
-// waits looks whether a connection waits to be accepted.
-func waits(listener syscall.Conn) bool {
-	events, err := look(listener, unix.POLLIN)
-	return err == nil && events&unix.POLLIN != 0
-}
-
-// look tells which of the events stand on a descriptor, with errors and hang-ups. It never blocks.
-func look(at syscall.Conn, events int16) (int16, error) {
-	raw, err := at.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	fds := []unix.PollFd{{Events: events}}
-	err = raw.Control(func(fd uintptr) {
-		for fds[0].Fd = int32(fd); ; {
-			if _, err := unix.Poll(fds, 0); err != unix.EINTR {
-				return
-			}
-		}
-	})
-	return fds[0].Revents, err
-}
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"swiftreel/internal/check"
+	"swiftreel/internal/sock"
 )
 
 const (
@@ -20,7 +21,10 @@
 	carriedMost  = 64          // ids that ended without a result and are remembered on a connection
 )
 
-var errStray = errors.New("answers for nothing, without end")
+var (
+	errStray = errors.New("answers for nothing, without end")
+	errEnded = errors.New("the engine has closed the connection")
+)
 
 // conn is one connection to an engine. All but writing is guarded by the pool's lock.
 type conn struct {
@@ -28,6 +32,7 @@
 	host, address string
 	lane          Lane
 	nc            net.Conn // nil until made
+	lines         *lines   // with nc
 	closed        bool
 	cut           bool // closed by us, with dispatches out: the engine learns of it a moment later
 	doubted       bool // a probe was lost, or an abort not read in time, with nothing heard since
@@ -82,8 +87,9 @@
 		}
 		return
 	}
+	r := newLines(nc, half(p.bounds))
 	p.mu.Lock()
-	c.nc, c.heard, c.idleSince = nc, time.Now(), time.Now()
+	c.nc, c.lines, c.heard, c.idleSince = nc, r, time.Now(), time.Now()
 	if c.closed {
 		nc.Close()
 	}
@@ -98,7 +104,6 @@
 	for _, d := range queue {
 		c.send(d)
 	}
-	r := newLines(nc, half(p.bounds))
 	for {
 		a, err := r.answer()
 		if err != nil {
@@ -184,7 +189,7 @@
 	p.mu.Lock()
 	given := d.state != sending // an abort that comes after this waits for the writing lock
 	d.wrote = time.Now()
-	if !given && !d.probe && d.wrote.Sub(d.started) > p.bounds.Dial {
+	if !given && !d.probe && (d.wrote.Sub(d.started) > p.bounds.Dial || !d.until.IsZero() && d.wrote.After(d.until)) {
 		c.release(d)
 		d.close(Moot)
 		p.mu.Unlock()
@@ -195,7 +200,9 @@
 	}
 	p.mu.Unlock()
 	n, err := 0, error(nil)
-	if !given {
+	if !given && peerClosed(c.nc) {
+		err = errEnded // its reader has not come to that yet: nothing was sent
+	} else if !given {
 		n, err = c.writeLocked(d.text)
 	}
 	c.writing.Unlock()
@@ -228,6 +235,11 @@
 	d.proceed(next)
 }
 
+func peerClosed(nc net.Conn) bool {
+	c, is := nc.(syscall.Conn)
+	return is && sock.PeerClosed(c)
+}
+
 // write sends bytes whole, or the connection is of no more use.
 func (c *conn) write(b []byte) (int, error) {
 	c.writing.Lock()
--- /dev/null
+++ b/internal/engine/crossing_test.go
@@ -0,0 +1,296 @@
+package engine
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"swiftreel/internal/back"
+	"swiftreel/internal/limits"
+)
+
+// Pairs of events that can cross between the pool and an engine, each held in its bad order by a gate.
+
+// gate holds whoever passes it while it is shut.
+type gate struct {
+	mu sync.Mutex
+	on chan struct{} // nil: open
+}
+
+func (g *gate) shut() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.on = make(chan struct{})
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.on != nil {
+		close(g.on)
+	}
+	g.on = nil
+}
+
+func (g *gate) pass() {
+	g.mu.Lock()
+	on := g.on
+	g.mu.Unlock()
+	if on != nil {
+		<-on
+	}
+}
+
+// gated is a connection whose reader stands before a gate: it has not come to what the peer did.
+type gated struct {
+	*net.TCPConn
+	reads *gate
+}
+
+func (c gated) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	c.reads.pass()
+	return n, err
+}
+
+// peer is an engine that hands out its connections and what is asked on them.
+type peer struct {
+	net.Listener
+	fetched chan fetched
+}
+
+type fetched struct {
+	id   string
+	conn net.Conn
+}
+
+func newPeer(t *testing.T) *peer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &peer{l, make(chan fetched, 100)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { nc.Close() })
+			go func() {
+				for r := bufio.NewReader(nc); ; {
+					c, err := ReadCommand(r)
+					if err != nil {
+						return
+					}
+					if c.Word == "fetch" {
+						p.fetched <- fetched{c.ID, nc}
+					}
+				}
+			}()
+		}
+	}()
+	return p
+}
+
+func (p *peer) got(t *testing.T) fetched {
+	t.Helper()
+	select {
+	case f := <-p.fetched:
+		return f
+	case <-time.After(20 * time.Second):
+		t.Fatal("no fetch")
+	}
+	return fetched{}
+}
+
+type world struct {
+	t       *testing.T
+	pool    *Pool
+	peer    *peer
+	dials   *gate // held once the connection is up
+	reads   *gate
+	replies chan Reply
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, peer: newPeer(t), dials: new(gate), reads: new(gate), replies: make(chan Reply, 100)}
+	b := Bounds{Dial: 20 * time.Second, Idle: time.Minute, Streams: 1, Conns: new(limits.Count), Bytes: new(limits.Bytes)}
+	b.Conns.Store(10)
+	b.Bytes.Allow(1 << 20)
+	w.pool = NewPool(b)
+	w.pool.dialer = func(network, address string, limit time.Duration) (net.Conn, error) {
+		nc, err := net.DialTimeout(network, address, limit)
+		if err != nil {
+			return nil, err
+		}
+		w.dials.pass()
+		return gated{nc.(*net.TCPConn), w.reads}, nil
+	}
+	t.Cleanup(func() {
+		w.dials.open()
+		w.reads.open()
+		w.pool.Close()
+	})
+	return w
+}
+
+func (w *world) start(id string, until time.Time) back.Dispatch {
+	return w.pool.Start(Host{Name: "e1", Address: w.peer.Addr().String()}, Request{ID: []byte(id), Type: []byte("import"),
+		Statement: []byte("x"), WaitMS: 1000, Priority: 1, Lane: MayNot, Ordered: time.Now(), Until: until},
+		func(r Reply) { w.replies <- r })
+}
+
+func (w *world) ends(end End) {
+	w.t.Helper()
+	select {
+	case r := <-w.replies:
+		if r.End != end {
+			w.t.Fatalf("%+v instead of %d", r, end)
+		}
+	case <-time.After(20 * time.Second):
+		w.t.Fatalf("no end %d", end)
+	}
+}
+
+// served has one dispatch served and its connection idle.
+func (w *world) served(id string) net.Conn {
+	w.t.Helper()
+	w.start(id, time.Time{})
+	f := w.peer.got(w.t)
+	f.conn.Write(AppendAnswer(nil, id, "data", "sheets=1", []byte("a\tb\tc\n")))
+	w.ends(Done)
+	return f.conn
+}
+
+func (w *world) until(what string, is func() bool) {
+	w.t.Helper()
+	for stop := time.Now().Add(20 * time.Second); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(stop) {
+			w.t.Fatal(what)
+		}
+	}
+}
+
+// The connection comes up after the moment that the module named: the engine may have begun to drain, or a keyed job's
+// window of repeats be over. It is within the dial time-out. Nothing is sent.
+func TestADialThatEndsAfterItsDispatchsTimeSendsNothing(t *testing.T) {
+	w := newWorld(t)
+	w.dials.shut()
+	w.start("late", time.Now())
+	w.until("no dial", func() bool { return w.pool.Count() == 1 })
+	time.Sleep(time.Millisecond) // the clock goes on past that moment, however coarse it is
+	w.dials.open()
+	w.ends(Moot)
+	w.served("next") // over the same connection
+	if len(w.peer.fetched) > 0 {
+		t.Errorf("sent: %+v", <-w.peer.fetched)
+	}
+}
+
+// The client leaves while the dial is under way; what waited for it is not sent when it ends.
+func TestADialThatEndsAfterItsDispatchWasGivenUpSendsNothing(t *testing.T) {
+	w := newWorld(t)
+	w.dials.shut()
+	d := w.start("left", time.Time{})
+	given := make(chan struct{})
+	if !d.GiveUp(func() { close(given) }) {
+		t.Fatal("was over")
+	}
+	<-given
+	w.dials.open()
+	w.served("next")
+	if len(w.peer.fetched) > 0 || len(w.replies) > 0 {
+		t.Errorf("sent, or told: %d, %d", len(w.peer.fetched), len(w.replies))
+	}
+}
+
+// The engine has closed an idle connection, and the reader has not come to that: what is sent on it would be lost, and a
+// run-once job with it. It goes over another; it never ran on the first.
+func TestWhatTheEngineHasClosedIsNotUsed(t *testing.T) {
+	for name, end := range map[string]func(*net.TCPConn){
+		"close": func(c *net.TCPConn) { c.Close() },
+		"reset": func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			first := w.served("first")
+			w.reads.shut()
+			end(first.(*net.TCPConn))
+			w.until("the close has not come", func() bool { return w.pool.onlyOneEnded() })
+			w.start("second", time.Time{})
+			f := w.peer.got(t)
+			if f.id != "second" || f.conn == first {
+				t.Fatalf("%+v", f)
+			}
+			w.reads.open()
+			f.conn.Write(AppendAnswer(nil, "second", "data", "sheets=1", []byte("a\tb\tc\n")))
+			w.ends(Done)
+		})
+	}
+}
+
+// onlyOneEnded tells whether the only connection shows its end.
+func (p *Pool) onlyOneEnded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conns := range p.conns {
+		for _, c := range conns {
+			return peerClosed(c.nc)
+		}
+	}
+	return false
+}
+
+// Half a line lies on an idle connection: it will be cut off when the other half does not come, and what was sent on it
+// would be lost with it.
+func TestAnIdleConnectionWithHalfALineIsNotUsed(t *testing.T) {
+	w := newWorld(t)
+	first := w.served("first")
+	first.Write([]byte("first data shee"))
+	w.until("not read", func() bool {
+		w.pool.mu.Lock()
+		defer w.pool.mu.Unlock()
+		return w.pool.conns["e1"][0].lines.partial.Load()
+	})
+	w.start("second", time.Time{})
+	if f := w.peer.got(t); f.id != "second" || f.conn == first {
+		t.Fatalf("%+v", f)
+	}
+}
+
+// The answer comes in the moment in which the job is given up, milliseconds before the abort is read, and its id is used
+// again at once: one end is told of each dispatch, and the late answer is not the second's.
+func TestALateAnswerIsNotThatOfTheNextDispatchOfItsID(t *testing.T) {
+	w := newWorld(t)
+	w.reads.shut()
+	d := w.start("again", time.Time{})
+	f := w.peer.got(t)
+	f.conn.Write(AppendAnswer(nil, "again", "data", "sheets=1", []byte("late\tb\tc\n")))
+	if !d.GiveUp(func() {}) {
+		t.Fatal("was over")
+	}
+	w.start("again", time.Time{})
+	second := w.peer.got(t)
+	if second.conn == f.conn {
+		t.Fatal("sent over the connection on which the late answer comes")
+	}
+	w.reads.open()
+	f.conn.Write(AppendAnswer(nil, "again", "data", "sheets=1", []byte("second\tb\tc\n"))) // and once more
+	second.conn.Write(AppendAnswer(nil, "again", "data", "sheets=1", []byte("good\tb\tc\n")))
+	select {
+	case r := <-w.replies:
+		if r.End != Done || string(r.Pages[0]) != "good\tb\tc\n" {
+			t.Errorf("%+v", r)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("no end")
+	}
+	w.served("next")
+	if len(w.replies) > 0 {
+		t.Errorf("a second end: %+v", <-w.replies)
+	}
+}
--- a/internal/engine/dispatch.go
+++ b/internal/engine/dispatch.go
@@ -28,6 +28,7 @@
 	id      string
 	reply   func(Reply)
 	started time.Time // when it was ordered
+	until   time.Time // not sent later; zero: no such bound
 	probe   bool
 	moved   int // to another connection, with no byte out
 	text    []byte
--- a/internal/engine/line.go
+++ b/internal/engine/line.go
@@ -7,6 +7,7 @@
 	"math"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"time"
 	"unicode/utf8"
 )
@@ -41,10 +42,11 @@
 	from     source
 	half     time.Duration // in which an answer that has begun must be whole
 	buf      []byte
-	next, to int  // buf[next:to] is read and not yet used
-	begun    bool // the answer in the buffer has its time limit
-	limited  bool // some limit is set
-	late     bool // the limit has passed, and what lay unread is being read
+	next, to int         // buf[next:to] is read and not yet used
+	begun    bool        // the answer in the buffer has its time limit
+	limited  bool        // some limit is set
+	late     bool        // the limit has passed, and what lay unread is being read
+	partial  atomic.Bool // what is read is no whole answer
 }
 
 func newLines(from source, half time.Duration) *lines {
@@ -61,6 +63,7 @@
 			return a, err
 		}
 		l.to, l.next = copy(l.buf, l.buf[l.next:l.to]), 0
+		l.partial.Store(l.to > 0)
 		if l.to > 0 && !l.begun {
 			l.from.SetReadDeadline(time.Now().Add(l.half))
 			l.begun, l.limited = true, true
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -44,7 +44,7 @@
 
 // Start sends a dispatch to an engine. All that becomes of it is told to reply, in order, the end once and last.
 func (p *Pool) Start(to Host, r Request, reply func(Reply)) back.Dispatch {
-	d := &Dispatch{pool: p, id: string(r.ID), reply: reply, started: r.Ordered, lane: r.Lane}
+	d := &Dispatch{pool: p, id: string(r.ID), reply: reply, started: r.Ordered, until: r.Until, lane: r.Lane}
 	d.text = appendFetch(make([]byte, 0, len(r.Statement)+128), r)
 	p.place(to, d)
 	return d
@@ -132,7 +132,7 @@
 	now := time.Now()
 	most := p.idle.span(now)
 	for _, c := range p.conns[to.Name] {
-		if c.idle() && now.Sub(c.idleSince) < most && len(c.aborts) == 0 && c.usable(to, d) && (best == nil || c.idleSince.After(best.idleSince)) {
+		if c.idle() && now.Sub(c.idleSince) < most && len(c.aborts) == 0 && !c.lines.partial.Load() && c.usable(to, d) && (best == nil || c.idleSince.After(best.idleSince)) {
 			best = c
 		}
 	}
--- a/internal/gateway/clock.go
+++ b/internal/gateway/clock.go
@@ -19,3 +19,6 @@
 }
 
 func (c clock) now() choice.Nanos { return c.at(time.Now()) }
+
+// moment turns the module's time into a moment.
+func (c clock) moment(n choice.Nanos) time.Time { return c.start.Add(time.Duration(n - c.at(c.start))) }
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -261,7 +261,7 @@
 			timer.Reset(time.Until(limit))
 			now = s
 			s.link = g.pool.Start(host, back.Request{ID: j.ID, Type: j.Type, Statement: j.Statement,
-				WaitMS: max(1, time.Until(limit).Milliseconds()), GrantMB: grant, Priority: priority, Ordered: m.at,
+				WaitMS: max(1, time.Until(limit).Milliseconds()), GrantMB: grant, Priority: priority, Ordered: m.at, Until: g.clock.moment(m.order.Until),
 				Lane: g.rules.lane(g.names.types[string(j.Type)])},
 				func(r back.Reply) {
 					if m := (message{from: s, reply: r}); r.End == back.Open {
