Feed: the old place is kept through places that never spoke, and not heard after

Seen in reading, forced by tests: at SIGHUP from A to B to C, with B and C down, the connection to A was ended as soon as C was called, though A still spoke (Follower.Move ended before, not the place between): events of A were lost until a new place came up. And a line of the old place that was read before the new one spoke was taken after it (hear looked at the number only). Both tests fail without the mend (crossing_test.go). Excluded: a silent watch is called anew within 7 s also where the next call is silent too (2.5 s each), tested as it stood.

SIGTERM is caught before the listener opens: who connects is answered. That order cannot be forced without a hook: the gap was one call long. Tests of crossings at the engine's answers (cut at each byte, late twice, given up, pages of an engine that dies) and of signals that cross pass on the tree as it stood.

--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -62,12 +62,12 @@
 		return err
 	}
 	fault.Early()
+	stop := make(chan os.Signal, 1) // caught before clients can connect: who did is answered
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	listener, err := listen(file.Listen, own.Tally != nil)
 	if err != nil {
 		return err
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	return run(file, listener, s, stop, reload)
 }
 
--- a/cmd/swiftreel/main_test.go
+++ b/cmd/swiftreel/main_test.go
@@ -619,6 +619,29 @@
 	w.caller = nil
 }
 
+// SIGHUP and SIGTERM at once, and SIGTERM twice: the file is read or not, the job that is out gets its answer, and the
+// program ends once.
+func TestSignalsThatCross(t *testing.T) {
+	for range 5 {
+		w := newTown(t, "e1")
+		id := w.job("lookup", "20000")
+		c := w.got("fetch")
+		w.reload <- syscall.SIGHUP
+		w.stop <- syscall.SIGTERM
+		w.hup()
+		settle(t, "still ready", func() bool { ready, err := w.dialReady(); return !ready && err == nil })
+		w.stop <- syscall.SIGTERM
+		w.hup()
+		c.from.Answer(c.ID, "data", "sheets=1", "one\tb\tc\n")
+		w.answer(id, "")
+		if err := <-w.ended; err != nil {
+			t.Fatal(err)
+		}
+		w.caller.Conn.Close()
+		w.caller = nil
+	}
+}
+
 // refused is closed once a call was throttled because nothing is taken any more.
 func (w *town) refused(before uint64) <-chan struct{} {
 	seen := make(chan struct{})
--- a/internal/engine/crossing_test.go
+++ b/internal/engine/crossing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -59,6 +60,7 @@
 type peer struct {
 	net.Listener
 	fetched chan fetched
+	paged   chan fetched // what is asked for in pages; not read where nobody looks
 }
 
 type fetched struct {
@@ -71,7 +73,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &peer{l, make(chan fetched, 100)}
+	p := &peer{l, make(chan fetched, 100), make(chan fetched, 1000)}
 	t.Cleanup(func() { l.Close() })
 	go func() {
 		for {
@@ -88,6 +90,8 @@
 					}
 					if c.Word == "fetch" {
 						p.fetched <- fetched{c.ID, nc}
+					} else if c.Word == "more" {
+						p.paged <- fetched{c.ID, nc}
 					}
 				}
 			}()
@@ -294,3 +298,122 @@
 		t.Errorf("a second end: %+v", <-w.replies)
 	}
 }
+
+// An answer of two pages is cut at each of its bytes: where the rest comes later it is whole, where the connection ends
+// there the dispatch ends as one that may have run. One end of each.
+func TestAnAnswerIsCutAnywhere(t *testing.T) {
+	w := newWorld(t)
+	n := 0
+	play := func(cut int, ends bool) (whole bool) {
+		n++
+		id := fmt.Sprintf("id%03d", n)
+		w.start(id, time.Time{})
+		f := w.peer.got(t)
+		for len(w.peer.paged) > 0 {
+			<-w.peer.paged
+		}
+		text := AppendAnswer(nil, id, "data", "sheets=2,toil=1", []byte("a\tb\tc\n"))
+		text = AppendAnswer(text, id, "page", "sheet=1", []byte("d\te\tf\n"))
+		if cut >= len(text) {
+			return true
+		}
+		f.conn.Write(text[:cut])
+		if ends {
+			f.conn.Close()
+			w.ends(Reset)
+			return false
+		}
+		if paged := len(w.peer.paged); cut > 0 { // the first part is read on its own
+			w.until("not read", func() bool {
+				w.pool.mu.Lock()
+				defer w.pool.mu.Unlock()
+				for _, c := range w.pool.conns["e1"] {
+					if c.open[id] != nil && (c.lines.partial.Load() || len(w.peer.paged) > paged) {
+						return true
+					}
+				}
+				return false
+			})
+		}
+		f.conn.Write(text[cut:])
+		select {
+		case r := <-w.replies:
+			if r.End != Done || len(r.Pages) != 2 || string(r.Pages[0])+string(r.Pages[1]) != "a\tb\tc\nd\te\tf\n" {
+				t.Fatalf("cut at %d: %+v", cut, r)
+			}
+			w.pool.Free(r.Pages)
+		case <-time.After(20 * time.Second):
+			t.Fatalf("cut at %d: no end", cut)
+		}
+		return false
+	}
+	for cut := 0; !play(cut, false); cut++ {
+	}
+	w.drop()
+	for cut := 0; !play(cut, true); cut++ {
+	}
+	if len(w.replies) > 0 {
+		t.Errorf("a second end: %+v", <-w.replies)
+	}
+	if got := w.pool.bounds.Bytes.Left(); got != 1<<20 {
+		t.Errorf("%d bytes are not given back", 1<<20-got)
+	}
+}
+
+// drop gives up what is out.
+func (w *world) drop() {
+	w.pool.mu.Lock()
+	var out []*Dispatch
+	for _, c := range w.pool.conns["e1"] {
+		for _, d := range c.open {
+			out = append(out, d)
+		}
+	}
+	w.pool.mu.Unlock()
+	for _, d := range out {
+		d.GiveUp(func() {})
+	}
+}
+
+// The answer has been told when the job is given up: nothing is left to give up, and no second end comes.
+func TestWhatWasAnsweredIsNotGivenUp(t *testing.T) {
+	w := newWorld(t)
+	d := w.start("done", time.Time{})
+	f := w.peer.got(t)
+	f.conn.Write(AppendAnswer(nil, "done", "data", "sheets=1", []byte("a\tb\tc\n")))
+	w.ends(Done)
+	if d.GiveUp(func() { t.Error("given up") }) {
+		t.Error("given up after its end")
+	}
+	f.conn.Write(AppendAnswer(nil, "done", "data", "sheets=1", []byte("a\tb\tc\n"))) // a second answer, late
+	w.served("next")
+	if len(w.replies) > 0 {
+		t.Errorf("a second end: %+v", <-w.replies)
+	}
+}
+
+// The engine dies when it is asked for a page that it still owes.
+func TestAnEngineThatDiesOverAPageMayHaveRunIt(t *testing.T) {
+	w := newWorld(t)
+	w.start("paged", time.Time{})
+	f := w.peer.got(t)
+	f.conn.Write(AppendAnswer(nil, "paged", "data", "sheets=2,toil=1", []byte("a\tb\tc\n")))
+	f = w.peer.more(t)
+	f.conn.(*net.TCPConn).SetLinger(0)
+	f.conn.Close()
+	w.ends(Reset)
+	if len(w.replies) > 0 {
+		t.Errorf("a second end: %+v", <-w.replies)
+	}
+}
+
+func (p *peer) more(t *testing.T) fetched {
+	t.Helper()
+	select {
+	case f := <-p.paged:
+		return f
+	case <-time.After(20 * time.Second):
+		t.Fatal("no page is asked for")
+	}
+	return fetched{}
+}
--- /dev/null
+++ b/internal/feed/crossing_test.go
@@ -0,0 +1,149 @@
+package feed
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"swiftreel/internal/check"
+)
+
+// place is a control feed that a test plays by hand.
+type place struct {
+	net.Listener
+	conns chan net.Conn
+}
+
+func newPlace(t *testing.T) *place {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &place{l, make(chan net.Conn, 100)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { nc.Close() })
+			p.conns <- nc
+		}
+	}()
+	return p
+}
+
+// called waits for the next connection and gives what it subscribes from.
+func (p *place) called(t *testing.T) (nc net.Conn, last int) {
+	t.Helper()
+	select {
+	case nc = <-p.conns:
+	case <-time.After(20 * time.Second):
+		t.Fatal("not called")
+	}
+	nc.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if _, err := fmt.Fscanf(nc, "SUB %d\n", &last); err != nil {
+		t.Fatal(err)
+	}
+	return nc, last
+}
+
+func change(n int) string {
+	return fmt.Sprintf(`{"n":%d,"members":{"hosts":[{"host":"e%d","dial":"127.0.0.1:1","health":"ready"}]}}`+"\n", n, n)
+}
+
+type ear struct {
+	t    *testing.T
+	told chan Event
+}
+
+func (e ear) next(n uint64) {
+	e.t.Helper()
+	select {
+	case ev := <-e.told:
+		if ev.N != n {
+			e.t.Fatalf("event %d instead of %d", ev.N, n)
+		}
+	case <-time.After(20 * time.Second):
+		e.t.Fatalf("no event %d", n)
+	}
+}
+
+// The feed moves twice, to places that are down: where it was last heard is kept all the while.
+func TestTheOldPlaceIsKeptThroughPlacesThatNeverSpoke(t *testing.T) {
+	old, next := newPlace(t), newPlace(t)
+	e := ear{t, make(chan Event, 100)}
+	f := Follow(old.Addr().String(), 1, func(ev Event) { e.told <- ev })
+	defer f.Close()
+	nc, _ := old.called(t)
+	nc.Write([]byte(change(2)))
+	e.next(2)
+	f.Move("127.0.0.1:1", nil)
+	f.Move("127.0.0.1:2", nil)
+	nc.Write([]byte(change(3)))
+	e.next(3)
+	f.Move(next.Addr().String(), nil)
+	now, last := next.called(t)
+	if last != 3 {
+		t.Errorf("the new place is asked from %d", last)
+	}
+	nc.Write([]byte(change(4))) // the new place has not spoken yet
+	e.next(4)
+	now.Write([]byte(change(4) + change(5)))
+	e.next(5)
+}
+
+// A line of the old place was read before the new one spoke, and is taken after: it is passed over, also where it would be
+// the next, as what the old place says by now is of no account.
+func TestTheOldPlaceIsNotHeardOnceTheNewOneSpoke(t *testing.T) {
+	old, next := newPlace(t), newPlace(t)
+	e := ear{t, make(chan Event, 100)}
+	f := Follow(old.Addr().String(), 1, func(ev Event) { e.told <- ev })
+	defer f.Close()
+	nc, _ := old.called(t)
+	nc.Write([]byte(change(2)))
+	e.next(2)
+	f.mu.Lock()
+	was := f.now
+	f.mu.Unlock()
+	f.Move(next.Addr().String(), nil)
+	now, _ := next.called(t)
+	now.Write([]byte(change(3)))
+	e.next(3)
+	if err := f.hear(was, []byte(change(4))); err == nil || len(e.told) > 0 {
+		t.Errorf("the old place is heard: %v, %d events", err, len(e.told))
+	}
+	now.Write([]byte(change(4)))
+	e.next(4)
+}
+
+// An open watch falls silent, with no word of it: it is called anew from the last event on, well within 7 s, also where
+// the first call is not answered either. What the new one tells again is passed over.
+func TestASilentWatchIsCalledAnew(t *testing.T) {
+	p := newPlace(t)
+	e := ear{t, make(chan Event, 100)}
+	f := Follow(p.Addr().String(), 1, func(ev Event) { e.told <- ev })
+	defer f.Close()
+	first, _ := p.called(t)
+	first.Write([]byte(change(2)))
+	e.next(2)
+	silent := time.Now() // nothing is said any more, nor on the next connection
+	second, last := p.called(t)
+	third, again := p.called(t)
+	if late := time.Since(silent); last != 2 || again != 2 || late > 7*time.Second {
+		t.Errorf("called from %d and %d, the third time after %v", last, again, late)
+	}
+	before := check.Of("feed_events_again")
+	third.Write([]byte(change(2) + change(3)))
+	e.next(3)
+	if check.Of("feed_events_again") == before {
+		t.Error("what was told before is told anew")
+	}
+	first.Write([]byte(change(3)))
+	second.Write([]byte(change(3)))
+	if len(e.told) > 0 {
+		t.Errorf("told twice: %+v", <-e.told)
+	}
+}
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"strconv"
@@ -9,6 +10,8 @@
 	"swiftreel/internal/check"
 )
 
+var errLeft = errors.New("the feed speaks elsewhere by now")
+
 // Follower keeps to the feed from an event on, wherever it moves.
 type Follower struct {
 	tell func(Event)
@@ -52,10 +55,11 @@
 	if address == f.now.address {
 		return false
 	}
-	if f.before != nil {
-		f.before.end()
+	if f.before != nil { // the place between never spoke: what stays is where the feed was last heard
+		f.now.end()
+	} else {
+		f.before = f.now
 	}
-	f.before = f.now
 	f.start(address)
 	return true
 }
@@ -95,6 +99,8 @@
 		f.before = nil
 	}
 	switch {
+	case s != f.now && s != f.before:
+		return errLeft
 	case ev.Bare && ev.N > f.last:
 		return fmt.Errorf("at event %d where %d is told", f.last, ev.N)
 	case ev.Bare:
