A flaky test of answers cut anywhere counts what was asked for before it writes

Seen: 5 of 24 runs under the race detector beside five others, 'not read'. Cause: the count of pages asked for was taken after the write that has one asked for.

--- a/internal/engine/crossing_test.go
+++ b/internal/engine/crossing_test.go
@@ -317,13 +317,14 @@
 		if cut >= len(text) {
 			return true
 		}
+		paged := len(w.peer.paged)
 		f.conn.Write(text[:cut])
 		if ends {
 			f.conn.Close()
 			w.ends(Reset)
 			return false
 		}
-		if paged := len(w.peer.paged); cut > 0 { // the first part is read on its own
+		if cut > 0 { // the first part is read on its own
 			w.until("not read", func() bool {
 				w.pool.mu.Lock()
 				defer w.pool.mu.Unlock()
