A job's idempotency key is passed on to its engine as it came

Excluded: settings, start (served at once), the statement and call id (unchanged).

Now a key of 1 to 128 printable bytes with no comma, equals sign or blank goes into the engine's fields as it is; any other is refused with the field named. Tests: client codec and main_test.go TestAnIdempotencyKeyIsPassedOn.

--- a/cmd/swiftreel/main_test.go
+++ b/cmd/swiftreel/main_test.go
@@ -620,6 +620,25 @@
 	w.caller = nil
 }
 
+// Seen on a made-up deployment with keyed jobs: the bench ended each day at the first of them, as the key under which an
+// engine does a thing once was not passed on.
+func TestAnIdempotencyKeyIsPassedOn(t *testing.T) {
+	w := newTown(t, "e1")
+	for key, fields := range map[string]string{"k-7f3a9c21": ",i=k-7f3a9c21", "": ""} {
+		var more []string
+		if key != "" {
+			more = []string{"dedupe", key}
+		}
+		id := w.job("lookup", "20000", more...)
+		c := w.got("fetch")
+		if _, got, is := strings.Cut(c.Fields, ",i="); is != (key != "") || is && ",i="+got != fields {
+			t.Errorf("%q is passed on as %q", key, c.Fields)
+		}
+		c.from.Answer(c.ID, "data", "sheets=1", "one\tb\tc\n")
+		w.answer(id, "")
+	}
+}
+
 // SIGHUP and SIGTERM at once, and SIGTERM twice: the file is read or not, the job that is out gets its answer, and the
 // program ends once.
 func TestSignalsThatCross(t *testing.T) {
--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -60,6 +60,7 @@
 // Request is what a dispatch sends.
 type Request struct {
 	ID, Type, Statement []byte
+	Idempotency         []byte // the key under which the engine does it once; empty: none
 	WaitMS              int64
 	GrantMB             float64
 	Priority            uint8
--- a/internal/client/call.go
+++ b/internal/client/call.go
@@ -20,13 +20,13 @@
 
 // newAsk copies what must outlive the buffer, in one piece.
 func newAsk(from *call, m message, r request, at time.Time) gateway.Ask {
-	b := make([]byte, 0, len(m.method)+len(r.call)+len(r.tenant)+len(r.key)+len(r.body))
+	b := make([]byte, 0, len(m.method)+len(r.call)+len(r.tenant)+len(r.key)+len(r.idempotency)+len(r.body))
 	keep := func(part []byte) []byte {
 		from := len(b)
 		b = append(b, part...)
 		return b[from:len(b):len(b)]
 	}
-	return gateway.Ask{Type: keep(m.method), ID: keep(r.call), Tenant: keep(r.tenant), Key: keep(r.key),
+	return gateway.Ask{Type: keep(m.method), ID: keep(r.call), Tenant: keep(r.tenant), Key: keep(r.key), Idempotency: keep(r.idempotency),
 		Statement: keep(r.body), Left: r.left, At: at, Repeat: r.repeat, Work: r.work, MemoryMB: r.memoryMB, From: from}
 }
 
--- a/internal/client/message.go
+++ b/internal/client/message.go
@@ -17,6 +17,8 @@
 	fieldWait    = "pushback"
 
 	typeRequest, typeAnswer, typeNotification = 0, 1, 2
+
+	mostWord = 128 // bytes of an idempotency key
 )
 
 // message is one message of MessagePack-RPC; its parts are slices of the buffer that it was read into.
@@ -75,6 +77,7 @@
 // request is what a call asks for, in slices of the buffer.
 type request struct {
 	call, tenant, key, body []byte
+	idempotency             []byte // a key under which engines do a thing once; nil: none
 	left                    time.Duration
 	repeat                  bool
 	work                    time.Duration // 0: no estimate
@@ -82,7 +85,7 @@
 }
 
 // known are the fields that mean something here; the others are passed over.
-var known = [...]string{"call", "ttl", "org", "rep", "work", "est_mb", "row"}
+var known = [...]string{"call", "ttl", "org", "rep", "work", "est_mb", "row", "dedupe"}
 
 // parseRequest reads fields and body of a call; the error goes to the client.
 func parseRequest(m message) (r request, err error) {
@@ -125,6 +128,8 @@
 			bad = bad || err != nil || !(r.memoryMB >= 0 && r.memoryMB < 1e9)
 		case "row":
 			r.key = value
+		case "dedupe":
+			r.idempotency, bad = value, bad || !isWord(value)
 		default:
 			bad = false // not known here: whatever it is
 		}
@@ -152,6 +157,16 @@
 	return len(id) == 16
 }
 
+// isWord tells whether a value can stand in the fields of an engine's line as it is.
+func isWord(value []byte) bool {
+	for _, b := range value {
+		if b <= ' ' || b >= 0x7f || b == ',' || b == '=' {
+			return false
+		}
+	}
+	return len(value) > 0 && len(value) <= mostWord
+}
+
 // The answers. One with rows is a head, the rows and a tail, so that rows need no copy.
 
 func appendDoneHead(b []byte, id uint32, rows int) []byte {
--- a/internal/client/msgpack_test.go
+++ b/internal/client/msgpack_test.go
@@ -66,6 +66,9 @@
 	for name, change := range map[string][]string{
 		"no call": {"ttl", "5"}, "no ttl": {"call", "9b1f03aa5c7e2d41"}, "call of other letters": {"call", "9b1f03aa5c7e2d4\n", "ttl", "5"},
 		"ttl below 0": {"call", "9b1f03aa5c7e2d41", "ttl", "-5"}, "work no number": {"call", "9b1f03aa5c7e2d41", "ttl", "5", "work", "NaN"},
+		"no idempotency key": {"call", "9b1f03aa5c7e2d41", "ttl", "5", "dedupe", ""}, "one past its size": {"call", "9b1f03aa5c7e2d41", "ttl", "5", "dedupe", strings.Repeat("x", mostWord+1)},
+		"one of two words": {"call", "9b1f03aa5c7e2d41", "ttl", "5", "dedupe", "a b"}, "one that would be more fields": {"call", "9b1f03aa5c7e2d41", "ttl", "5", "dedupe", "a,urgency=3"},
+		"one that would be a line": {"call", "9b1f03aa5c7e2d41", "ttl", "5", "dedupe", "a\r\n"},
 	} {
 		m, err := parseMessage(AppendCall(nil, 1, "report", change, nil))
 		if err != nil {
--- a/internal/engine/line.go
+++ b/internal/engine/line.go
@@ -170,6 +170,9 @@
 		b = strconv.AppendInt(append(b, ",allot="...), int64(math.Ceil(r.GrantMB)), 10)
 	}
 	b = strconv.AppendInt(append(b, ",urgency="...), int64(r.Priority), 10)
+	if len(r.Idempotency) > 0 {
+		b = append(append(b, ",i="...), r.Idempotency...)
+	}
 	b = strconv.AppendInt(append(b, ' '), int64(len(r.Statement)), 10)
 	return append(append(append(b, "\r\n"...), r.Statement...), "\r\n"...)
 }
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -16,6 +16,7 @@
 // Ask is a job asked for, by whatever protocol. Its parts are its own.
 type Ask struct {
 	Type, ID, Tenant, Key, Statement []byte
+	Idempotency                      []byte        // its key, passed on as it is; empty: none
 	Left                             time.Duration // the job timeout, counted from At
 	At                               time.Time
 	Repeat                           bool          // a client's repeat
@@ -260,7 +261,7 @@
 			}
 			timer.Reset(time.Until(limit))
 			now = s
-			s.link = g.pool.Start(host, back.Request{ID: j.ID, Type: j.Type, Statement: j.Statement,
+			s.link = g.pool.Start(host, back.Request{ID: j.ID, Type: j.Type, Statement: j.Statement, Idempotency: j.Idempotency,
 				WaitMS: max(1, time.Until(limit).Milliseconds()), GrantMB: grant, Priority: priority, Ordered: m.at, Until: g.clock.moment(m.order.Until),
 				Lane: g.rules.lane(g.names.types[string(j.Type)])},
 				func(r back.Reply) {
