Cold engines are looked at in their turn; what others hold goes by engines that take jobs

Causes, choice.go: (1) look draws four engines by chance, a controller's turn at a cold one comes every 276th window, so the two hardly ever meet; (2) a cold engine is thought to hold what the fleet's mean says and looks fuller than the others; (3) crowd divided by all ready cores, cold ones and those set aside among them, so warm engines were thought half as full as they were. Excluded: discovery (lists came), restarts (ready after 0.1 s), descriptors (113), the cold budget itself (0 of it used). Now cold engines with a turn of ours are looked at, held all but empty in what we guess, and cores count of those that take jobs.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -204,7 +204,7 @@
 		e.memory = c.facts.num(fmt.Sprintf("domain.size_mb.%d", l.Kind), 0)
 		if restarted {
 			e.slow, e.bad, e.pressed, e.aside, e.strikes, e.bound = 1, 0, false, false, 0, e.cores*c.share
-			e.others = c.crowd * e.cores * c.warmth(e)
+			e.others = c.crowd * e.cores * math.Floor(c.warmth(e)) // a cold one is held all but empty
 		}
 	}
 	c.cores = 0
@@ -420,7 +420,8 @@
 		}
 	}
 	for _, e := range c.engines {
-		if c.reach >= len(c.engines) || (!c.probes && c.now-e.loaded < reportFresh) {
+		if c.reach >= len(c.engines) || (!c.probes && c.now-e.loaded < reportFresh) ||
+			(c.warmth(e) < 1 && c.coldRoom(j, e)) { // our turn there comes seldom
 			add(e)
 		}
 	}
@@ -980,22 +981,23 @@
 	if c.words != nil {
 		c.say()
 	}
-	jobs, threads, grants, slow, bad, n, pressed := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0
+	jobs, threads, grants, cores, slow, bad, n, pressed := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0
 	for _, e := range c.engines {
 		jobs, threads, grants = jobs+float64(len(e.flights)), threads+e.threads, grants+e.grants
 		if c.now-e.reported >= reportFresh { // what is not known is thought like the rest of the fleet, not empty
-			e.others += 0.02 * (max(0, c.crowd*e.cores-e.threads) - e.others)
+			e.others += 0.02 * (max(0, c.crowd*e.cores*math.Floor(c.warmth(e))-e.threads) - e.others)
 		}
 		e.slow, e.bad = e.slow+forgets*(1-e.slow), 0.999*e.bad
 		c.pressure(e)
 		c.watch(e)
 		if e.State == Ready && !e.aside {
-			slow, bad, n = slow+e.slow, bad+e.bad, n+1
+			slow, bad, n, cores = slow+e.slow, bad+e.bad, n+1, cores+e.cores*math.Floor(c.warmth(e))
 		}
 		if e.pressed {
 			pressed++
 		}
 	}
+	c.cores = cmp.Or(cores, c.cores)                      // of those that take jobs; where all are cold, of all
 	step := outStep * min(outFaster, max(1, c.outJobs/4)) // the more jobs, the less of a change is chance
 	c.outJobs += step * (jobs - c.outJobs)
 	c.outThreads, c.outGrants = c.outThreads+step*(threads-c.outThreads), c.outGrants+step*(grants-c.outGrants)
--- a/choice/cold_test.go
+++ b/choice/cold_test.go
@@ -346,3 +346,34 @@
 	third := s.arriveAs(Event{Type: 1, Left: 60 * second, Cost: 8 * second, CostKnown: true, MemoryMB: 200})
 	want(t, len(s.sentTo(third)) == 1, "cold for ever")
 }
+
+// Seen on another deployment's herd day with 276 controllers: half of the engines were cold, no job was sent to one of them
+// in their whole warm-up, all went to the other half, which stood still under three times their threads, and 85% of the
+// jobs were refused. A turn came to each controller seldom, and its few engines by chance were others then.
+func TestAColdEngineIsUsedByALargeFleet(t *testing.T) {
+	d := coldDay{controllers: 120, multiple: 2.5}
+	calls, works, used, n := d.play(1)
+	t.Logf("N=%.1f: at most %.2f of what stands in calls, %.2f in work; used %.2f of N", n, calls, works, used)
+	if calls > 1 || works > 1 || used < 0.05 {
+		t.Errorf("at most %.2f and %.2f of what stands, %.2f of N used", calls, works, used)
+	}
+}
+
+// What we think others hold goes by the engines that take jobs: where half are cold, the others hold all.
+func TestTheCrowdIsThatOfEnginesThatTakeJobs(t *testing.T) {
+	f := plainFacts().set("limits.probes", false).set("telemetry", map[string]any{}).set("balancers", 40.0)
+	s := newStage(t, f, 4)
+	s.pass(3 * second)
+	want(t, s.c.cores == 32, "%v cores of four warm engines", s.c.cores)
+	s.list(ListChanges, Line{Engine: 100, State: Ready, StartedAt: s.now}, Line{Engine: 101, State: Ready, StartedAt: s.now})
+	s.pass(200 * ms)
+	want(t, s.c.cores == 16, "%v cores take jobs where two of four are cold", s.c.cores)
+	s.c.crowd = 2
+	s.pass(100 * ms)
+	for _, e := range s.c.engines {
+		cold := s.c.warmth(e) < 1
+		want(t, cold == (e.others < 0.1), "others hold %v threads of an engine that is cold: %v", e.others, cold)
+	}
+	s.pass(12 * second)
+	want(t, s.c.cores == 32, "%v cores once all are warm", s.c.cores)
+}
