--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -318,7 +318,7 @@
 	c.replies = append(c.replies, b...)
 	if !c.replying {
 		c.replying = true
-		c.front.owed.Add(1)
+		c.front.replying.Add(1)
 		go c.writeReplies()
 	}
 	return nil
@@ -326,7 +326,7 @@
 
 // writeReplies writes what reply was given, until there is none.
 func (c *conn) writeReplies() {
-	defer c.front.owed.Add(-1)
+	defer c.front.replying.Add(-1)
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	for b := c.nextReplies(); b != nil; b = c.nextReplies() {
--- a/internal/client/crossing_test.go
+++ b/internal/client/crossing_test.go
@@ -330,7 +330,28 @@
 	if a, _, bad := ParseAnswer(b[:n]); err != nil || bad != nil || a.Error != wordThrottle || len(s.taker.asks) > 0 {
 		t.Errorf("%+v, %v, %v", a, err, bad)
 	}
-	s.until("an answer stays owed", func() bool { return s.front.Owed() == 0 })
+	s.until("an answer stays owed", func() bool { return s.front.Owed() == 0 && !s.front.Unread() })
+}
+
+// A client that reads nothing holds up the end no longer than half a message does: what it does not read is not owed.
+func TestWhatAClientDoesNotReadIsNotOwed(t *testing.T) {
+	s := newStand(t, 6)
+	close(s.door.open)
+	c := s.dial()
+	c.Write(callOf(1, "SELECT 1 FROM a_1.b"))
+	one := s.taker.got(t)
+	var wrote sync.WaitGroup
+	wrote.Go(func() { one.From.Done([][]byte{make([]byte, 8<<20)}) }) // fills the way back
+	s.until("no answer is being written", func() bool { return s.front.writing() })
+	owed := s.front.Owed()
+	c.Write(AppendHeartbeat(nil, 2))
+	s.until("the heartbeat is not read", func() bool { return s.front.replying.Load() == 1 })
+	if s.front.Owed() != owed || !s.front.Unread() {
+		t.Errorf("%d owed, %d before; waited for: %v", s.front.Owed(), owed, s.front.Unread())
+	}
+	c.Close()
+	wrote.Wait()
+	s.until("it is waited for after its client has gone", func() bool { return !s.front.Unread() && s.front.Owed() == 0 })
 }
 
 // What was accepted by the system only, lies unread, or was read in part is seen before the end.
--- a/internal/client/front.go
+++ b/internal/client/front.go
@@ -36,7 +36,8 @@
 
 	bad, unusable check.Grumble
 	pulse         *pulse
-	owed          atomic.Int64 // answers owed or being written
+	owed          atomic.Int64 // answers owed to jobs, or results being written
+	replying      atomic.Int64 // connections with refusals or heartbeats not written yet
 	refusing      atomic.Bool  // nothing more is taken
 	done          chan struct{}
 	reading       sync.WaitGroup
@@ -165,8 +166,12 @@
 // Refuse has all calls throttled that are taken from now on; what was taken before is owed its answer.
 func (f *Front) Refuse() { f.refusing.Store(true) }
 
-// Unread tells whether something that clients sent lies unread, was read in part, or waits to be accepted.
+// Unread tells whether something that clients sent lies unread, was read in part, or waits to be accepted, or a small
+// answer to be written. A client can bring that about without end: it is not to be waited for without a limit.
 func (f *Front) Unread() bool {
+	if f.replying.Load() > 0 {
+		return true
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.listener != nil && sock.Readable(f.listener) {
