--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -410,20 +410,30 @@
 func (c *conn) halfClose() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.halfCloseLocked()
+}
+
+func (c *conn) halfCloseLocked() {
 	c.closing = true
 	c.nc.CloseWrite()
 	c.nc.SetReadDeadline(time.Now().Add(lingerFor))
 }
 
-// leaveIdle half-closes the connection where nothing is open on it, nor lies unread.
+// leaveIdle half-closes the connection where nothing is open on it, nor lies unread: in one step, or a call that is read
+// between the look and the close would have no way for its answer.
 func (c *conn) leaveIdle() bool {
-	if _, _, idle := c.idle(); !idle || c.hasUnread() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.free() || c.hasUnread() {
 		return false
 	}
-	c.halfClose()
+	c.halfCloseLocked()
 	return true
 }
 
+// free tells whether nothing is open or being written. The lock is held.
+func (c *conn) free() bool { return len(c.open)+c.results == 0 && !c.replying }
+
 func (c *conn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -472,5 +482,5 @@
 func (c *conn) idle() (since time.Time, said, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.used, c.said, len(c.open)+c.results == 0 && !c.replying
+	return c.used, c.said, c.free()
 }
