Cold room is worked out for cold engines only, as before; a test of by when a dispatch goes

Seen in review: with its early return gone, coldRoom read settings and sums for each warm engine that a job is held against (allowed, on the hot path). The look at warmth stands in allowed now, as it already does in look.

Tests of feed and acceptance share their set-up.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -566,11 +566,11 @@
 	t := j.typ
 	switch {
 	case j.over || j.flight != nil || j.dispatches >= c.mostTries || c.now >= j.lost, // rule 1
-		j.mayHaveRun && !c.mayRepeat(j, e), // rule 2
-		e.State != Ready,                   // rule 3, with no use of the grace
-		!c.coldRoom(j, e),                  // rule 4
-		!c.turn(j),                         // rule 5
-		j.needs&e.Deaf != 0,                // rule 6, here and below
+		j.mayHaveRun && !c.mayRepeat(j, e),   // rule 2
+		e.State != Ready,                     // rule 3, with no use of the grace
+		c.warmth(e) < 1 && !c.coldRoom(j, e), // rule 4
+		!c.turn(j),                           // rule 5
+		j.needs&e.Deaf != 0,                  // rule 6, here and below
 		t.zones != nil && !slices.Contains(t.zones, any(float64(e.Zone))),
 		t.kinds != nil && !slices.Contains(t.kinds, any(float64(e.Kind))):
 		return false
@@ -600,8 +600,7 @@
 		ours = (c.me+int(c.now/max(window, 1))+int(e.Engine))%c.controllers < turns
 		budget *= turnPart // two turns may meet in a window
 	}
-	return c.warmth(e) >= 1 || (ours && c.now-max(c.booted, c.alone) >= window &&
-		sum <= budget/float64(min(turns, c.controllers)))
+	return ours && c.now-max(c.booted, c.alone) >= window && sum <= budget/float64(min(turns, c.controllers))
 }
 
 // rationed is rule 7: whether one more dispatch beyond a job's first keeps within the stated budget.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -667,3 +667,29 @@
 			drained, after)
 	}
 }
+
+// A dispatch says by when its first byte must go: the drain's grace from now, and what may have run, by the end of its
+// window of repeats, where that is sooner.
+func TestADispatchSaysByWhenItMustGo(t *testing.T) {
+	f := plainFacts().set("invariants.drain_grace_ns", 4e8)
+	class := f["classes"].([]any)[1].(map[string]any)
+	class["idempotency"], class["repeat_window_ns"] = "by_key", 5e8
+	s := newStage(t, f, 2)
+	until := func() (at Nanos) {
+		for _, a := range s.acts {
+			if a.Kind == Dispatch {
+				at = a.Until
+			}
+		}
+		return at
+	}
+	for range 20 { // pays for a further dispatch
+		s.finish(s.arrive(0, 0, 1), Done)
+	}
+	id := s.arrive(1, 7, 1)
+	first := s.now
+	want(t, until() == first+400*ms, "the first by %v after its order", until()-first)
+	s.now += 200 * ms
+	s.finish(id, Reset)
+	want(t, until() == first+500*ms-2*s.c.step, "the next by %v after the first", until()-first)
+}
--- a/internal/acceptance/process_test.go
+++ b/internal/acceptance/process_test.go
@@ -125,6 +125,21 @@
 	return is && err == nil
 }
 
+// newFleet starts so many controllers and waits until all are ready.
+func newFleet(t *testing.T, n int, feed, known string) (all []*controller) {
+	t.Helper()
+	for i := range n {
+		c := newController(t, n, i)
+		c.write(feed, known)
+		c.start()
+		all = append(all, c)
+	}
+	for _, c := range all {
+		until(t, "not ready", c.ready)
+	}
+	return all
+}
+
 func until(t *testing.T, what string, is func() bool) {
 	t.Helper()
 	for stop := time.Now().Add(30 * time.Second); !is(); time.Sleep(2 * time.Millisecond) {
--- a/internal/acceptance/terms_test.go
+++ b/internal/acceptance/terms_test.go
@@ -101,16 +101,7 @@
 		hosts = append(hosts, entry(fmt.Sprintf("e%d", i), e.Address(), "ready", 0))
 	}
 	known := feed.Add(true, "["+join(hosts)+"]")
-	var all []*controller
-	for i := range fleet {
-		c := newController(t, fleet, i)
-		c.write(feed.Address(), known)
-		c.start()
-		all = append(all, c)
-	}
-	for _, c := range all {
-		until(t, "not ready", c.ready)
-	}
+	all := newFleet(t, fleet, feed.Address(), known)
 	stop := make(chan struct{})
 	var load sync.WaitGroup
 	var served atomic.Int64
@@ -276,16 +267,7 @@
 	}
 	defer mute.Close()
 	known := event(1, true, entry("e1", hung[0].Address(), "ready", 0), entry("e2", hung[1].Address(), "ready", 0))
-	var all []*controller
-	for i := range fleet {
-		c := newController(t, fleet, i)
-		c.write(mute.Addr().String(), known)
-		c.start()
-		all = append(all, c)
-	}
-	for _, c := range all {
-		until(t, "not ready", c.ready)
-	}
+	all := newFleet(t, fleet, mute.Addr().String(), known)
 	stop := make(chan struct{})
 	var load sync.WaitGroup
 	for i, c := range all {
--- a/internal/feed/crossing_test.go
+++ b/internal/feed/crossing_test.go
@@ -71,15 +71,22 @@
 	}
 }
 
-// The feed moves twice, to places that are down: where it was last heard is kept all the while.
-func TestTheOldPlaceIsKeptThroughPlacesThatNeverSpoke(t *testing.T) {
-	old, next := newPlace(t), newPlace(t)
-	e := ear{t, make(chan Event, 100)}
-	f := Follow(old.Addr().String(), 1, func(ev Event) { e.told <- ev })
-	defer f.Close()
-	nc, _ := old.called(t)
+// followed is a feed that has told event 2 over its first connection.
+func followed(t *testing.T) (f *Follower, e ear, p *place, nc net.Conn) {
+	t.Helper()
+	p, e = newPlace(t), ear{t, make(chan Event, 100)}
+	f = Follow(p.Addr().String(), 1, func(ev Event) { e.told <- ev })
+	t.Cleanup(f.Close)
+	nc, _ = p.called(t)
 	nc.Write([]byte(change(2)))
 	e.next(2)
+	return f, e, p, nc
+}
+
+// The feed moves twice, to places that are down: where it was last heard is kept all the while.
+func TestTheOldPlaceIsKeptThroughPlacesThatNeverSpoke(t *testing.T) {
+	next := newPlace(t)
+	f, e, _, nc := followed(t)
 	f.Move("127.0.0.1:1", nil)
 	f.Move("127.0.0.1:2", nil)
 	nc.Write([]byte(change(3)))
@@ -98,13 +105,8 @@
 // A line of the old place was read before the new one spoke, and is taken after: it is passed over, also where it would be
 // the next, as what the old place says by now is of no account.
 func TestTheOldPlaceIsNotHeardOnceTheNewOneSpoke(t *testing.T) {
-	old, next := newPlace(t), newPlace(t)
-	e := ear{t, make(chan Event, 100)}
-	f := Follow(old.Addr().String(), 1, func(ev Event) { e.told <- ev })
-	defer f.Close()
-	nc, _ := old.called(t)
-	nc.Write([]byte(change(2)))
-	e.next(2)
+	next := newPlace(t)
+	f, e, _, _ := followed(t)
 	f.mu.Lock()
 	was := f.now
 	f.mu.Unlock()
@@ -122,13 +124,7 @@
 // An open watch falls silent, with no word of it: it is called anew from the last event on, well within 7 s, also where
 // the first call is not answered either. What the new one tells again is passed over.
 func TestASilentWatchIsCalledAnew(t *testing.T) {
-	p := newPlace(t)
-	e := ear{t, make(chan Event, 100)}
-	f := Follow(p.Addr().String(), 1, func(ev Event) { e.told <- ev })
-	defer f.Close()
-	first, _ := p.called(t)
-	first.Write([]byte(change(2)))
-	e.next(2)
+	_, e, p, first := followed(t)
 	silent := time.Now() // nothing is said any more, nor on the next connection
 	second, last := p.called(t)
 	third, again := p.called(t)
