Open calls are answered after their connection's input ends; half-read messages stay

Looking for the same mistake elsewhere found two more: candidates.consider looked at unread bytes but not at bytes already read, so a connection whose message was read in part was evicted as silent or idle (pieces crossing a crowd of newcomers); and a connection that Accept had returned and that waited in awaitCapacity showed nowhere in HasPendingInput, so a shutdown could close it unread. The first message has 2 s from its first byte, no longer from the accept. isAdmitting covers the connection between accept and service.

--- a/internal/client/answer.go
+++ b/internal/client/answer.go
@@ -22,9 +22,9 @@
 
 func appendDoneTail(b []byte) []byte { return append(b, codeFixMap) }
 
-// appendError appends an answer without a result; an empty field is left out.
-func appendError(b []byte, id uint32, name, field, value string) []byte {
-	b = appendStr(append(appendAnswerHead(b, id), codeFixArray|2), name)
+// encodeError returns an answer without a result; an empty field is left out.
+func encodeError(id uint32, name, field, value string) []byte {
+	b := appendStr(append(appendAnswerHead(nil, id), codeFixArray|2), name)
 	if field == "" {
 		b = append(b, codeFixMap)
 	} else {
--- a/internal/client/buffered.go
+++ b/internal/client/buffered.go
@@ -41,3 +41,14 @@
 	err = raw.Control(func(fd uintptr) { state = peekBuffer(fd) })
 	return err == nil && state == bufferHasBytes
 }
+
+// hasPendingInput reports whether the client has sent something that may become a call.
+func (c *conn) hasPendingInput() bool {
+	if c.isMidMessage.Load() {
+		return true
+	}
+	c.mu.Lock()
+	isInputEnded := c.isInputEnded
+	c.mu.Unlock()
+	return !isInputEnded && c.hasBufferedInput()
+}
--- a/internal/client/call.go
+++ b/internal/client/call.go
@@ -88,12 +88,12 @@
 		field = fieldRetryAfter
 		value = strconv.FormatInt(max(1, wait.Milliseconds()), 10)
 	}
-	l.refuse(appendError(nil, l.id, errorThrottled, field, value))
+	l.refuse(encodeError(l.id, errorThrottled, field, value))
 }
 
 // Failed answers that the job is cancelled for good, which does not say whether it ran.
 func (l *call) Failed(reason string) {
-	l.refuse(appendError(nil, l.id, errorFailed, fieldReason, reason))
+	l.refuse(encodeError(l.id, errorFailed, fieldReason, reason))
 }
 
 // refuse answers without a result, and does not wait for the client to read it.
--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -1,12 +1,9 @@
 package client
 
 import (
-	"errors"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"swiftreel/internal/gateway"
@@ -29,13 +26,14 @@
 	readSincePassOn int    // bytes, since calls were last passed on
 	pendingCalls    []pendingCall
 
-	isMidMessage atomic.Bool // part of a message is in the buffer
+	isMidMessage atomic.Bool // part of a message is in the buffer, or being read into it
 	rate         messageRate
 
 	writeMu sync.Mutex // held while messages are written
 
 	mu               sync.Mutex       // guards what follows
 	hasSpoken        bool             // a complete message was read
+	isInputEnded     bool             // nothing that still comes is read as a message
 	open             map[uint32]*call // until answered or revoked
 	lastUsed         time.Time
 	replies          []byte // refusals and heartbeats, not written yet
@@ -54,8 +52,7 @@
 func (c *conn) serve() {
 	defer c.server.reading.Done()
 	defer c.close()
-	c.isBegun = true
-	c.setDeadline(c.acceptedAt.Add(firstMessageWithin))
+	c.setDeadline(c.acceptedAt.Add(firstByteWithin))
 	for {
 		err := c.readCalls()
 		if c.isClosing() {
@@ -63,7 +60,7 @@
 			return
 		}
 		if err != nil {
-			c.reportError(err)
+			c.endInput(err)
 			return
 		}
 		c.prepareNextRead()
@@ -81,7 +78,7 @@
 			return err
 		}
 		if err := c.handleMessages(c.server.stalls.earliestSendTime(time.Now())); err != nil {
-			return err
+			return c.passOnCallsBefore(err)
 		}
 		mayHaveMore := c.filledBuffer && c.readSincePassOn < maxReadAhead && c.hasBufferedInput()
 		if !mayHaveMore {
@@ -90,13 +87,13 @@
 	}
 }
 
-// reportError logs why a connection ends and tells the client, unless the client or the server has closed it.
-func (c *conn) reportError(err error) {
-	if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.ECONNRESET) {
-		return
+// passOnCallsBefore passes the calls on that came before what cannot be read: they are as good as any. It returns why
+// the reading ends: the reason given, unless the client has gone.
+func (c *conn) passOnCallsBefore(reason error) error {
+	if err := c.passOnCalls(); err != nil {
+		return err
 	}
-	c.server.malformed.CountAndWarn("client_errors", "client_error", "address", c.socket.RemoteAddr(), "reason", err)
-	c.sendFinalError(err)
+	return reason
 }
 
 // close ends the connection; the clients of what is open on it have left.
--- a/internal/client/crossing_test.go
+++ b/internal/client/crossing_test.go
@@ -295,17 +295,18 @@
 	}
 	conns[newSilent()] = struct{}{}
 	f := &Server{conns: conns}
-	c := f.evictionCandidate(now)
+	c := f.evictionCandidates(now).best(now, len(f.conns))
 	if c == nil || now.Sub(c.lastUsed) != 39*time.Millisecond {
 		t.Fatalf("%+v makes way", c)
 	}
 	for range 6 { // a flood of those that say nothing: they make way themselves, once they had their moment
 		conns[newSilent()] = struct{}{}
 	}
-	if c := f.evictionCandidate(now); c != nil {
+	if c := f.evictionCandidates(now).best(now, len(f.conns)); c != nil {
 		t.Errorf("%+v makes way for a flood", c)
 	}
-	if c := f.evictionCandidate(now.Add(minSilentAge)); c == nil || c.hasSpoken {
+	now = now.Add(minSilentAge)
+	if c := f.evictionCandidates(now).best(now, len(f.conns)); c == nil || c.hasSpoken {
 		t.Errorf("%+v makes way instead of one of the flood", c)
 	}
 }
--- a/internal/client/input_end_test.go
+++ b/internal/client/input_end_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -67,3 +68,92 @@
 	}
 	return answers
 }
+
+// A client writes its first message in pieces while newcomers need room: idle connections make way, and its call is
+// taken once the rest has come.
+func TestAHalfReadMessageIsNotEvicted(t *testing.T) {
+	const maxConns = 20 // one silent connection is no flood among so many
+	s := newTestServer(t, maxConns)
+	close(s.door.open)
+	slow := s.dial()
+	call := callOf(1, "SELECT 1 FROM a_1.b")
+	slow.Write(call[:9])
+	s.until("the first piece is not read", func() bool { return s.server.midMessageCount() == 1 })
+	for range 2 * maxConns { // over a time in which a silent connection would have had its moment
+		if newcomer := s.dial(); !answersHeartbeat(newcomer) {
+			t.Fatal("a newcomer does not get in")
+		}
+		time.Sleep(minSilentAge / maxConns)
+	}
+	slow.Write(call[9:])
+	open := s.jobs.nextRequest(t)
+	open.Client.Throttled(0)
+	if answer := readAnswer(t, slow); answer.ID != 1 || answer.Error != errorThrottled {
+		t.Errorf("answered %+v", answer)
+	}
+}
+
+// Clients that never end their first message fill the place: they make way once they took long over it.
+func TestMessagesThatNeverEndDoNotFillThePlace(t *testing.T) {
+	s := newTestServer(t, 3)
+	close(s.door.open)
+	for range 3 {
+		s.dial().Write(callOf(1, "SELECT 1")[:9])
+	}
+	s.until("the pieces are not read", func() bool { return s.server.midMessageCount() == 3 })
+	if !answersHeartbeat(s.dial()) {
+		t.Error("a newcomer does not get in")
+	}
+	if counters.Value("partial_messages_evicted") == 0 {
+		t.Error("none was evicted")
+	}
+}
+
+// A connection that the listener has handed out waits for room: it counts as input that is pending, or a shutdown
+// would close it unread.
+func TestAConnectionThatWaitsForRoomIsPending(t *testing.T) {
+	s := newTestServer(t, 1)
+	close(s.door.open)
+	busy := s.dial()
+	busy.Write(callOf(1, "SELECT 1 FROM a_1.b"))
+	open := s.jobs.nextRequest(t)
+	waiting := s.dial()
+	waiting.Write(callOf(2, "SELECT 2 FROM a_1.b"))
+	s.until("it is not accepted", s.server.isAdmitting.Load)
+	if !s.server.HasPendingInput() {
+		t.Error("it does not count as pending")
+	}
+	open.Client.Throttled(0)
+	s.jobs.nextRequest(t)
+}
+
+// midMessageCount counts the connections of which part of a message was read.
+func (f *Server) midMessageCount() (count int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if c.isMidMessage.Load() {
+			count++
+		}
+	}
+	return count
+}
+
+// readAnswer reads one answer.
+func readAnswer(t *testing.T, conn net.Conn) Answer {
+	t.Helper()
+	_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second)) // an error shows at the read
+	var text []byte
+	for {
+		answer, _, err := ParseAnswer(text)
+		if err == nil {
+			return answer
+		}
+		more := make([]byte, 1000)
+		n, err := conn.Read(more)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text = append(text, more[:n]...)
+	}
+}
--- a/internal/client/linger.go
+++ b/internal/client/linger.go
@@ -10,21 +10,6 @@
 // A close over unread bytes is a reset, which may destroy answers that were just written. So a connection is
 // half-closed first, and what still comes is read and dropped for a while.
 
-// sendFinalError tells a client why its connection ends, under the id of its last call if that can be read, and
-// leaves it a moment to read that.
-func (c *conn) sendFinalError(reason error) {
-	c.abandonCalls()
-	id, hasID := requestID(c.buffer[c.start:c.end])
-	if hasID && c.writeMu.TryLock() {
-		text := appendError(c.nextReplies(), id, errorFailed, fieldReason, reason.Error())
-		_ = c.socket.SetWriteDeadline(time.Now().Add(lingerTime)) // an error shows at the write
-		_, _ = c.socket.Write(text)                               // the connection ends in any case
-		c.writeMu.Unlock()
-	}
-	c.halfClose()
-	c.discardInput()
-}
-
 // halfClose tells the client that nothing more comes, and bounds what it may still send.
 func (c *conn) halfClose() {
 	c.mu.Lock()
@@ -38,12 +23,24 @@
 	_ = c.socket.SetReadDeadline(time.Now().Add(lingerTime))
 }
 
-// halfCloseIfIdle half-closes the connection if nothing is open on it nor lies unread, and reports whether it did. It
-// is one step: a call that is read between the look and the close would have no way for its answer.
+// halfCloseIfIdle half-closes the connection if nothing is open on it, no bytes lie unread and no message was read in
+// part, and reports whether it did. It is one step: a call that is read between the look and the close would have no
+// way for its answer.
 func (c *conn) halfCloseIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.isIdle() || c.hasBufferedInput() {
+	if !c.isIdle() || c.isMidMessage.Load() || c.hasBufferedInput() {
+		return false
+	}
+	c.halfCloseLocked()
+	return true
+}
+
+// halfCloseIfSilent half-closes the connection if no complete message was ever read on it, and reports whether it did.
+func (c *conn) halfCloseIfSilent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.hasSpoken {
 		return false
 	}
 	c.halfCloseLocked()
--- a/internal/client/msgpack_test.go
+++ b/internal/client/msgpack_test.go
@@ -94,7 +94,7 @@
 	if err != nil || n != len(b) || a.ID != 300 || a.Error != "" || !bytes.Equal(a.Body, rows) {
 		t.Fatalf("%d of %d, %v", n, len(b), err)
 	}
-	a, _, err = ParseAnswer(appendError(nil, 7, errorThrottled, fieldRetryAfter, "250"))
+	a, _, err = ParseAnswer(encodeError(7, errorThrottled, fieldRetryAfter, "250"))
 	if err != nil || a.ID != 7 || a.Error != "Overloaded" || a.Fields["pushback"] != "250" {
 		t.Fatalf("%+v %v", a, err)
 	}
--- a/internal/client/read.go
+++ b/internal/client/read.go
@@ -10,7 +10,7 @@
 const (
 	firstBufferSize       = 8 << 10               // bytes
 	maxReadAhead          = 64 << 10              // bytes read before any call in them is passed on
-	firstMessageWithin    = 2 * time.Second       // of the accept, or the connection is closed
+	firstByteWithin       = 2 * time.Second       // of the accept, or the connection is closed
 	completeMessageWithin = 2 * time.Second       // of its first byte, or the connection is closed
 	finalReadWithin       = 20 * time.Millisecond // after a deadline, for what arrived while the process was stalled
 )
@@ -57,6 +57,7 @@
 		if err := c.waitReadable(); err != nil {
 			return err
 		}
+		c.isMidMessage.Store(true) // before the bytes leave the system's buffer, so that they always show somewhere
 		c.buffer = c.newBuffer()
 	case c.end < len(c.buffer):
 	case c.start > 0:
--- a/internal/client/server.go
+++ b/internal/client/server.go
@@ -38,6 +38,7 @@
 	owedAnswers    atomic.Int64 // calls not answered, or with a result being written
 	pendingReplies atomic.Int64 // connections with refusals or heartbeats not written yet
 	isRefusing     atomic.Bool  // calls are throttled instead of taken
+	isAdmitting    atomic.Bool  // a connection was accepted and is not served yet
 	done           chan struct{}
 	reading        sync.WaitGroup // the connections' readers
 
@@ -81,11 +82,19 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		s.awaitCapacity() // only now: while nobody waits to be accepted, nobody has to leave
-		s.start(socket)
+		s.admit(socket)
 	}
 }
 
+// admit serves a connection once there is room for it: only now, as nobody has to leave while nobody waits to be
+// accepted.
+func (s *Server) admit(socket *net.TCPConn) {
+	s.isAdmitting.Store(true)
+	defer s.isAdmitting.Store(false)
+	s.awaitCapacity()
+	s.start(socket)
+}
+
 // start serves a connection, or closes it if the server is closed.
 func (s *Server) start(socket *net.TCPConn) {
 	now := time.Now()
@@ -117,10 +126,10 @@
 func (s *Server) RefuseCalls() { s.isRefusing.Store(true) }
 
 // HasPendingInput reports whether bytes of clients lie unread or were read in part, a connection waits to be
-// accepted, or a small answer to be written. A client can bring that about without end, so a caller must not wait for
-// it without a limit.
+// accepted or served, or a small answer to be written. A client can bring that about without end, so a caller must not
+// wait for it without a limit.
 func (s *Server) HasPendingInput() bool {
-	if s.pendingReplies.Load() > 0 {
+	if s.pendingReplies.Load() > 0 || s.isAdmitting.Load() {
 		return true
 	}
 	s.mu.Lock()
@@ -129,7 +138,7 @@
 		return true
 	}
 	for c := range s.conns {
-		if c.isMidMessage.Load() || c.hasBufferedInput() {
+		if c.hasPendingInput() {
 			return true
 		}
 	}
--- a/internal/client/write.go
+++ b/internal/client/write.go
@@ -21,7 +21,7 @@
 // refuse answers a call that was not taken.
 func (c *conn) refuse(id uint32, name, field, value string) error {
 	c.rate.countRefusal()
-	return c.reply(appendError(nil, id, name, field, value))
+	return c.reply(encodeError(id, name, field, value))
 }
 
 // reply has a small answer written and does not wait: the reader must see what its client does meanwhile. An error
