Restarts are dated by real time, and only a refused dial counts as one

Cause: (1) gateway.engineTable took born_ms, a time of day, for the module's own time, which is the wall clock of the process's start. After a step of an hour either way an engine that has just started was warm at once (rule 4) or cold for an hour; slow-start turns of processes started before and after the step were out of phase. (2) Every failed dial but two errnos ended as NotConnected, which the module reads as "the engine restarted": ENOBUFS, ENOMEM, ENETUNREACH, EACCES ... of this machine, time-outs, resets, and writes of which no byte went out. (3) The feed's deadline of 2.5 s held for a whole line, so a list that comes slowly was begun anew for ever; reconnects had no jitter. (2) Only ECONNREFUSED is a refusal. (3) Bytes count as progress, a line has a minute; delays are shortened by up to half at random. Same mistake elsewhere: endOfFailedSend.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -18,6 +18,7 @@
 	StateTransferred:   (*Controller).adoptState,
 	QuotaAssigned:      func(c *Controller, ev Event) { c.quota = ev.Quota },
 	PredecessorChanged: (*Controller).markPredecessor,
+	ClockStepped:       func(c *Controller, ev Event) { c.clockOffset = ev.ClockOffset },
 }
 
 // Decide takes one event and returns the actions to carry out, in their order. The first event must be
--- a/choice/controller.go
+++ b/choice/controller.go
@@ -11,6 +11,7 @@
 	actions  []Action
 	timerID  TimerID // of the last timer set
 
+	clockOffset        Nanos // of the wall clock over now
 	startedAt          Nanos
 	lastSweepAt        Nanos
 	stopsAt            Nanos // math.MaxInt64: not stopping
--- a/choice/dispatch.go
+++ b/choice/dispatch.go
@@ -83,7 +83,7 @@
 	j.mayHaveRun = j.mayHaveRun || !ev.Result.NeverRan()
 	c.pauseOrdering(j, ev.Result)
 	c.applyLoadReport(a.engine, ev.Load)
-	c.recordOutcome(a.engine, ev.Result)
+	c.recordOutcome(a.engine, ev.Result, ev.ConnectedAt)
 	if ev.Result == Done {
 		c.observeSuccess(a, ev)
 	}
--- a/choice/engine.go
+++ b/choice/engine.go
@@ -37,7 +37,8 @@
 	probePending        bool
 	lastProbeAt         Nanos
 
-	refusing           bool  // it refused the last connection
+	refusing           bool  // it refused the last connection, or may have
+	dialFailedAt       Nanos // first dial that failed without a refusal since it was seen; 0: it refused, or none
 	suspectedRestartAt Nanos // a restart that the list does not report
 	slowStartWork      []timedWork
 
--- a/choice/event.go
+++ b/choice/event.go
@@ -9,11 +9,11 @@
 	JobArrived                              // a client sent a job: Job to RequiredProtocols
 	StreamStarted                           // the answer of an attempt goes out to the client: Job
 	ProgressReported                        // of an attempt: Job, Seq, Engine, Progress, Amount
-	AttemptEnded                            // Job, Seq, Engine, Result to Load
+	AttemptEnded                            // Job, Seq, Engine, Result to ConnectedAt
 	ClientDisconnected                      // before its final answer: Job
 	TimerFired                              // TimerID
 	EnginesListed                           // discovery reported: List, Engines
-	ProbeCompleted                          // Engine, Result, Latency, Load
+	ProbeCompleted                          // Engine, Result, Latency, Load, ConnectedAt
 	GossipReceived                          // another controller sent a message: Peer, Payload
 	Stopping                                // this process ends; answers still go out within TimeLeft
 	PlanUpdated                             // a plan is to be followed from now on, or none: Plan
@@ -21,6 +21,7 @@
 	StateTransferred                        // an older process handed over what it learned: TypeStats, EngineHealth
 	QuotaAssigned                           // what we may use of the fleet until it expires: Quota
 	PredecessorChanged                      // an older process still serves its jobs, or has ended: PredecessorRunning
+	ClockStepped                            // the wall clock was set: ClockOffset
 )
 
 // Result is how an attempt or a probe ended.
@@ -32,14 +33,17 @@
 	Failed             // the engine answered with an error
 	Full               // the engine refused it for want of capacity
 	TimedOut           // no answer within the job timeout
-	Unreachable        // no connection was made
+	Unreachable        // no connection was made: the engine refused it
 	Reset              // the connection broke
 	Canceled           // canceled on our request
 	Superseded         // it never went out
+	DialFailed         // no connection was made, and the engine did not refuse one: it timed out, say
 )
 
 // NeverRan reports whether the result proves that the attempt had no effect.
-func (r Result) NeverRan() bool { return r == Full || r == Unreachable || r == Superseded }
+func (r Result) NeverRan() bool {
+	return r == Full || r == Unreachable || r == Superseded || r == DialFailed
+}
 
 // ProgressKind says what a report of progress is about.
 type ProgressKind uint8
@@ -123,15 +127,17 @@
 	Tables            TableGroup
 	RequiredProtocols Protocols // the engine must speak all of these
 
-	Seq      AttemptSeq
-	Engine   EngineID
-	Result   Result
-	Latency  Nanos
-	IsFinal  bool      // the client has its final answer
-	Usage    uint32    // what the attempt used: ms of work << 12 | memory in units of 4 MB; 0: not known
-	Load     []float64 // the engine's load report, in the order of the settings' fields; below 0: not known
-	Progress ProgressKind
-	Amount   float64
+	Seq     AttemptSeq
+	Engine  EngineID
+	Result  Result
+	Latency Nanos
+	IsFinal bool      // the client has its final answer
+	Usage   uint32    // what the attempt used: ms of work << 12 | memory in units of 4 MB; 0: not known
+	Load    []float64 // the engine's load report, in the order of the settings' fields; below 0: not known
+	// ConnectedAt is when the connection came up over which the engine answered: it has not restarted since. 0: not known
+	ConnectedAt Nanos
+	Progress    ProgressKind
+	Amount      float64
 
 	TimerID TimerID
 
@@ -144,6 +150,7 @@
 	Plan *Plan // nil: none
 
 	PredecessorRunning bool
+	ClockOffset        Nanos // of the wall clock, which controllers share, over the time of events
 	Quota              Quota
 	TypeStats          []TypeStats    // by type; implausible ones are ignored
 	EngineHealth       []EngineHealth // of each engine once
--- a/choice/log.go
+++ b/choice/log.go
@@ -66,3 +66,8 @@
 func (c *Controller) logSuspectedRestart(e *engine, reason restartReason) {
 	c.logf("engine restart suspected engine=%d reason=%s", e.Engine, reason)
 }
+
+// logSurvivedDials logs that an engine did not restart though dials to it failed.
+func (c *Controller) logSurvivedDials(e *engine) {
+	c.logf("engine answers over an older connection engine=%d dials_failed_for=%d", e.Engine, c.now-e.dialFailedAt)
+}
--- a/choice/outlier.go
+++ b/choice/outlier.go
@@ -17,11 +17,12 @@
 	fullCooldown, failedProbeCooldown = second / 5, second // no dispatch after a Full result, a failed probe
 )
 
-// recordOutcome counts the outcome of an attempt or probe for or against an engine.
-func (c *Controller) recordOutcome(e *engine, r Result) {
+// recordOutcome counts the outcome of an attempt or probe for or against an engine. connectedAt is when the
+// connection came up over which it answered; 0: not known.
+func (c *Controller) recordOutcome(e *engine, r Result, connectedAt Nanos) {
 	switch r {
 	case Done:
-		c.markSeen(e)
+		c.markSeen(e, connectedAt)
 		e.newSuccesses++
 		e.failureRate *= 1 - failureRateStep
 		if !e.ejected { // what was out when it was ejected does not restore it
@@ -30,9 +31,9 @@
 	case Full:
 		e.fullUntil = c.now + fullCooldown
 		c.updatePressure(e)
-	case Failed, Reset, Unreachable, TimedOut:
-		if r == Unreachable {
-			c.recordRefusal(e)
+	case Failed, Reset, Unreachable, TimedOut, DialFailed:
+		if r == Unreachable || r == DialFailed {
+			c.recordRefusal(e, r)
 		}
 		e.failureRate += failureRateStep * (1 - e.failureRate)
 		e.newFailures++
@@ -50,13 +51,18 @@
 	return max(ejectAfterFailures, math.Log(accidentProbability)/math.Log(rate))
 }
 
-// recordRefusal records a refused connection. The first one begins an outage.
-func (c *Controller) recordRefusal(e *engine) {
+// recordRefusal records that no connection came up. The first one begins an outage.
+func (c *Controller) recordRefusal(e *engine, r Result) {
 	if c.now-c.outage.lastRefusalAt >= outageDuration {
 		c.outage.startedAt = c.now
 		c.logOutage(e)
 	}
 	c.outage.lastRefusalAt = c.now
+	if r == Unreachable {
+		e.dialFailedAt = 0
+	} else if !e.refusing {
+		e.dialFailedAt = c.now
+	}
 	e.refusing = true
 }
 
@@ -103,9 +109,9 @@
 	c.applyLoadReport(e, ev.Load)
 	if ev.Result == Done {
 		e.probesPassed++
-		c.markSeen(e)
+		c.markSeen(e, ev.ConnectedAt)
 		return
 	}
 	e.probesPassed, e.fullUntil = 0, c.now+failedProbeCooldown
-	c.recordOutcome(e, ev.Result)
+	c.recordOutcome(e, ev.Result, ev.ConnectedAt)
 }
--- a/choice/outlier_test.go
+++ b/choice/outlier_test.go
@@ -11,10 +11,10 @@
 	s.c.fleet.meanFailureRate = 0.3
 	e := s.c.engines[0]
 	for range 5 {
-		s.c.recordOutcome(e, TimedOut)
+		s.c.recordOutcome(e, TimedOut, 0)
 	}
 	require(t, !e.ejected, "ejected after %d", e.consecutiveFailures)
-	s.c.recordOutcome(e, TimedOut)
+	s.c.recordOutcome(e, TimedOut, 0)
 	require(t, e.ejected, "six in a row are no chance")
 }
 
@@ -51,11 +51,11 @@
 	s.pass(500 * ms) // over half its SLA time, four times what it should take
 	require(t, e.consecutiveFailures == 1 && s.jobs[id].attempts[0].cancelRequested,
 		"lost dispatches count against their engine")
-	s.c.recordOutcome(e, TimedOut)
-	s.c.recordOutcome(e, TimedOut)
+	s.c.recordOutcome(e, TimedOut, 0)
+	s.c.recordOutcome(e, TimedOut, 0)
 	require(t, e.ejected, "three lost in a row")
 	s.pass(3 * second)
 	require(t, !e.ejected, "not back after probes: %v", s.logText)
-	s.c.recordOutcome(e, TimedOut)
+	s.c.recordOutcome(e, TimedOut, 0)
 	require(t, e.ejected && e.ejectionTime == 2*minEjectionTime, "one failure more sets it aside for twice as long")
 }
--- a/choice/placement_test.go
+++ b/choice/placement_test.go
@@ -50,8 +50,8 @@
 func TestEngineThatLosesAnswersIsChosenLess(t *testing.T) {
 	s := newStage(t, plainSettings(), 2)
 	for range 30 {
-		s.c.recordOutcome(s.c.engines[0], Reset)
-		s.c.recordOutcome(s.c.engines[0], Done)
+		s.c.recordOutcome(s.c.engines[0], Reset, 0)
+		s.c.recordOutcome(s.c.engines[0], Done, 0)
 	}
 	require(t, !s.c.engines[0].ejected && s.enginesOf(s.arrive(0, 0, 1))[0] == 101, "chosen though it loses half")
 }
--- a/choice/recording_convert_test.go
+++ b/choice/recording_convert_test.go
@@ -49,6 +49,7 @@
 		StateTransferred:   "taught",
 		QuotaAssigned:      "parted",
 		PredecessorChanged: "elder",
+		ClockStepped:       "clock_stepped",
 	}
 	resultNames = names[Result]{
 		0:           "",
@@ -60,6 +61,7 @@
 		Reset:       "reset",
 		Canceled:    "retracted",
 		Superseded:  "moot",
+		DialFailed:  "dial_failed",
 	}
 	listNames = names[ListKind]{
 		0:          "",
@@ -129,6 +131,8 @@
 		Peer:               uint32(ev.Peer),
 		Payload:            ev.Payload,
 		PredecessorRunning: ev.PredecessorRunning,
+		ClockOffset:        ev.ClockOffset,
+		ConnectedAt:        ev.ConnectedAt,
 		Quota:              recordedQuota{recordedFloat(ev.Quota.FleetShare), nil, int64(ev.Quota.ExpiresAt)},
 	}
 	if ev.Settings != nil {
@@ -197,6 +201,8 @@
 		Peer:               PeerID(r.Peer),
 		Payload:            r.Payload,
 		PredecessorRunning: r.PredecessorRunning,
+		ClockOffset:        r.ClockOffset,
+		ConnectedAt:        r.ConnectedAt,
 		Quota:              Quota{FleetShare: float64(r.Quota.FleetShare), ExpiresAt: Nanos(r.Quota.ExpiresAt)},
 	}
 	if r.Settings != nil {
--- a/choice/recording_test.go
+++ b/choice/recording_test.go
@@ -80,6 +80,8 @@
 	Payload            []byte              `json:"said,omitzero"`
 	Plan               *recordedPlan       `json:"plan,omitzero"`
 	PredecessorRunning bool                `json:"on,omitzero"`
+	ClockOffset        Nanos               `json:"clock_offset,omitzero"`
+	ConnectedAt        Nanos               `json:"connected_at,omitzero"`
 	Quota              recordedQuota       `json:"part,omitzero"`
 	TypeStats          []recordedTypeStats `json:"means,omitzero"`
 	EngineHealth       []recordedHealth    `json:"health,omitzero"`
--- a/choice/retry.go
+++ b/choice/retry.go
@@ -117,7 +117,7 @@
 	}
 	if !a.countedAsTimeout {
 		a.countedAsTimeout = true
-		c.recordOutcome(a.engine, TimedOut)
+		c.recordOutcome(a.engine, TimedOut, 0)
 	}
 	c.cancelToRetry(a)
 }
--- a/choice/slow_start.go
+++ b/choice/slow_start.go
@@ -38,8 +38,8 @@
 	budget := slowStartSafety * c.settings.slowStartWork * e.cores * float64(window)
 	turns, ours := max(1, int(budget/max(1, c.longestMeanWork()))), true
 	if turns < c.settings.controllers {
-		// By the clock, which all share: a controller that counts more turns adds few others to them.
-		slot := c.settings.ownIndex + int(c.now/max(window, 1)) + int(e.Engine)
+		// By the wall clock, which all share: a controller that counts more turns adds few others to them.
+		slot := c.settings.ownIndex + int((c.now+c.clockOffset)/max(window, 1)) + int(e.Engine)
 		ours = slot%c.settings.controllers < turns
 		budget *= slowStartTurnShare
 	}
@@ -71,10 +71,17 @@
 	}
 }
 
-// markSeen records that an engine answered.
-func (c *Controller) markSeen(e *engine) {
+// markSeen records that an engine answered, over a connection that came up at a time; 0: not known. One that
+// is older than the first failed dial shows that the engine did not restart: only those dials failed.
+func (c *Controller) markSeen(e *engine, connectedAt Nanos) {
 	e.lastSeenAt = c.now
-	if e.refusing {
-		c.suspectRestart(e, reconnected)
+	if !e.refusing {
+		return
 	}
+	if e.dialFailedAt > 0 && connectedAt > 0 && connectedAt < e.dialFailedAt {
+		e.refusing = false
+		c.logSurvivedDials(e)
+		return
+	}
+	c.suspectRestart(e, reconnected)
 }
--- a/choice/slow_start_test.go
+++ b/choice/slow_start_test.go
@@ -21,7 +21,7 @@
 func TestUnreportedRestartBeginsSlowStart(t *testing.T) {
 	s := newStage(t, plainSettings(), 2)
 	refused, empty := s.c.engines[0], s.c.engines[1]
-	s.c.recordOutcome(refused, Unreachable)
+	s.c.recordOutcome(refused, Unreachable, 0)
 	require(t, s.c.slowStartFraction(empty) < 1, "it may have restarted too")
 	s.handle(Event{Kind: ProbeCompleted, Engine: empty.Engine, Result: Done})
 	require(t, s.c.slowStartFraction(empty) == 1, "it is heard of")
@@ -72,3 +72,34 @@
 	s.c.applyLoadReport(s.c.engines[0], []float64{0})
 	require(t, s.c.slowStartFraction(s.c.engines[0]) == 1, "cold again")
 }
+
+// A dial that failed without a refusal says nothing of a restart if an older connection answers after it. A newer one,
+// or one of unknown age, may be that of an engine that has just started; so may any after a refusal.
+func TestADialThatFailedIsNoRestartIfAnOlderConnectionAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		failed      []Result
+		connectedAt func(failedAt Nanos) Nanos
+		suspected   bool
+	}{
+		"older":                  {[]Result{DialFailed}, func(at Nanos) Nanos { return at - 1 }, false},
+		"older than all of them": {[]Result{DialFailed, DialFailed}, func(at Nanos) Nanos { return at - 1 }, false},
+		"newer":                  {[]Result{DialFailed}, func(at Nanos) Nanos { return at + 1 }, true},
+		"between two dials":      {[]Result{DialFailed, DialFailed}, func(at Nanos) Nanos { return at + 1 }, true},
+		"of unknown age":         {[]Result{DialFailed}, func(Nanos) Nanos { return 0 }, true},
+		"refused":                {[]Result{Unreachable}, func(at Nanos) Nanos { return at - 1 }, true},
+		"refused after a dial":   {[]Result{DialFailed, Unreachable}, func(at Nanos) Nanos { return at - 1 }, true},
+		"dialled after refusal":  {[]Result{Unreachable, DialFailed}, func(at Nanos) Nanos { return at - 1 }, true},
+	} {
+		s := newStage(t, plainSettings(), 3)
+		s.pass(20 * second)
+		e := s.c.engines[1]
+		failedAt := s.c.now
+		for _, result := range c.failed {
+			s.c.recordOutcome(e, result, 0)
+			require(t, s.c.inSlowStart(e), "%s: it counts as warm before it is heard", name)
+			s.c.now += second / 10
+		}
+		s.c.markSeen(e, c.connectedAt(failedAt))
+		require(t, s.c.inSlowStart(e) == c.suspected, "%s: suspected %v", name, s.c.inSlowStart(e))
+	}
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -104,16 +104,17 @@
 // Outcome is how a dispatch or a probe ended.
 type Outcome uint8
 
-// The outcomes. Full, Superseded and NotConnected prove that the dispatch never ran.
+// The outcomes. Full, Superseded, NotConnected and DialFailed prove that the dispatch never ran.
 const (
 	Running      Outcome = iota // not an end: the reply is a notice
 	Done                        // all pages are in memory; of a probe: the engine answers
 	Failed                      // an error, lost pages, or an answer that cannot be read: it may have run
 	Full                        // the engine refused it
 	Superseded                  // it was not sent: too late
-	NotConnected                // no connection came up
+	NotConnected                // the engine refused the connection: nobody listens there
 	Reset                       // the connection broke: it may have run
 	TimedOut                    // of a probe only: a dispatch is cancelled instead
+	DialFailed                  // no connection came up in time, or it broke before a byte went out
 )
 
 // Reply is what is reported of a dispatch or a probe.
@@ -125,4 +126,6 @@
 	MemoryMB float64  // that it used, if the engine reports it
 	Notice   string   // Running: frac, missing or parked
 	Amount   float64  // of the notice
+
+	ConnectedAt time.Time // when the connection came up over which the engine answered; zero: not known
 }
--- a/internal/discovery/event.go
+++ b/internal/discovery/event.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"time"
 )
 
 // Bounds of an event.
@@ -31,9 +32,10 @@
 // Event is one event of the watch.
 type Event struct {
 	Number     uint64
-	Members    *Members // nil: about something else than engines
-	IsPosition bool     // no event, but the number of the last one
-	Invalid    int      // entries that were left out because they cannot be used
+	Members    *Members  // nil: about something else than engines
+	IsPosition bool      // no event, but the number of the last one
+	Invalid    int       // entries that were left out because they cannot be used
+	UpToDateAt time.Time // when the feed had last no event but those passed on: it arose since; zero: not known
 }
 
 // Members is a change of the engine list.
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"time"
 )
@@ -12,6 +13,7 @@
 const (
 	dialTimeout     = time.Second
 	silenceTimeout  = 2500 * time.Millisecond // the feed sends something every second
+	lineTimeout     = time.Minute             // of one line: a complete list may come over a slow or crowded way
 	firstReconnect  = 100 * time.Millisecond  // delay; doubles each time the feed says nothing
 	maxReconnect    = time.Second
 	firstLineBuffer = 4 << 10
@@ -50,12 +52,15 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(delay):
+		case <-time.After(jittered(delay)):
 		}
 		delay = min(2*delay, maxReconnect)
 	}
 }
 
+// jittered shortens a delay by up to half: all controllers lose the feed at once, and must not come back in step.
+func jittered(delay time.Duration) time.Duration { return delay - rand.N(delay/2) }
+
 // follow watches over one connection until that or the context ends, and reports whether an event was received on it.
 func (s *source) follow(ctx context.Context) (hasReceived bool, err error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
@@ -67,14 +72,18 @@
 	stopClosing := context.AfterFunc(ctx, func() { _ = socket.Close() }) // ends a read in progress
 	defer stopClosing()
 	last, _ := s.watcher.Position()
-	extendDeadline(socket)
+	progress := &progressReader{socket: socket}
+	progress.lineComplete()
+	if err := socket.SetWriteDeadline(time.Now().Add(silenceTimeout)); err != nil {
+		return false, err
+	}
 	if _, err := fmt.Fprintf(socket, "SUB %d\n", last); err != nil {
 		return false, err
 	}
-	lines := bufio.NewScanner(socket)
+	lines := bufio.NewScanner(progress)
 	lines.Buffer(make([]byte, firstLineBuffer), maxLine)
 	for lines.Scan() {
-		extendDeadline(socket)
+		progress.lineComplete()
 		if err := s.watcher.receive(s, lines.Bytes()); err != nil {
 			return hasReceived, err
 		}
@@ -86,6 +95,24 @@
 	return hasReceived, errClosedByFeed
 }
 
-func extendDeadline(socket net.Conn) {
-	_ = socket.SetDeadline(time.Now().Add(silenceTimeout)) // an error shows at the next read
+// progressReader reads from a feed that may be slow: what bounds a read is the silence before it, and the time that the
+// line has taken, not the length of the line.
+type progressReader struct {
+	socket    net.Conn
+	lineUntil time.Time
+}
+
+// lineComplete gives the next line its time.
+func (r *progressReader) lineComplete() { r.lineUntil = time.Now().Add(lineTimeout) }
+
+// Read implements io.Reader.
+func (r *progressReader) Read(buffer []byte) (int, error) {
+	until := time.Now().Add(silenceTimeout)
+	if r.lineUntil.Before(until) {
+		until = r.lineUntil
+	}
+	if err := r.socket.SetReadDeadline(until); err != nil {
+		return 0, err
+	}
+	return r.socket.Read(buffer)
 }
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -14,6 +14,7 @@
 	"log/slog"
 	"strconv"
 	"sync"
+	"time"
 
 	"swiftreel/internal/counters"
 	"swiftreel/internal/ratelog"
@@ -43,6 +44,7 @@
 
 	mu       sync.Mutex // held over notify as well, so that two connections pass events on in one order
 	last     uint64     // number of the last event passed on
+	upToDate time.Time  // when the feed last said that there is no later one
 	current  *source
 	previous *source // where the feed was, until the current one sends something; nil as a rule
 }
@@ -142,12 +144,16 @@
 	case event.IsPosition && event.Number > w.last:
 		return &GapError{Last: w.last, Received: event.Number}
 	case event.IsPosition:
+		if event.Number == w.last {
+			w.upToDate = time.Now()
+		}
 	case event.Number <= w.last: // passed on before
 		counters.Increment("discovery_events_duplicate")
 	case event.Number != w.last+1:
 		return &GapError{Last: w.last, Received: event.Number}
 	default:
 		w.last = event.Number
+		event.UpToDateAt = w.upToDate
 		w.notify(event)
 	}
 	return nil
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -40,6 +40,7 @@
 	idleSince     time.Time
 	idleBefore    time.Duration // until what is open now was sent; 0 once something is received
 	lastReceived  time.Time
+	connectedAt   time.Time // zero until dialled
 
 	writeMu sync.Mutex // held while a message is written
 }
@@ -79,11 +80,7 @@
 	c.pool.mu.Lock()
 	c.pool.remove(c)
 	c.pool.mu.Unlock()
-	if isOwnShortage(err) {
-		c.endAll(backend.Full)
-	} else {
-		c.endAll(backend.NotConnected)
-	}
+	c.endAll(outcomeOfDial(err))
 }
 
 // connected puts a dialled connection to use and returns the dispatches to send now.
@@ -94,6 +91,7 @@
 	c.socket = socket
 	c.reader = reader
 	c.lastReceived = now
+	c.connectedAt = now
 	c.idleSince = now
 	if c.isRemoved {
 		_ = socket.Close() // nothing was written to it
--- a/internal/engine/dial.go
+++ b/internal/engine/dial.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -13,32 +14,69 @@
 const (
 	maxDials        = 3 // of a connection that is reset as soon as it is up
 	minDialTimeout  = time.Millisecond
+	dialRetryDelay  = 10 * time.Millisecond // after a dial that this machine could not make
 	minCompleteTime = 500 * time.Millisecond
 )
 
+// ownShortages are errors of socket and connect by which this machine could not make a dial: they say nothing of the
+// engine, and pass.
+var ownShortages = []error{
+	syscall.EMFILE, syscall.ENFILE, // descriptors
+	syscall.ENOBUFS, syscall.ENOMEM, // memory
+	syscall.EADDRNOTAVAIL, syscall.EADDRINUSE, syscall.EAGAIN, // ports
+	syscall.ENETUNREACH, syscall.ENETDOWN, // its own network
+	syscall.EACCES, syscall.EPERM, // its own rules
+	syscall.EINTR,
+}
+
 // completeWithin is how long an answer that has begun may take to be complete.
 func completeWithin(bounds backend.Limits) time.Duration {
 	return max(2*bounds.DialTimeout, minCompleteTime)
 }
 
-// dial makes the connection of c. A connection that came up and was reset at once says nothing of the engine, unlike
-// one that was refused, which makes the engine count as just started; so it is dialled again.
+// dial makes the connection of c within the dial timeout. It dials again where a connection came up and was reset at
+// once, and where this machine could not make the dial.
 func (p *Pool) dial(c *conn) (net.Conn, error) {
 	deadline := time.Now().Add(p.bounds.DialTimeout)
-	for try := 1; ; try++ {
+	resets := 0
+	for {
 		socket, err := p.dialTimeout("tcp4", c.engine.Address, max(minDialTimeout, time.Until(deadline)))
-		if err == nil {
+		switch {
+		case err == nil:
 			return socket, nil
-		}
-		if try == maxDials || !errors.Is(err, syscall.ECONNRESET) {
+		case errors.Is(err, syscall.ECONNRESET) && resets+1 < maxDials:
+			resets++
+			counters.Increment("dials_reset")
+		case isOwnShortage(err) && time.Until(deadline) > dialRetryDelay && !p.hasRemoved(c):
+			counters.Increment("dials_short")
+			time.Sleep(dialRetryDelay)
+		default:
 			counters.Increment("dials_failed")
+			p.dialsFailed.Warn("dial_failed", "engine", c.engine.Name, "address", c.engine.Address, "reason", err)
 			return nil, err
 		}
-		counters.Increment("dials_reset")
 	}
 }
 
-// isOwnShortage reports whether a dial failed because this machine had no descriptor or port left.
+// hasRemoved reports whether a connection was removed: nobody waits for it any more.
+func (p *Pool) hasRemoved(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.isRemoved
+}
+
+// outcomeOfDial tells what a failed dial proves. In each case nothing ran; only a refusal shows that nobody listens.
+func outcomeOfDial(err error) backend.Outcome {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return backend.NotConnected
+	case isOwnShortage(err):
+		return backend.Full
+	default:
+		return backend.DialFailed
+	}
+}
+
 func isOwnShortage(err error) bool {
-	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL)
+	return slices.ContainsFunc(ownShortages, func(shortage error) bool { return errors.Is(err, shortage) })
 }
--- a/internal/engine/dial_test.go
+++ b/internal/engine/dial_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -59,3 +60,51 @@
 		t.Error("not called in time")
 	}
 }
+
+// A dial that this machine cannot make is made again within the dial timeout. What a failed dial proves of the engine:
+// only a refusal, that nobody listens there. Any other had an engine that serves well taken for just started.
+func TestOnlyARefusedDialIsARefusal(t *testing.T) {
+	timeout := &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+	for _, c := range []struct {
+		err   error
+		ends  backend.Outcome
+		again bool
+	}{
+		{syscall.ECONNREFUSED, backend.NotConnected, false},
+		{syscall.ETIMEDOUT, backend.DialFailed, false},
+		{syscall.EHOSTUNREACH, backend.DialFailed, false},
+		{syscall.ECONNABORTED, backend.DialFailed, false},
+		{timeout, backend.DialFailed, false},
+		{syscall.EMFILE, backend.Full, true},
+		{syscall.ENFILE, backend.Full, true},
+		{syscall.ENOBUFS, backend.Full, true},
+		{syscall.ENOMEM, backend.Full, true},
+		{syscall.EAGAIN, backend.Full, true},
+		{syscall.EADDRNOTAVAIL, backend.Full, true},
+		{syscall.ENETUNREACH, backend.Full, true},
+		{syscall.EACCES, backend.Full, true},
+		{syscall.EPERM, backend.Full, true},
+	} {
+		for _, isFailingOnce := range []bool{false, true} {
+			w := newHarness(t)
+			dial := w.pool.dialTimeout
+			failed := 0
+			w.pool.bounds.DialTimeout = 5 * dialRetryDelay
+			w.pool.dialTimeout = func(network, address string, limit time.Duration) (net.Conn, error) {
+				failed++
+				if isFailingOnce && failed > 1 {
+					return dial(network, address, limit)
+				}
+				return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", c.err)}
+			}
+			w.start("a", time.Time{})
+			if isFailingOnce && c.again {
+				w.peer.nextFetch(t).conn.Write(AppendAnswer(nil, "a", "full", "", nil))
+			}
+			w.expectOutcome(c.ends)
+			if c.again != (failed > 1) {
+				t.Errorf("%v: %d dials", c.err, failed)
+			}
+		}
+	}
+}
--- a/internal/engine/dispatch.go
+++ b/internal/engine/dispatch.go
@@ -73,6 +73,7 @@
 	d.pool.mu.Lock()
 	wasOpen := d.state != stateEnded
 	if wasOpen {
+		r.ConnectedAt = d.conn.connectedAt
 		d.conn.release(d)
 		d.close(r.Outcome)
 		if r.Outcome != backend.Done { // it may be sent again, and the answer to this one come twice
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -21,6 +21,7 @@
 	bounds      backend.Limits
 	done        chan struct{} // closed by Close
 	malformed   ratelog.Logger
+	dialsFailed ratelog.Logger
 	dialTimeout func(network, address string, timeout time.Duration) (net.Conn, error)
 
 	mu        sync.Mutex
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -104,7 +104,7 @@
 	if written > 0 {
 		return backend.Reset
 	}
-	return backend.NotConnected
+	return backend.DialFailed
 }
 
 // write writes a message; one that does not go out completely ends the connection, whose reader then ends what is
--- a/internal/gateway/engine_table.go
+++ b/internal/gateway/engine_table.go
@@ -20,6 +20,7 @@
 	host      backend.Host
 	id        choice.EngineID
 	line      choice.EngineEntry // as listed last
+	bornMS    int64              // as listed last: the time of day of its start
 	removedAt time.Time          // zero while the engine is listed
 }
 
@@ -35,11 +36,8 @@
 	return engineTable{byName: map[string]*tableEntry{}, byID: map[choice.EngineID]*tableEntry{}}
 }
 
-// entry returns the entry of a name, and adds it if there is none.
-func (t *engineTable) entry(name string) *tableEntry {
-	if entry := t.byName[name]; entry != nil {
-		return entry
-	}
+// addEntry adds the entry of a name that has none.
+func (t *engineTable) addEntry(name string) *tableEntry {
 	id := engineNumber(name)
 	for t.byID[id] != nil {
 		id++
@@ -60,14 +58,14 @@
 // update applies a discovery event. It returns the entries that changed in the module's terms, and the names of engines
 // that were removed by this event.
 func (t *engineTable) update(
-	members *discovery.Members, ids identifiers, now time.Time,
+	members *discovery.Members, ids identifiers, now time.Time, dating *announcement,
 ) (changed []choice.EngineEntry, removed []string) {
 	t.dropExpired(now)
 	if members.IsComplete {
 		t.markAllRemoved(now)
 	}
 	for _, host := range members.Engines {
-		changed = append(changed, t.updateEntry(host, ids, now))
+		changed = append(changed, t.updateEntry(host, ids, now, dating))
 	}
 	return changed, t.removedAt(now)
 }
@@ -90,8 +88,18 @@
 	}
 }
 
-func (t *engineTable) updateEntry(host discovery.Engine, ids identifiers, now time.Time) choice.EngineEntry {
-	entry := t.entry(host.Host)
+func (t *engineTable) updateEntry(
+	host discovery.Engine, ids identifiers, now time.Time, dating *announcement,
+) choice.EngineEntry {
+	entry, known := t.byName[host.Host], true
+	if entry == nil {
+		entry, known = t.addEntry(host.Host), false
+	}
+	startedAt := entry.line.StartedAt
+	if !known || entry.bornMS != host.BornMS { // else it keeps its date, whatever the clocks say by now
+		startedAt = dating.startTime(host.BornMS)
+	}
+	entry.bornMS = host.BornMS
 	if host.Dial != "" {
 		entry.host.Address = host.Dial
 	}
@@ -107,7 +115,7 @@
 		Cell:        choice.CellID(host.Block),
 		State:       state,
 		Size:        host.Share,
-		StartedAt:   choice.Nanos(host.BornMS) * choice.Nanos(time.Millisecond),
+		StartedAt:   startedAt,
 		Unsupported: t.unsupportedProtocols(entry.host),
 	}
 	return entry.line
@@ -174,16 +182,19 @@
 		return
 	}
 	g.mu.Lock()
-	entries, removed := g.table.update(event.Members, g.ids, time.Now())
+	actions := g.followClock() // what it says dates the starts
+	dating := g.announce(event, cached)
+	entries, removed := g.table.update(event.Members, g.ids, time.Now(), dating)
 	if g.drains != nil {
 		entries = g.drains.ApplyList(g.clock.now(), entries)
 	}
-	actions := g.decide(choice.Event{
+	actions = append(actions, g.decide(choice.Event{
 		Kind:    choice.EnginesListed,
 		List:    listKind(event.Members.IsComplete, cached),
 		Engines: entries,
-	})
+	})...)
 	g.mu.Unlock()
+	dating.report(event.Number)
 	g.perform(actions)
 	for _, name := range removed {
 		g.engines.CloseIdle(name)
--- a/internal/gateway/engine_table_test.go
+++ b/internal/gateway/engine_table_test.go
@@ -11,9 +11,11 @@
 func TestEnginesAreNumberedAlikeInWhateverOrderTheyCome(t *testing.T) {
 	n := newIdentifiers(choice.RawSettings{"localities": []any{"east", "west"}, "kinds": []any{"std"}})
 	a, b, now := newEngineTable(), newEngineTable(), time.Now()
-	first, _ := a.update(engineList(t, "true", "e1", "e2", "e3").Members, n, now)
-	b.update(engineList(t, "true", "e3").Members, n, now)
-	b.update(engineList(t, "false", "e2", "e1").Members, n, now)
+	clock := newClock()
+	dating := &announcement{clock: &clock, now: clock.now()}
+	first, _ := a.update(engineList(t, "true", "e1", "e2", "e3").Members, n, now, dating)
+	b.update(engineList(t, "true", "e3").Members, n, now, dating)
+	b.update(engineList(t, "false", "e2", "e1").Members, n, now, dating)
 	want := choice.EngineEntry{Engine: a.byName["e1"].id, Zone: 1, Cell: 2, State: choice.Ready, Size: 4, StartedAt: 5e6}
 	if first[0] != want {
 		t.Errorf("%+v, want %+v", first[0], want)
@@ -23,12 +25,12 @@
 			t.Errorf("%s is %d and %d", name, l.id, b.byName[name].id)
 		}
 	}
-	_, removed := a.update(engineList(t, "true", "e2").Members, n, now)
+	_, removed := a.update(engineList(t, "true", "e2").Members, n, now, dating)
 	if slices.Sort(removed); !slices.Equal(removed, []string{"e1", "e3"}) || a.byName["e1"].line.State != choice.Removed {
 		t.Errorf("gone %v", removed)
 	}
-	a.update(engineList(t, "false", "e1").Members, n, now.Add(time.Minute))
-	a.update(engineList(t, "false", "e2").Members, n, now.Add(removedRetention+time.Minute))
+	a.update(engineList(t, "false", "e1").Members, n, now.Add(time.Minute), dating)
+	a.update(engineList(t, "false", "e2").Members, n, now.Add(removedRetention+time.Minute), dating)
 	if len(a.byName) != 2 || len(a.byID) != 2 {
 		t.Errorf("%d engines kept, of which one is long gone", len(a.byName))
 	}
@@ -37,10 +39,12 @@
 // Taken for the first zone of the settings, such an engine would get jobs that must not run there.
 func TestAnEngineInAnUnknownPlaceIsInNoneOfThose(t *testing.T) {
 	r := newEngineTable()
+	clock := newClock()
 	lines, _ := r.update(
 		engineList(t, "true", "e1").Members,
 		newIdentifiers(choice.RawSettings{"localities": []any{"east"}, "kinds": []any{"small"}}),
 		time.Now(),
+		&announcement{clock: &clock, now: clock.now()},
 	)
 	if lines[0].Zone != unknownZone || lines[0].Kind != unknownKind {
 		t.Errorf("%+v", lines[0])
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -21,6 +21,25 @@
 // decide reports an event to the module, hands the actions that concern a job to its mailbox and returns the others,
 // which the caller performs once it has released the lock. The caller holds the lock.
 func (g *Gateway) decide(event choice.Event) []choice.Action {
+	if event.Kind == choice.Started {
+		return g.decideOne(event)
+	}
+	return append(g.followClock(), g.decideOne(event)...)
+}
+
+// followClock notifies the module of a step of the wall clock, if there was one since it was last called. It returns
+// the actions to perform. The caller holds the lock.
+func (g *Gateway) followClock() []choice.Action {
+	if !g.clock.observeStep(g.clock.now()) {
+		return nil
+	}
+	counters.Increment("clock_steps")
+	slog.Warn("clock_stepped", "offset_ms", time.Duration(g.clock.offset).Milliseconds())
+	return g.decideOne(choice.Event{Kind: choice.ClockStepped, ClockOffset: g.clock.offset})
+}
+
+// decideOne does what decide does, and does not look at the wall clock.
+func (g *Gateway) decideOne(event choice.Event) []choice.Action {
 	now := time.Now()
 	g.lastTime = max(g.lastTime, g.clock.at(now))
 	g.trace.event(g.lastTime, event)
--- a/internal/gateway/job_runner.go
+++ b/internal/gateway/job_runner.go
@@ -268,6 +268,8 @@
 		IsFinal: !r.state.owesAnswer(),
 		Usage:   packBill(reply),
 		Load:    r.gateway.settings.parseLoad(reply.Load),
+
+		ConnectedAt: r.gateway.clock.connectedAt(reply),
 	})
 }
 
--- a/internal/gateway/load_report.go
+++ b/internal/gateway/load_report.go
@@ -19,6 +19,7 @@
 	backend.NotConnected: choice.Unreachable,
 	backend.Reset:        choice.Reset,
 	backend.TimedOut:     choice.TimedOut,
+	backend.DialFailed:   choice.DialFailed,
 }
 
 // notices are the module's terms for the notices that engines send of a running dispatch.
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -19,6 +19,8 @@
 			Result:  results[reply.Outcome],
 			Latency: choice.Nanos(time.Since(startedAt)),
 			Load:    g.settings.parseLoad(reply.Load),
+
+			ConnectedAt: g.clock.connectedAt(reply),
 		})
 	}
 	if !known {
--- a/internal/gateway/start_time_test.go
+++ b/internal/gateway/start_time_test.go
@@ -21,8 +21,8 @@
 	return event
 }
 
-// A change of the list tells of a start an hour off, either way, as one of the two wall clocks was stepped: the engine
-// started just before the change was announced, and is warm a window later.
+// A feed that was up to date a moment ago announces a start an hour off, either way, as one of the two wall clocks was
+// stepped: the engine started just before the change was announced, and is warm a window later.
 func TestAnAnnouncedStartIsNotDatedByASteppedClock(t *testing.T) {
 	for name, step := range map[string]time.Duration{"ahead": time.Hour, "behind": -time.Hour} {
 		t.Run(name, func(t *testing.T) {
@@ -30,7 +30,9 @@
 			defer g.Close()
 			g.UpdateEngines(oneEngine(t, true, "old", time.Now().Add(-time.Hour)), true)
 			before := g.clock.now()
-			g.UpdateEngines(oneEngine(t, false, "new", time.Now().Add(step)), false)
+			change := oneEngine(t, false, "new", time.Now().Add(step))
+			change.UpToDateAt = time.Now()
+			g.UpdateEngines(change, false)
 			started := g.table.byName["new"].line.StartedAt
 			if started < before || started > g.clock.now() {
 				t.Errorf("started %v before it was announced", time.Duration(before-started))
@@ -41,3 +43,45 @@
 		})
 	}
 }
+
+// steppedClock is a wall clock that a test steps.
+type steppedClock struct{ offset time.Duration }
+
+func (c *steppedClock) now() time.Time { return time.Now().Add(c.offset) }
+
+// The wall clock of the machine is stepped while engines start, in whatever order the stamp, the step and the event
+// come: what counts is when they started. Engines that are known keep their date.
+func TestStartsAreDatedRightAcrossASteppedClock(t *testing.T) {
+	const age = 2 * time.Second
+	for name, step := range map[string]time.Duration{
+		"an hour ahead": time.Hour, "an hour behind": -time.Hour, "seconds ahead": 5 * time.Second,
+		"seconds behind": -5 * time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			wall := &steppedClock{}
+			g := New(Options{Settings: choice.RawSettings{"kinds": []any{"std"}}, Seed: 1, Budget: testBudget()})
+			defer g.Close()
+			g.mu.Lock()
+			g.clock.wall = wall.now
+			g.mu.Unlock()
+			old := wall.now().Add(-time.Hour)
+			g.UpdateEngines(oneEngine(t, true, "old", old), true)
+			stampedBefore := oneEngine(t, false, "before", wall.now().Add(-age))
+			g.mu.Lock()
+			wall.offset = step
+			g.mu.Unlock()
+			g.UpdateEngines(oneEngine(t, false, "late", wall.now()), false) // the first event after the step
+			g.UpdateEngines(stampedBefore, false)
+			g.UpdateEngines(oneEngine(t, false, "after", wall.now().Add(-age)), false)
+			g.UpdateEngines(oneEngine(t, false, "old", old), false)
+			for engine, wantAge := range map[string]time.Duration{"before": age, "after": age, "late": 0, "old": time.Hour} {
+				g.mu.Lock()
+				got := time.Duration(g.clock.now() - g.table.byName[engine].line.StartedAt)
+				g.mu.Unlock()
+				if got < wantAge-10*time.Millisecond || got > wantAge+time.Second {
+					t.Errorf("%s started %v ago, not %v", engine, got, wantAge)
+				}
+			}
+		})
+	}
+}
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -27,6 +27,7 @@
 	choice.StateTransferred:   "taught",
 	choice.PredecessorChanged: "elder",
 	choice.QuotaAssigned:      "parted",
+	choice.ClockStepped:       "clock_stepped",
 }
 
 var actionNames = [...]string{
