Rules are checked at run time beside the module; answers, ends and refusals say why

Cause: nothing looked at what really went out: invariants of the gateway covered its own state machine, and the log could not say why a job was throttled, why an order was not sent, or how attempts ended. A violation is a counter of its own, `rules_violated`, a log line with call, job and engine, and a panic with the tag debug.

--- a/choice/dispatch.go
+++ b/choice/dispatch.go
@@ -1,6 +1,9 @@
 package choice
 
-import "math"
+import (
+	"cmp"
+	"math"
+)
 
 const (
 	normalPriority, lockPriority, shortPriority = 1, 2, 3 // lock: other jobs wait behind a load on their tables
@@ -93,7 +96,7 @@
 	} else if c.mayRetry(a, ev.Result) {
 		c.park(j, 0)
 	} else {
-		c.finishUnserved(j)
+		c.finishUnserved(j, cmp.Or(c.shedReason(j), NoRetryLeft))
 	}
 }
 
--- a/choice/recording_digest_test.go
+++ b/choice/recording_digest_test.go
@@ -20,6 +20,9 @@
 		fmt.Fprintf(h, "%s job=%d engine=%d seq=%d span=%d until=%d priority=%d memory=%x mark=%d peer=%d on=%v text=%x\n",
 			actionNames.name(a.Kind), a.Job, a.Engine, a.Seq, a.Duration, a.SendDeadline, a.Priority, a.MemoryMB, a.TimerID,
 			a.Peer, a.Enabled, text)
+		if a.Reason != "" {
+			fmt.Fprintf(h, "reason=%s\n", a.Reason)
+		}
 	}
 	return fmt.Sprintf("%016x", h.Sum64())
 }
--- a/choice/retry.go
+++ b/choice/retry.go
@@ -54,7 +54,7 @@
 		retry = retry && c.retryBudget.tokens >= 1
 		c.retryBudget.tokens = max(0, c.retryBudget.tokens-1)
 	}
-	return retry && j.attemptCount < c.settings.maxAttempts && !c.shouldShed(j)
+	return retry && j.attemptCount < c.settings.maxAttempts && c.shedReason(j) == ""
 }
 
 // mayCancelToRetry reports whether a job's attempt may be canceled for another, well inside its window.
@@ -106,7 +106,7 @@
 	t, stopped := a.job.jobType, c.progressStopped(a)
 	if t.locksTables { // loads may rightly stand still
 		if stopped && !t.repeatableByKey && !t.repeatable {
-			c.finishUnserved(a.job) // its answer will not come, and its key's next jobs wait for it
+			c.finishUnserved(a.job, ProgressStopped) // its answer will not come, and its key's next jobs wait for it
 		}
 		return
 	}
--- a/choice/sweep.go
+++ b/choice/sweep.go
@@ -39,9 +39,13 @@
 func (c *Controller) checkJob(j *job) {
 	switch {
 	case j.finished || j.streaming:
-	case c.nearExpiry(j) || (j.attempt == nil && c.shouldShed(j)):
-		c.finishUnserved(j)
+	case c.nearExpiry(j):
+		c.finishUnserved(j, TooLateToServe)
 	case j.attempt != nil:
 		c.checkAttempt(j.attempt)
+	default:
+		if why := c.shedReason(j); why != "" {
+			c.finishUnserved(j, why)
+		}
 	}
 }
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -78,12 +78,17 @@
 	Priority       uint8
 	Lane           Lane
 	OrderedAt      time.Time
-	Permit         Permit
+	Gate           Gate
 }
 
-// Permit is asked in the moment in which the first byte of a dispatch would go out, however long its order, its dial
-// or a move to another connection took. It does not wait, and is asked again for each connection that is tried.
-type Permit func() Permission
+// Gate is asked before the first byte of a dispatch goes out. It is safe for concurrent use and does not wait.
+type Gate interface {
+	// Permit is asked in the moment in which the first byte would go out, however long the order, the dial or a move to
+	// another connection took, and again for each connection that is tried.
+	Permit() Permission
+	// Withdraw is called after a permission was granted and no byte went out.
+	Withdraw()
+}
 
 // Permission says whether a dispatch may be sent now. One that may not has the outcome Superseded.
 type Permission struct {
--- a/internal/engine/crossing_harness_test.go
+++ b/internal/engine/crossing_harness_test.go
@@ -166,6 +166,17 @@
 	return w
 }
 
+// gateUntil permits dispatches up to a moment; zero: always.
+type gateUntil time.Time
+
+func (g gateUntil) Permit() backend.Permission {
+	until := time.Time(g)
+	isTooLate := !until.IsZero() && time.Now().After(until)
+	return backend.Permission{Granted: !isTooLate, TimeoutMS: 1000}
+}
+
+func (gateUntil) Withdraw() {}
+
 func (w *harness) start(id string, until time.Time) backend.Dispatch {
 	host := backend.Host{Name: "e1", Address: w.peer.Addr().String()}
 	request := backend.Request{
@@ -175,10 +186,7 @@
 		Priority:  1,
 		Lane:      backend.RunOnce,
 		OrderedAt: time.Now(),
-		Permit: func() backend.Permission {
-			isTooLate := !until.IsZero() && time.Now().After(until)
-			return backend.Permission{Granted: !isTooLate, TimeoutMS: 1000}
-		},
+		Gate:      gateUntil(until),
 	}
 	return w.pool.Start(host, request, func(r backend.Reply) { w.replies <- r })
 }
--- a/internal/engine/dispatch.go
+++ b/internal/engine/dispatch.go
@@ -120,7 +120,14 @@
 	if d.isProbe {
 		return backend.Permission{Granted: true}
 	}
-	return d.request.Permit()
+	return d.request.Gate.Permit()
+}
+
+// withdraw gives a permission back of which no use was made.
+func (d *Dispatch) withdraw(granted backend.Permission) {
+	if granted.Granted && !d.isProbe {
+		d.request.Gate.Withdraw()
+	}
 }
 
 // appendCommand appends the command of a dispatch that was permitted.
--- a/internal/engine/golden_test.go
+++ b/internal/engine/golden_test.go
@@ -92,7 +92,7 @@
 		Statement: []byte("SELECT 1"),
 		Priority:  2,
 		OrderedAt: time.Now(),
-		Permit:    func() backend.Permission { return backend.Permission{Granted: true, TimeoutMS: 1500} },
+		Gate:      openGate(1500),
 	}, reply)
 	peer.gets("fetch 9b1f03aa5c7e2d41 c=report,w=1500,urgency=2 8\r\nSELECT 1\r\n")
 	peer.answers("9b1f03aa5c7e2d41 news note=frac,val=0.5 0\r\n\r\n")
@@ -111,7 +111,7 @@
 		IdempotencyKey: []byte("key-7"),
 		GrantMB:        12.5,
 		OrderedAt:      time.Now(),
-		Permit:         func() backend.Permission { return backend.Permission{Granted: true} },
+		Gate:           openGate(0),
 	}, reply)
 	peer.gets("fetch 00000000000000ff c=import,w=0,allot=13,urgency=0,i=key-7 0\r\n\r\n")
 	given := make(chan struct{})
--- a/internal/engine/harness_test.go
+++ b/internal/engine/harness_test.go
@@ -28,8 +28,19 @@
 
 const memory = 100_000
 
-// permitted permits every dispatch.
-func permitted() backend.Permission { return backend.Permission{Granted: true, TimeoutMS: 1000} }
+// openGate permits every dispatch, to take so many milliseconds.
+type openGate int64
+
+func (g openGate) Permit() backend.Permission {
+	return backend.Permission{Granted: true, TimeoutMS: int64(g)}
+}
+func (openGate) Withdraw() {}
+
+// closedGate permits none.
+type closedGate struct{}
+
+func (closedGate) Permit() backend.Permission { return backend.Permission{TimeoutMS: 1000} }
+func (closedGate) Withdraw()                  {}
 
 func newHarness(t *testing.T, change func(*backend.Limits)) *harness {
 	t.Helper()
@@ -69,13 +80,13 @@
 
 func (b *harness) start(id string) backend.Dispatch {
 	return b.pool.Start(b.host, backend.Request{ID: []byte(id), Type: []byte("report"), Statement: []byte("SELECT 1"),
-		Priority: 1, OrderedAt: time.Now(), Permit: permitted}, func(r backend.Reply) { b.replies <- r })
+		Priority: 1, OrderedAt: time.Now(), Gate: openGate(1000)}, func(r backend.Reply) { b.replies <- r })
 }
 
 // startImport starts a dispatch that must not be lost.
 func (b *harness) startImport(id string) {
 	request := backend.Request{ID: []byte(id), Type: []byte("import"), Lane: backend.RunOnce, OrderedAt: time.Now(),
-		Permit: permitted}
+		Gate: openGate(1000)}
 	b.pool.Start(b.host, request, func(r backend.Reply) { b.replies <- r })
 }
 
--- a/internal/engine/pool_test.go
+++ b/internal/engine/pool_test.go
@@ -81,7 +81,7 @@
 func TestADispatchThatIsNotPermittedIsSuperseded(t *testing.T) {
 	b := newHarness(t, nil)
 	request := backend.Request{ID: []byte("a"), Type: []byte("report"), OrderedAt: time.Now(),
-		Permit: func() backend.Permission { return backend.Permission{TimeoutMS: 1000} }}
+		Gate: closedGate{}}
 	b.pool.Start(b.host, request, func(r backend.Reply) { b.replies <- r })
 	b.expectOutcome(backend.Superseded)
 	b.start("b")
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -26,6 +26,9 @@
 	if decision == sendNow {
 		written, err = c.writeDispatch(dispatch, granted)
 	}
+	if written == 0 {
+		dispatch.withdraw(granted)
+	}
 	c.writeMu.Unlock() // an abort of the dispatch has waited for it
 	switch decision {
 	case sendRefused:
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -43,7 +43,10 @@
 	}
 	g.perform(actions)
 	g.trace.job(j.id, "call", string(j.ID))
-	request.Client.OnDisconnect(func() { j.mailbox.put(clientDisconnected{}) })
+	request.Client.OnDisconnect(func() {
+		g.audit.ClientLeft(j.id, time.Now())
+		j.mailbox.put(clientDisconnected{})
+	})
 	go newJobRunner(g, j).run()
 }
 
@@ -66,6 +69,7 @@
 	g.jobs[admitted.id] = admitted
 	g.openCalls[string(admitted.ID)] = struct{}{}
 	g.running.Add(1)
+	g.auditAdmitted(admitted, arrival)
 	return g.decide(arrival), nil
 }
 
--- /dev/null
+++ b/internal/gateway/audit.go
@@ -0,0 +1,28 @@
+package gateway
+
+import (
+	"time"
+
+	"swiftreel/choice"
+	"swiftreel/internal/audit"
+	"swiftreel/internal/invariant"
+)
+
+// auditAdmitted records an admitted job in the ledger.
+func (g *Gateway) auditAdmitted(j *job, arrival choice.Event) {
+	jobType, _ := g.settings.typeOf(arrival.Type)
+	admitted := audit.Job{ID: j.id, Deadline: j.ArrivedAt.Add(j.Timeout), RunOnce: jobType.neverRepeated}
+	if jobType.ordered {
+		admitted.Key = arrival.Key
+	}
+	g.audit.Admitted(admitted, time.Now())
+}
+
+// reportViolations counts broken rules under their names and logs them; builds with the tag debug panic.
+func (g *Gateway) reportViolations(j *job, engine choice.EngineID, broken []audit.Violation) {
+	for _, violation := range broken {
+		g.auditLog.CountAndWarn("rules_violated", "rule_violated", "rule", string(violation), "job", j.id,
+			"call", string(j.ID), "type", string(j.Type), "engine", engine)
+		invariant.Check(false, string(violation))
+	}
+}
--- a/internal/gateway/engine_table.go
+++ b/internal/gateway/engine_table.go
@@ -22,6 +22,8 @@
 	line      choice.EngineEntry // as listed last
 	bornMS    int64              // as listed last: the time of day of its start
 	removedAt time.Time          // zero while the engine is listed
+	// unavailableSince is when the engine was listed as one that takes nothing; zero: it takes jobs.
+	unavailableSince time.Time
 }
 
 // engineTable gives engines their numbers. They are derived from the names, so that all controllers see engines in the
@@ -84,6 +86,7 @@
 		if entry.line.State != choice.Removed {
 			entry.line.State = choice.Removed
 			entry.removedAt = now
+			entry.noteAvailability(now)
 		}
 	}
 }
@@ -118,9 +121,20 @@
 		StartedAt:   startedAt,
 		Unsupported: t.unsupportedProtocols(entry.host),
 	}
+	entry.noteAvailability(now)
 	return entry.line
 }
 
+// noteAvailability notes since when an engine takes nothing, after its state was set.
+func (e *tableEntry) noteAvailability(now time.Time) {
+	switch {
+	case e.line.State == choice.Ready:
+		e.unavailableSince = time.Time{}
+	case e.unavailableSince.IsZero():
+		e.unavailableSince = now
+	}
+}
+
 // engineState reads the state of an engine. One in an unknown state gets no new jobs.
 func engineState(text string) choice.EngineState {
 	switch text {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"swiftreel/choice"
+	"swiftreel/internal/audit"
 	"swiftreel/internal/backend"
 	"swiftreel/internal/invariant"
 	"swiftreel/internal/jobstats"
@@ -27,6 +28,8 @@
 	ready       atomic.Bool
 	moduleLog   ratelog.Limiter // for the log lines of the module
 	overdueLog  ratelog.Logger
+	audit       *audit.Ledger // what was sent, and for whom
+	auditLog    ratelog.Logger
 	closing     chan struct{}
 	running     sync.WaitGroup // goroutines of jobs, and of the reconciliation
 	reconciling reconciler     // owned by its goroutine
@@ -67,6 +70,7 @@
 		jobs:      map[choice.JobID]*job{},
 		openCalls: map[string]struct{}{},
 	}
+	g.audit = audit.NewLedger(g.settings.drainGrace, g.settings.orderPause)
 	g.engines = backend.NewMux(options.Protocols, backend.Limits{
 		DialTimeout:    g.settings.dialTimeout,
 		IdleTimeout:    g.settings.idleTimeout,
@@ -104,7 +108,7 @@
 	close(g.closing)
 	g.engines.Close()
 	g.running.Wait()
-	invariant.Check(len(g.jobs) == 0 && len(g.openCalls) == 0, "jobs_left")
+	invariant.Check(len(g.jobs) == 0 && len(g.openCalls) == 0 && g.audit.OpenJobs() == 0, "jobs_left")
 	invariant.Check(g.budget.ReadBytes.Unused() && g.budget.MessageBytes.Unused(), "bytes_left")
 }
 
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -87,6 +87,7 @@
 		return false
 	}
 	delete(g.jobs, j.id)
+	g.audit.Removed(j.id)
 	g.releaseSlot(j.Protocol)
 	return true
 }
--- a/internal/gateway/job_runner.go
+++ b/internal/gateway/job_runner.go
@@ -86,12 +86,23 @@
 		}
 	case choice.Throttle:
 		retryAfter := time.Duration(order.action.Duration)
+		r.noteUnserved("throttled", order.action.Reason)
 		r.answer(jobstats.Throttled, func() { r.job.Client.Throttled(retryAfter) })
 	case choice.CancelPermanently:
+		r.noteUnserved("cancelled", order.action.Reason)
 		r.answer(jobstats.Cancelled, func() { r.job.Client.Failed(ReasonCancelled) })
 	}
 }
 
+// noteUnserved counts why a job that is owed an answer gets one without a result.
+func (r *jobRunner) noteUnserved(answer string, why choice.Reason) {
+	if !r.state.owesAnswer() {
+		return
+	}
+	counters.Increment("jobs_" + answer + "_" + string(why))
+	r.gateway.trace.job(r.job.id, "call", string(r.job.ID), "answer", answer, "why", why, "attempts", r.attempts)
+}
+
 // setDispatchOptions sets the memory grant and the priority of dispatches. The one in flight gets the new priority,
 // too.
 func (r *jobRunner) setDispatchOptions(options choice.Action) {
@@ -154,7 +165,7 @@
 		GrantMB:        r.grantMB,
 		Priority:       r.priority,
 		OrderedAt:      order.orderedAt,
-		Permit:         sendGate{gateway: g, job: r.job, attempt: a, host: host, deadline: r.attemptDeadline}.permit,
+		Gate:           sendGate{gateway: g, job: r.job, attempt: a, host: host, deadline: r.attemptDeadline},
 		Lane:           g.settings.lane(g.ids.types[string(r.job.Type)]),
 	}
 }
@@ -222,6 +233,7 @@
 	r.endAttempt(m.attempt, choice.Done, m.reply)
 	if owed {
 		r.gateway.closeCall(r.job)
+		r.auditAnswer(false)
 		r.deliverResult(m)
 	}
 	r.gateway.engines.Release(m.reply.Pages)
@@ -258,6 +270,8 @@
 	r.attempt = nil
 	r.attemptDeadline = r.deadline
 	r.advance(dispatchEnded)
+	r.gateway.reportViolations(r.job, a.engine, r.gateway.audit.Ended(r.job.id, result, time.Now()))
+	counters.Increment("attempts_" + resultNames[result])
 	r.gateway.notify(choice.Event{
 		Kind:    choice.AttemptEnded,
 		Job:     r.job.id,
@@ -282,6 +296,7 @@
 	r.gateway.closeCall(r.job)
 	r.countOutcome(kind, 0)
 	r.advance(answerSettled)
+	r.auditAnswer(kind == jobstats.Throttled)
 	if r.state.hasDispatch() {
 		go write()
 	} else {
@@ -289,6 +304,10 @@
 	}
 }
 
+func (r *jobRunner) auditAnswer(refused bool) {
+	r.gateway.reportViolations(r.job, 0, r.gateway.audit.Answered(r.job.id, refused))
+}
+
 // disconnect ends a job whose client is gone, unless it was answered.
 func (r *jobRunner) disconnect() {
 	if !r.state.owesAnswer() {
--- a/internal/gateway/job_runner_test.go
+++ b/internal/gateway/job_runner_test.go
@@ -82,7 +82,7 @@
 		r.GrantMB,
 		r.Priority,
 		r.Lane,
-		r.Permit != nil,
+		r.Gate != nil,
 	)
 	return &scriptedDispatch{engines: e}
 }
--- a/internal/gateway/load_report.go
+++ b/internal/gateway/load_report.go
@@ -22,6 +22,19 @@
 	backend.DialFailed:   choice.DialFailed,
 }
 
+// resultNames are the names of results in counters.
+var resultNames = map[choice.Result]string{
+	choice.Done:        "done",
+	choice.Failed:      "failed",
+	choice.Full:        "full",
+	choice.TimedOut:    "timed_out",
+	choice.Unreachable: "refused_connection",
+	choice.Reset:       "reset",
+	choice.Canceled:    "canceled",
+	choice.Superseded:  "superseded",
+	choice.DialFailed:  "dial_failed",
+}
+
 // notices are the module's terms for the notices that engines send of a running dispatch.
 var notices = map[string]choice.ProgressKind{
 	"frac":    choice.ProgressFraction,
--- a/internal/gateway/send_gate.go
+++ b/internal/gateway/send_gate.go
@@ -4,10 +4,14 @@
 	"time"
 
 	"swiftreel/choice"
+	"swiftreel/internal/audit"
 	"swiftreel/internal/backend"
 	"swiftreel/internal/counters"
 )
 
+// minTimeGiven is the least time for which an engine is asked.
+const minTimeGiven = time.Millisecond
+
 // sendGate asks the decision module about an ordered attempt in the moment in which its first byte would go out. It
 // does not change and is safe for concurrent use: connections call it, not the goroutine of the job.
 type sendGate struct {
@@ -18,34 +22,49 @@
 	deadline time.Time    // of the attempt, at most that of the job
 }
 
-// permit is a backend.Permit: what it says holds for now only.
-func (s sendGate) permit() backend.Permission {
+// Permit implements backend.Gate.
+func (s sendGate) Permit() backend.Permission {
 	connected := s.job.Client.Connected()
-	refusal := s.refusal(connected)
-	left := time.Until(s.deadline).Milliseconds()
-	if refusal == choice.Permitted && left < 1 {
+	refusal, unavailableSince := s.ask(connected)
+	now := time.Now()
+	left := s.deadline.Sub(now)
+	if refusal == choice.Permitted && left < minTimeGiven {
 		refusal = choice.JobOver
 	}
 	if refusal != choice.Permitted {
 		counters.Increment("send_refused_" + refusal.String())
-		s.gateway.trace.job(s.job.id, "attempt", s.attempt.sequence, "send_refused", refusal)
+		s.gateway.trace.job(s.job.id, "call", string(s.job.ID), "attempt", s.attempt.sequence, "engine", s.attempt.engine,
+			"send_refused", refusal)
 		return backend.Permission{}
 	}
-	return backend.Permission{Granted: true, TimeoutMS: left}
+	given := left.Truncate(time.Millisecond)
+	s.gateway.trace.job(s.job.id, "call", string(s.job.ID), "attempt", s.attempt.sequence, "engine", s.attempt.engine,
+		"sent_with", given)
+	broken := s.gateway.audit.Sent(audit.Send{Job: s.job.id, At: now, Given: given, UnavailableSince: unavailableSince})
+	s.gateway.reportViolations(s.job, s.attempt.engine, broken)
+	return backend.Permission{Granted: true, TimeoutMS: given.Milliseconds()}
 }
 
-func (s sendGate) refusal(clientConnected bool) choice.Refusal {
+// Withdraw implements backend.Gate.
+func (s sendGate) Withdraw() { s.gateway.audit.Withdrawn(s.job.id) }
+
+// ask asks the module, and says since when the engine is listed as one that takes nothing; zero: it takes jobs.
+func (s sendGate) ask(clientConnected bool) (refusal choice.Refusal, unavailableSince time.Time) {
 	g := s.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	entry := g.table.byID[s.attempt.engine]
 	sameAddress := entry != nil && g.table.hostBy(entry, s.job.Protocol).Address == s.host.Address
 	now := max(g.lastTime, g.clock.now())
-	return g.module.SendRefusal(now, choice.SendFacts{
+	refusal = g.module.SendRefusal(now, choice.SendFacts{
 		Job:             s.job.id,
 		Seq:             s.attempt.sequence,
 		ClientConnected: clientConnected,
 		SameAddress:     sameAddress,
 		MaxAge:          choice.Nanos(g.settings.dialTimeout),
 	})
+	if entry != nil {
+		unavailableSince = entry.unavailableSince
+	}
+	return refusal, unavailableSince
 }
--- a/internal/gateway/send_gate_test.go
+++ b/internal/gateway/send_gate_test.go
@@ -59,7 +59,7 @@
 			crossing.happens(g, client)
 			eventually(t, "no time passes", func() bool { return time.Since(arrivedAt) > 20*time.Millisecond })
 			left := timeout - time.Since(arrivedAt)
-			permission := request.Permit()
+			permission := request.Gate.Permit()
 			if permission.Granted != crossing.granted {
 				t.Errorf("granted: %v", permission.Granted)
 			}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -37,6 +37,8 @@
 	idleTimeout    time.Duration
 	step           time.Duration // between two events that may depend on each other over different connections
 	answerSlack    time.Duration // how late an answer may be
+	drainGrace     time.Duration // in which an engine that drains may still be sent to; 0: no bound
+	orderPause     time.Duration // of an order key after an outcome that is unsure
 	stopTimeout    time.Duration // after SIGTERM the process is not killed before
 	streamsPerConn int
 	maxJobs        int
@@ -53,6 +55,8 @@
 	threads          float64
 	clientTimeout    time.Duration // how long its clients wait in all
 	runOnce          bool          // a dispatch must not be broken off
+	neverRepeated    bool          // nor be sent again once it may have run, not even by its key
+	ordered          bool          // jobs of one order key run one after the other
 	writesTables     bool
 	waitsForLoads    bool
 }
@@ -85,11 +89,14 @@
 func newSettings(facts choice.RawSettings) settings {
 	root := settingsMap(facts)
 	limits := root.object("limits")
+	rules := root.object("invariants")
 	s := settings{
 		dialTimeout:    limits.duration("dial_timeout_ns", defaultDialTimeout),
 		idleTimeout:    limits.duration("conn_idle_ns", defaultIdleTimeout),
 		step:           root.duration("step_ns", 0),
-		answerSlack:    root.object("invariants").duration("answer_slack_ns", 0) + answerSlackMargin,
+		answerSlack:    rules.duration("answer_slack_ns", 0) + answerSlackMargin,
+		drainGrace:     rules.duration("drain_grace_ns", 0),
+		orderPause:     rules.duration("order_pause_ns", 0),
 		streamsPerConn: int(limits.number("max_streams", 1)),
 		maxJobs:        int(limits.number("max_open", defaultMaxJobs)),
 		maxMemoryMB:    maxMemoryMB(root.object("domain").list("size_mb")),
@@ -118,6 +125,8 @@
 			threads:          threadsAt(threads, i),
 			clientTimeout:    class.duration("give_up_ns", defaultTimeLimit),
 			runOnce:          class["idempotency"] != "repeatable",
+			neverRepeated:    class["idempotency"] == "once",
+			ordered:          class["fifo_by_key"] == true,
 			writesTables:     isTrueAt(domain.list("writes_tables"), i),
 			waitsForLoads:    isTrueAt(domain.list("waits_for_loads"), i),
 		})
--- a/internal/sparql/endpoint/client.go
+++ b/internal/sparql/endpoint/client.go
@@ -77,7 +77,7 @@
 		d.finish(backend.Reply{Outcome: backend.Superseded})
 		return d
 	}
-	permission := request.Permit()
+	permission := request.Gate.Permit()
 	if !permission.Granted {
 		cancel()
 		d.finish(backend.Reply{Outcome: backend.Superseded})
--- a/internal/sparql/endpoint/endpoint_test.go
+++ b/internal/sparql/endpoint/endpoint_test.go
@@ -90,13 +90,18 @@
 	Form:   url.Values{"query": {"SELECT * { ?s ?p ?o }"}, "default-graph-uri": {"http://g"}},
 }
 
-// permitted permits every dispatch, for longer than a test lasts.
-func permitted() backend.Permission { return backend.Permission{Granted: true, TimeoutMS: 20000} }
+// openGate permits every dispatch, for longer than a test lasts.
+type openGate struct{}
+
+func (openGate) Permit() backend.Permission {
+	return backend.Permission{Granted: true, TimeoutMS: 20000}
+}
+func (openGate) Withdraw() {}
 
 func (w *town) ask(a Operation) backend.Reply {
 	w.t.Helper()
 	told := make(chan backend.Reply, 2)
-	request := backend.Request{ID: []byte("7"), Statement: a.Statement(), Permit: permitted}
+	request := backend.Request{ID: []byte("7"), Statement: a.Statement(), Gate: openGate{}}
 	w.client.Start(w.host, request, func(r backend.Reply) { told <- r })
 	select {
 	case r := <-told:
@@ -209,7 +214,7 @@
 		close(closed)
 	})
 	told := make(chan backend.Reply, 2)
-	request := backend.Request{ID: []byte("7"), Statement: query.Statement(), Permit: permitted}
+	request := backend.Request{ID: []byte("7"), Statement: query.Statement(), Gate: openGate{}}
 	d := w.client.Start(w.host, request, func(r backend.Reply) { told <- r })
 	<-asked
 	if open, _ := w.client.InFlight("e1"); open != 1 {
