A soak over two dozen real processes: make soak

Cause: the acceptance tests force known crossings one at a time; nothing had several troubles overlap on real sockets and judged all of it. Change: internal/soak starts controllers and engines as processes (12 and 12 by default), a feed entrance for each controller so that it is known what it was told when, a proxy before each engine that records dispatches as they arrive, and clients that pipeline, write in pieces, leave, revoke, rest and send what cannot be read. Troubles are drawn from a seed in groups of three that overlap: SIGTERM, SIGKILL, SIGSTOP, SIGHUP twice, feed down, silent or in pieces, engines that drain, restart cold, vanish, hang, reset or answer in two pieces, bad clients. The judge reads records and logs only: answers, lost, late, duplicate, gone (0.1 s), deadline (0.15 s), drain, failback, order, placement, retries, process. testcluster.Subnet replaces the cluster's own. A timer of a job that is late by a stall of the process waits 60 ms for the module before it counts as answer_overdue (seen in the first run of the soak: SIGSTOP of 1.4 s, late_ms=340). The judge has a test for each rule; a run of 8 s with 8 processes is part of the suite.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # build, test, lint, run. .ci/run does what lint, build and test do, with the test command of README.md.
 
-.PHONY: all build test race fuzz lint run clean proof-solve proof-sparql proof-rollout proof-judge proof-owner proof-owner-virtual proof-store proof-upgrade sparql same-decisions
+.PHONY: all build test race fuzz lint run clean proof-solve proof-sparql proof-rollout proof-judge proof-owner proof-owner-virtual proof-store proof-upgrade soak sparql same-decisions
 
 all: lint build test
 
@@ -59,6 +59,11 @@
 proof-upgrade:
 	go run ./internal/proof/upgrade
 
+# Real controllers and engines on loopback, with troubles that overlap, judged by the invariants; for example
+# make soak SOAK="-seed 7 -seeds 10 -length 60s". Needs about two cores and 500 MB for its 25 processes.
+soak:
+	go run ./internal/proof/soak $(SOAK)
+
 proof-judge:
 	go run ./internal/proof/rollout -only virtual
 
--- a/internal/gateway/job_runner.go
+++ b/internal/gateway/job_runner.go
@@ -29,6 +29,7 @@
 	deadline        time.Time // the job timeout
 	attemptDeadline time.Time // of the dispatch in flight; the job's while there is none
 	timer           *time.Timer
+	timerDue        time.Time
 }
 
 func newJobRunner(g *Gateway, j *job) *jobRunner {
@@ -45,6 +46,7 @@
 // run handles messages until the job is finished and dropped from the table.
 func (r *jobRunner) run() {
 	defer r.gateway.running.Done()
+	r.timerDue = r.deadline
 	r.timer = time.NewTimer(time.Until(r.deadline))
 	defer r.timer.Stop()
 	for r.state != jobFinished || !r.gateway.remove(r.job) {
@@ -152,7 +154,12 @@
 	if limited := startedAt.Add(limit); limit != 0 && limited.Before(r.deadline) {
 		r.attemptDeadline = limited
 	}
-	r.timer.Reset(time.Until(r.attemptDeadline))
+	r.setTimer(time.Until(r.attemptDeadline))
+}
+
+func (r *jobRunner) setTimer(delay time.Duration) {
+	r.timerDue = time.Now().Add(delay)
+	r.timer.Reset(delay)
 }
 
 func (r *jobRunner) backendRequest(order moduleOrder, a *attempt, host backend.Host) backend.Request {
@@ -319,8 +326,20 @@
 	r.gateway.notify(choice.Event{Kind: choice.ClientDisconnected, Job: r.job.id})
 }
 
+// stallThreshold is how late a timer is that shows that the process was stalled; moduleGrace is what the module, whose
+// own timers were late too, gets then to answer.
+const (
+	stallThreshold = 50 * time.Millisecond
+	moduleGrace    = 60 * time.Millisecond
+)
+
 // checkDeadlines cancels a dispatch past its time limit, and answers a job that the module has left without an answer.
 func (r *jobRunner) checkDeadlines() {
+	if time.Since(r.timerDue) > stallThreshold {
+		counters.Increment("job_timers_late")
+		r.setTimer(moduleGrace)
+		return
+	}
 	if r.state.hasDispatch() && !time.Now().Before(r.attemptDeadline) {
 		r.cancelAttempt(choice.TimedOut)
 	}
@@ -328,7 +347,7 @@
 	if r.state.owesAnswer() && time.Now().After(r.deadline.Add(slack)) {
 		r.answerOverdue()
 	}
-	r.timer.Reset(max(slack/4, time.Until(r.attemptDeadline)))
+	r.setTimer(max(slack/4, time.Until(r.attemptDeadline)))
 }
 
 func (r *jobRunner) answerOverdue() {
--- /dev/null
+++ b/internal/proof/soak/main.go
@@ -0,0 +1,120 @@
+// Command soak plays runs of many seeds with real controller and engine processes on loopback, with troubles that
+// overlap, and ends with 1 where an invariant is broken. It prints what a seed was made of, so that it can be played
+// again.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"swiftreel/internal/soak"
+)
+
+func main() {
+	if len(os.Args) == 5 && os.Args[1] == "engine" {
+		runEngine(os.Args[2:])
+		return
+	}
+	if err := runSeeds(); err != nil {
+		fmt.Println(err)
+		os.Exit(1)
+	}
+}
+
+// runEngine is the engine's process: name, life, seed.
+func runEngine(args []string) {
+	life, _ := strconv.Atoi(args[1])              // written by this program
+	seed, _ := strconv.ParseUint(args[2], 10, 64) // likewise
+	err := soak.EngineMain(args[0], life, seed, os.Stdout)
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(1)
+}
+
+func runSeeds() error {
+	first := flag.Uint64("seed", 1, "the first seed")
+	seeds := flag.Int("seeds", 3, "how many seeds to play")
+	length := flag.Duration("length", 30*time.Second, "of each run")
+	controllers := flag.Int("controllers", 12, "processes")
+	engines := flag.Int("engines", 12, "processes")
+	clients := flag.Int("clients", 6, "of each controller")
+	program := flag.String("program", "", "a built controller; empty: build this tree's")
+	tags := flag.String("tags", "", "build tags of the controllers")
+	logs := flag.String("logs", "", "folder for the controllers' logs")
+	env := flag.String("env", "", "more of the controllers' environment, NAME=VALUE separated by spaces")
+	flag.Parse()
+	if *program == "" {
+		folder, err := os.MkdirTemp("", "soak-build")
+		if err != nil {
+			return err
+		}
+		defer func() { _ = os.RemoveAll(folder) }() // a temporary folder: what is left is the system's to remove
+		*program = filepath.Join(folder, "swiftreel")
+		if err := buildProgram(*program, *tags); err != nil {
+			return err
+		}
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	failed := 0
+	for i := range *seeds {
+		config := soak.Config{Program: *program, EngineProgram: []string{self, "engine"}, Seed: *first + uint64(i),
+			Controllers: *controllers, Engines: *engines, Clients: *clients, Length: *length, LogFolder: *logs,
+			Env: strings.Fields(*env)}
+		report, err := soak.Run(config)
+		if err != nil {
+			return err
+		}
+		if !printReport(config.Seed, report) {
+			failed++
+		}
+	}
+	fmt.Printf("%d of %d seeds without a finding\n", *seeds-failed, *seeds)
+	if failed > 0 {
+		return fmt.Errorf("%d seeds with findings", failed)
+	}
+	return nil
+}
+
+// buildProgram builds the controller. With the tag fault its faults are steered by the environment.
+func buildProgram(path, tags string) error {
+	const steered = "-X swiftreel/internal/failpoint.name=steered"
+	build := exec.Command("go", "build", "-tags", tags, "-ldflags", steered, "-o", path, "swiftreel/cmd/swiftreel")
+	if out, err := build.CombinedOutput(); err != nil {
+		return fmt.Errorf("%s%w", out, err)
+	}
+	return nil
+}
+
+const maxPrinted = 40 // findings of a seed
+
+// printReport prints what came of a seed, and reports whether nothing was found.
+func printReport(seed uint64, report soak.Report) bool {
+	rules := map[string]int{}
+	for _, f := range report.Findings {
+		rules[f.Rule]++
+	}
+	fmt.Printf("seed %d: %d troubles, calls %v, %d dispatches, findings %v\n", seed, len(report.Troubles), report.Outcomes,
+		report.Fetches, rules)
+	if len(report.Findings) == 0 {
+		return true
+	}
+	for _, t := range report.Troubles {
+		fmt.Println("   ", t)
+	}
+	for i, f := range report.Findings {
+		if i == maxPrinted {
+			fmt.Println("    ...")
+			break
+		}
+		fmt.Println("  !", f)
+	}
+	return false
+}
--- /dev/null
+++ b/internal/soak/proxy.go
@@ -0,0 +1,222 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"swiftreel/internal/engine"
+)
+
+// ProxyMode is what becomes of the connections to an engine.
+type ProxyMode uint8
+
+// The modes.
+const (
+	ProxyUp     ProxyMode = iota
+	ProxySilent           // connections come up and stand, and nothing passes either way
+	ProxyReset            // open connections are reset when the mode is set; new ones pass
+	ProxySlow             // each answer comes in two pieces with a pause between
+)
+
+const (
+	pieceDelay  = 30 * time.Millisecond
+	proxyBuffer = 32 << 10
+
+	queuedCommands = 1024 // on one connection, while nothing passes
+	dialDeadline   = 2 * time.Second
+)
+
+// Proxy is the way to one engine. It records each fetch that comes by, forwards what passes, and fails on request. It is
+// safe for concurrent use.
+type Proxy struct {
+	listener net.Listener
+	name     string
+	records  *Records
+
+	mu     sync.Mutex
+	target string // of the engine's process; empty: none runs
+	life   int
+	mode   ProxyMode
+	change chan struct{} // closed when the mode changes
+	conns  map[net.Conn]struct{}
+}
+
+// newProxy listens at an address for an engine.
+func newProxy(address, name string, records *Records) (*Proxy, error) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{listener: listener, name: name, records: records, change: make(chan struct{}),
+		conns: map[net.Conn]struct{}{}}
+	go p.accept()
+	return p, nil
+}
+
+func (p *Proxy) address() string { return p.listener.Addr().String() }
+
+// setTarget forwards later connections to a process; empty: connections are reset, as by a machine without a listener.
+func (p *Proxy) setTarget(target string, life int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+	p.life = life
+}
+
+// setMode sets what becomes of connections, those that are open too.
+func (p *Proxy) setMode(mode ProxyMode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = mode
+	close(p.change)
+	p.change = make(chan struct{})
+	if mode == ProxyReset {
+		p.resetAll()
+	}
+}
+
+// resetAll resets all connections. The lock is held.
+func (p *Proxy) resetAll() {
+	for conn := range p.conns {
+		reset(conn)
+	}
+}
+
+// reset closes a connection such that its peer sees a reset.
+func reset(conn net.Conn) {
+	if tcp, isTCP := conn.(*net.TCPConn); isTCP {
+		_ = tcp.SetLinger(0) // it may be closed already
+	}
+	_ = conn.Close() // likewise
+}
+
+// pass waits until something may pass.
+func (p *Proxy) pass() ProxyMode {
+	for {
+		p.mu.Lock()
+		mode, change := p.mode, p.change
+		p.mu.Unlock()
+		if mode != ProxySilent {
+			return mode
+		}
+		<-change
+	}
+}
+
+func (p *Proxy) accept() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(conn)
+	}
+}
+
+// serve forwards one connection until either end closes it.
+func (p *Proxy) serve(controller net.Conn) {
+	defer p.forget(controller)
+	p.mu.Lock()
+	p.conns[controller] = struct{}{}
+	target, life := p.target, p.life
+	p.mu.Unlock()
+	engineConn, err := net.DialTimeout("tcp4", target, dialDeadline)
+	if err != nil {
+		reset(controller)
+		return
+	}
+	p.mu.Lock()
+	p.conns[engineConn] = struct{}{}
+	p.mu.Unlock()
+	defer p.forget(engineConn)
+	go func() {
+		p.forwardAnswers(controller, engineConn)
+		reset(controller)
+	}()
+	p.forwardCommands(engineConn, controller, life)
+}
+
+func (p *Proxy) forget(conn net.Conn) {
+	_ = conn.Close() // it may be closed already
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, conn)
+}
+
+// forwardAnswers copies what an engine answers.
+func (p *Proxy) forwardAnswers(to, from net.Conn) {
+	buffer := make([]byte, proxyBuffer)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		text := buffer[:n]
+		if p.pass() == ProxySlow {
+			half := len(text) / 2
+			if _, err := to.Write(text[:half]); err != nil {
+				return
+			}
+			time.Sleep(pieceDelay)
+			text = text[half:]
+		}
+		if _, err := to.Write(text); err != nil {
+			return
+		}
+	}
+}
+
+// forwardCommands forwards commands one by one, and records each fetch as it arrives, whether it may pass or not.
+func (p *Proxy) forwardCommands(to, from net.Conn, life int) {
+	queue := make(chan []byte, queuedCommands)
+	defer close(queue)
+	go p.writeCommands(to, queue)
+	var passed bytes.Buffer
+	reader := bufio.NewReader(io.TeeReader(from, &passed))
+	controller, _, _ := net.SplitHostPort(from.RemoteAddr().String())
+	for {
+		command, err := engine.ReadCommand(reader)
+		if err != nil {
+			return
+		}
+		if command.Name == "fetch" {
+			p.records.addFetch(Fetch{ID: command.ID, Engine: p.name, Life: life, Controller: controller, At: time.Now(),
+				Given: givenTime(command.Fields)})
+		}
+		text := bytes.Clone(passed.Bytes()[:passed.Len()-reader.Buffered()])
+		passed.Next(len(text))
+		queue <- text
+	}
+}
+
+// writeCommands writes what is queued once it may pass, and then closes the connection.
+func (p *Proxy) writeCommands(to net.Conn, queue <-chan []byte) {
+	defer to.Close()
+	for text := range queue {
+		p.pass()
+		_, _ = to.Write(text) // one that has ended shows at the reader of its answers
+	}
+}
+
+// givenTime is how long an engine may take, as the fields of a fetch say.
+func givenTime(fields string) time.Duration {
+	for field := range strings.SplitSeq(fields, ",") {
+		if text, found := strings.CutPrefix(field, "w="); found {
+			milliseconds, _ := strconv.Atoi(text) // one that is none is 0: never too much
+			return time.Duration(milliseconds) * time.Millisecond
+		}
+	}
+	return 0
+}
+
+// close ends it and its connections.
+func (p *Proxy) close() {
+	_ = p.listener.Close() // no connection is lost by it
+	p.setMode(ProxyReset)
+}
--- /dev/null
+++ b/internal/soak/record.go
@@ -0,0 +1,132 @@
+package soak
+
+import (
+	"sync"
+	"time"
+)
+
+// Outcome is what a client saw of a call.
+type Outcome string
+
+// The outcomes.
+const (
+	Unanswered Outcome = ""          // the connection stands, no answer came
+	Served     Outcome = "served"    // a result
+	Refused    Outcome = "refused"   // trying again is harmless
+	Failed     Outcome = "failed"    // any other error
+	Left       Outcome = "left"      // the client closed or revoked before an answer
+	Broken     Outcome = "broken"    // the connection ended before an answer
+	Crossed    Outcome = "crossed"   // it crossed the close of a resting connection: the client sends it again
+	Unreadable Outcome = "malformed" // an answer that cannot be read
+)
+
+// Call is one call as its client saw it.
+type Call struct {
+	ID         string
+	Type       string
+	Key        string // order key; empty: none
+	Controller int
+	Connection string // of the client
+	Timeout    time.Duration
+
+	SentAt  time.Time // its last byte was written
+	EndedAt time.Time // of the outcome
+	Outcome Outcome
+	Answers int // that came under its id
+}
+
+// Fetch is a dispatch that came to an engine's address.
+type Fetch struct {
+	ID         string
+	Engine     string
+	Life       int // of the engine's process
+	Controller string
+	At         time.Time // its command was read whole
+	Given      time.Duration
+}
+
+// Execution is a dispatch that an engine's process began.
+type Execution struct {
+	ID      string    `json:"id"`
+	Engine  string    `json:"engine"`
+	Life    int       `json:"life"`
+	Refused bool      `json:"refused"` // it answered that it is full, and ran nothing
+	BeganAt time.Time `json:"began"`
+}
+
+// Change is a state of an engine that a controller was told.
+type Change struct {
+	Engine     string
+	Controller int
+	State      string
+	Start      time.Time // of the engine; zero: long ago
+	At         time.Time // it was written to the controller's feed, or to its configuration
+}
+
+// Interval is a time in which something held.
+type Interval struct{ From, To time.Time }
+
+// Records are all that was recorded in a run. They are safe for concurrent use.
+type Records struct {
+	mu         sync.Mutex
+	calls      []*Call
+	fetches    []Fetch
+	executions []Execution
+	changes    []Change
+	pauses     map[int][]Interval // of controllers' processes
+	kills      map[int][]time.Time
+	stops      map[int][]time.Time // SIGTERM
+	faults     []string            // processes that did what they must not
+}
+
+func newRecords() *Records {
+	return &Records{pauses: map[int][]Interval{}, kills: map[int][]time.Time{}, stops: map[int][]time.Time{}}
+}
+
+func (r *Records) addCall(c *Call) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls = append(r.calls, c)
+}
+
+func (r *Records) addFetch(f Fetch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fetches = append(r.fetches, f)
+}
+
+func (r *Records) addExecution(e Execution) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.executions = append(r.executions, e)
+}
+
+func (r *Records) addChange(c Change) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.changes = append(r.changes, c)
+}
+
+func (r *Records) addPause(controller int, pause Interval) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pauses[controller] = append(r.pauses[controller], pause)
+}
+
+func (r *Records) addKill(controller int, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.kills[controller] = append(r.kills[controller], at)
+}
+
+func (r *Records) addStop(controller int, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stops[controller] = append(r.stops[controller], at)
+}
+
+func (r *Records) addFault(text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = append(r.faults, text)
+}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,327 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"swiftreel/internal/fake"
+	"swiftreel/internal/testcluster"
+)
+
+// Config says what a run consists of.
+type Config struct {
+	Program       string   // of controllers
+	EngineProgram []string // that runs EngineMain with three more arguments: name, life, seed
+	Seed          uint64
+	Controllers   int
+	Engines       int
+	Clients       int // of each controller
+	Length        time.Duration
+	Env           []string // more of the controllers' environment
+	LogFolder     string   // where controllers' logs are kept; empty: nowhere
+}
+
+// Report is what came of a run.
+type Report struct {
+	Troubles []Trouble
+	Findings []Finding
+	Outcomes map[Outcome]int
+	Fetches  int
+}
+
+// run is a run under way.
+type run struct {
+	config      Config
+	records     *Records
+	feed        *Feed
+	engines     []*engineSlot
+	controllers []*controllerSlot
+	subnet      *testcluster.Subnet
+	folder      string
+	stopped     atomic.Bool
+	lastCall    atomic.Uint64
+}
+
+// engineSlot is an engine, which has one trouble at a time.
+type engineSlot struct {
+	mu sync.Mutex
+	*Engine
+}
+
+// controllerSlot is a controller, which has one trouble at a time.
+type controllerSlot struct {
+	mu sync.Mutex
+	*Controller
+}
+
+// Run plays a run and judges it. The error says that it could not be played.
+func Run(config Config) (Report, error) {
+	r := &run{config: config, records: newRecords()}
+	defer r.close()
+	if err := r.start(); err != nil {
+		return Report{}, err
+	}
+	troubles := DrawTroubles(config.Seed, config.Length, config.Controllers, config.Engines)
+	var clients sync.WaitGroup
+	r.startClients(&clients)
+	r.play(troubles)
+	r.stopped.Store(true)
+	clients.Wait()
+	r.end()
+	report := Report{Troubles: troubles, Findings: Judge(r.records), Outcomes: map[Outcome]int{},
+		Fetches: len(r.records.fetches)}
+	for _, call := range r.records.calls {
+		report.Outcomes[call.Outcome]++
+	}
+	return report, nil
+}
+
+func (r *run) start() (err error) {
+	if r.folder, err = os.MkdirTemp("", "soak"); err != nil {
+		return err
+	}
+	r.subnet = testcluster.LockSubnet()
+	r.feed = &Feed{records: r.records}
+	if err := r.startEngines(); err != nil {
+		return err
+	}
+	return r.startControllers()
+}
+
+func (r *run) startEngines() error {
+	var entries []entry
+	for i := range r.config.Engines {
+		name := engineName(i)
+		proxy, err := newProxy(r.subnet.Address(150+i, 9090), name, r.records)
+		if err != nil {
+			return err
+		}
+		kind := otherKind
+		if isOfAllowedKind(name) {
+			kind = allowedKind
+		}
+		e := &Engine{name: name, kind: kind, proxy: proxy, records: r.records, program: r.config.EngineProgram,
+			seed: r.config.Seed*100 + uint64(i)}
+		r.engines = append(r.engines, &engineSlot{Engine: e})
+		if err := e.start(); err != nil {
+			return err
+		}
+		entries = append(entries, e.entry("ready", time.Time{}))
+	}
+	r.feed.add(true, entries...)
+	return nil
+}
+
+// engineName names an engine by its index.
+func engineName(index int) string { return fmt.Sprint("e", index) }
+
+// isOfAllowedKind reports whether an engine is of the kind on which all types run: two in three are.
+func isOfAllowedKind(name string) bool {
+	var index int
+	_, err := fmt.Sscanf(name, "e%d", &index)
+	return err == nil && index%3 != 2
+}
+
+// entry is the engine's entry in the list.
+func (e *Engine) entry(state string, start time.Time) entry {
+	return entry{name: e.name, address: e.proxy.address(), kind: e.kind, state: state, start: start}
+}
+
+func (r *run) startControllers() error {
+	var starting sync.WaitGroup
+	errs := make([]error, r.config.Controllers)
+	for i := range r.config.Controllers {
+		c := &Controller{index: i, count: r.config.Controllers, address: r.subnet.Address(10+i, 7000),
+			configFile: filepath.Join(r.folder, fmt.Sprintf("c%d.json", i)), program: r.config.Program, env: r.config.Env,
+			records: r.records, feed: r.feed}
+		for place := range 2 {
+			entrance, err := r.feed.open(i, r.subnet.Address(80+i, 8000+place))
+			if err != nil {
+				return err
+			}
+			c.entrances = append(c.entrances, entrance)
+		}
+		r.controllers = append(r.controllers, &controllerSlot{Controller: c})
+		starting.Go(func() { errs[i] = c.start() })
+	}
+	starting.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) startClients(clients *sync.WaitGroup) {
+	for i, c := range r.controllers {
+		for k := range r.config.Clients {
+			one := &loadClient{name: fmt.Sprintf("k%02d%02d", i, k), controller: c.Controller, records: r.records,
+				random: rand.New(rand.NewPCG(r.config.Seed, uint64(i*100+k))), isStopped: r.stopped.Load,
+				lastCall: &r.lastCall}
+			clients.Go(one.run)
+		}
+	}
+}
+
+// play has each trouble begin at its time, and waits until all are over.
+func (r *run) play(troubles []Trouble) {
+	started := time.Now()
+	var running sync.WaitGroup
+	for _, t := range troubles {
+		time.Sleep(time.Until(started.Add(t.At)))
+		running.Go(func() { r.trouble(t) })
+	}
+	time.Sleep(time.Until(started.Add(r.config.Length)))
+	running.Wait()
+}
+
+func (r *run) trouble(t Trouble) {
+	switch t.Kind {
+	case troubleBadClient:
+		r.badClients(t)
+	case troubleDrain, troubleRestart, troubleVanish, troubleHang, troubleReset, troubleSlow:
+		r.engineTrouble(t)
+	default:
+		r.controllerTrouble(t)
+	}
+}
+
+// badClients has clients that speak badly come for a time.
+func (r *run) badClients(t Trouble) {
+	random := rand.New(rand.NewPCG(r.config.Seed, uint64(t.At)))
+	for stop := time.Now().Add(t.Length); time.Now().Before(stop); {
+		if fake.MisbehavingClient(r.controllers[t.Target].address, random) {
+			r.records.addFault("a bad client is served")
+		}
+	}
+}
+
+// engineTrouble plays a trouble at an engine that has none.
+func (r *run) engineTrouble(t Trouble) {
+	e := r.engines[t.Target]
+	if !e.mu.TryLock() {
+		return
+	}
+	defer e.mu.Unlock()
+	switch t.Kind {
+	case troubleDrain:
+		r.feed.add(false, e.entry("draining", time.Time{}))
+		time.Sleep(t.Length)
+		r.replace(e.Engine)
+	case troubleRestart:
+		e.kill()
+		time.Sleep(t.Length / 4)
+		r.replace(e.Engine)
+	case troubleHang:
+		e.pause(true)
+		time.Sleep(t.Length)
+		e.pause(false)
+	case troubleReset:
+		e.proxy.setMode(ProxyReset)
+		e.proxy.setMode(ProxyUp)
+	default:
+		e.proxy.setMode(map[string]ProxyMode{troubleVanish: ProxySilent, troubleSlow: ProxySlow}[t.Kind])
+		time.Sleep(t.Length)
+		e.proxy.setMode(ProxyUp)
+	}
+}
+
+// replace removes an engine and lists a new process of it, which is cold.
+func (r *run) replace(e *Engine) {
+	r.feed.add(false, e.entry("gone", time.Time{}))
+	e.kill()
+	started := time.Now()
+	if err := e.start(); err != nil {
+		r.records.addFault(err.Error())
+		return
+	}
+	r.feed.add(false, e.entry("ready", started))
+}
+
+// controllerTrouble plays a trouble at a controller that has none, or at its feed.
+func (r *run) controllerTrouble(t Trouble) {
+	c := r.controllers[t.Target]
+	if !c.mu.TryLock() {
+		return
+	}
+	defer c.mu.Unlock()
+	var err error
+	switch t.Kind {
+	case troubleTerm:
+		c.terminate()
+		r.saveLog(c.Controller)
+		err = c.start()
+	case troubleKill:
+		c.kill()
+		r.saveLog(c.Controller)
+		err = c.start()
+	case troublePause:
+		c.pause(t.Length)
+	case troubleMove:
+		if err = c.move(); err == nil {
+			time.Sleep(t.Length / 10)
+			err = c.move()
+		}
+	default:
+		c.entrances[c.place].fail(t.Kind == troubleFeedDown, t.Kind == troubleFeedSilent, pieceOf(t.Kind))
+		time.Sleep(t.Length)
+		c.entrances[c.place].fail(false, false, 0)
+	}
+	if err != nil {
+		r.records.addFault(err.Error())
+	}
+}
+
+// pieceOf is how many bytes the feed sends at once in a trouble; 0: a whole line.
+func pieceOf(kind string) int {
+	const piece = 7
+	if kind == troubleFeedSlow {
+		return piece
+	}
+	return 0
+}
+
+// end ends all controllers in order, and checks how they end.
+func (r *run) end() {
+	var ending sync.WaitGroup
+	for _, c := range r.controllers {
+		ending.Go(func() {
+			c.terminate()
+			r.saveLog(c.Controller)
+		})
+	}
+	ending.Wait()
+}
+
+func (r *run) saveLog(c *Controller) {
+	if r.config.LogFolder != "" {
+		c.saveLog(r.config.LogFolder)
+	}
+}
+
+// close ends what still runs, and removes the folder.
+func (r *run) close() {
+	for _, c := range r.controllers {
+		if c.process != nil {
+			c.process.Kill()
+		}
+		for _, entrance := range c.entrances {
+			_ = entrance.listener.Close() // nothing depends on it
+		}
+	}
+	for _, e := range r.engines {
+		e.pause(false)
+		e.kill()
+		e.proxy.close()
+	}
+	if r.subnet != nil {
+		r.subnet.Release()
+	}
+	_ = os.RemoveAll(r.folder) // a temporary folder: what is left is the system's to remove
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,159 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// engineCommand is the first argument with which the test program runs as an engine's process.
+const engineCommand = "engine"
+
+func TestMain(m *testing.M) {
+	if len(os.Args) == 5 && os.Args[1] == engineCommand {
+		life, _ := strconv.Atoi(os.Args[3])              // written by this test
+		seed, _ := strconv.ParseUint(os.Args[4], 10, 64) // likewise
+		fmt.Fprintln(os.Stderr, EngineMain(os.Args[2], life, seed, os.Stdout))
+		os.Exit(1)
+	}
+	os.Exit(m.Run())
+}
+
+// A short run with few processes: what the soak plays in full (make soak).
+func TestAShortRunBreaksNoInvariant(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "swiftreel")
+	if out, err := exec.Command("go", "build", "-o", program, "swiftreel/cmd/swiftreel").CombinedOutput(); err != nil {
+		t.Fatalf("%s%v", out, err)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	report, err := Run(Config{Program: program, EngineProgram: []string{self, engineCommand}, Seed: 1, Controllers: 4,
+		Engines: 4, Clients: 2, Length: 8 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, finding := range report.Findings {
+		t.Error(finding)
+	}
+	if report.Outcomes[Served] == 0 || len(report.Troubles) < 2 {
+		t.Errorf("nothing is shown: %+v", report)
+	}
+}
+
+// runStart is when the calls of judge tests are sent.
+var runStart = time.Unix(5000, 0)
+
+func after(d time.Duration) time.Time { return runStart.Add(d) }
+
+// goodRecords have one call that was served in time.
+func goodRecords() *Records {
+	r := newRecords()
+	r.addChange(Change{Engine: "e0", State: "ready", At: after(-time.Minute)})
+	r.addCall(&Call{ID: "a", Type: typeImport, Key: "k", Connection: "k-1", Timeout: time.Second, SentAt: runStart,
+		EndedAt: after(100 * time.Millisecond), Outcome: Served, Answers: 1})
+	r.addFetch(Fetch{ID: "a", Engine: "e0", At: after(10 * time.Millisecond), Given: 990 * time.Millisecond})
+	r.addExecution(Execution{ID: "a", Engine: "e0", BeganAt: after(11 * time.Millisecond)})
+	return r
+}
+
+// Each broken invariant is found under its rule, and a run that keeps them gives none.
+func TestTheJudgeFindsEachBrokenInvariant(t *testing.T) {
+	for name, c := range map[string]struct {
+		spoil func(r *Records)
+		rule  string // empty: nothing is broken
+	}{
+		"nothing":          {func(*Records) {}, ""},
+		"two answers":      {func(r *Records) { r.calls[0].Answers = 2 }, "answer"},
+		"unreadable":       {func(r *Records) { r.calls[0].Outcome = Unreadable }, "answer"},
+		"served by nobody": {func(r *Records) { r.executions = nil }, "answer"},
+		"broken":           {func(r *Records) { r.calls[0].Outcome = Broken }, "lost"},
+		"never answered":   {func(r *Records) { r.calls[0].Outcome = Unanswered }, "lost"},
+		"broken by a kill": {func(r *Records) {
+			r.calls[0].Outcome = Broken
+			r.addKill(0, after(50*time.Millisecond))
+		}, ""},
+		"broken by another's kill": {func(r *Records) {
+			r.calls[0].Outcome = Broken
+			r.addKill(1, after(50*time.Millisecond))
+		}, "lost"},
+		"broken at a stop": {func(r *Records) {
+			r.calls[0].Outcome = Broken
+			r.addStop(0, after(-stopRequests/2))
+		}, "lost"},
+		"late": {func(r *Records) { r.calls[0].EndedAt = after(2 * time.Second) }, "late"},
+		"late by a pause": {func(r *Records) {
+			r.calls[0].EndedAt = after(2 * time.Second)
+			r.addPause(0, Interval{after(0), after(1900 * time.Millisecond)})
+		}, ""},
+		"ran twice":       {func(r *Records) { r.addExecution(r.executions[0]) }, "duplicate"},
+		"refused and ran": {func(r *Records) { r.calls[0].Outcome = Refused }, "duplicate"},
+		"client was gone": {func(r *Records) {
+			r.calls[0].Outcome = Left
+			r.calls[0].EndedAt = after(-time.Second)
+		}, "gone"},
+		"too much time": {func(r *Records) { r.fetches[0].Given = 2 * time.Second }, "deadline"},
+		"wrong place": {func(r *Records) {
+			r.calls[0].Type = typeLocal
+			r.fetches[0].Engine = "e2"
+		}, "placement"},
+		"drains": {func(r *Records) {
+			r.addChange(Change{Engine: "e0", State: "draining", At: after(-time.Second)})
+		}, "drain"},
+		"drained a moment ago": {func(r *Records) {
+			r.addChange(Change{Engine: "e0", State: "draining", At: after(-drainGrace / 2)})
+		}, ""},
+		"another was told that it drains": {func(r *Records) {
+			r.addChange(Change{Engine: "e0", Controller: 1, State: "draining", At: after(-toldWithin - time.Second)})
+		}, "drain"},
+		"order": {func(r *Records) {
+			r.calls = append([]*Call{{ID: "b", Type: typeImport, Key: "k", Connection: "k-1", Timeout: time.Second,
+				SentAt: after(-time.Millisecond), EndedAt: after(time.Second / 2), Outcome: Served, Answers: 1}}, r.calls...)
+			r.addExecution(Execution{ID: "b", Engine: "e0", BeganAt: after(time.Second / 2)})
+		}, "order"},
+		"slow start": {func(r *Records) {
+			r.addChange(Change{Engine: "e0", State: "ready", Start: runStart, At: runStart})
+			for i := range int(slowStartLimit(0)) + 10 {
+				r.addFetch(Fetch{ID: fmt.Sprint(i), Engine: "e0", At: after(time.Duration(i) * time.Millisecond)})
+			}
+		}, "failback"},
+		"retries": {func(r *Records) {
+			for range freeRetries + 2 {
+				r.addFetch(r.fetches[0])
+			}
+		}, "retries"},
+		"process": {func(r *Records) { r.addFault("crashed") }, "process"},
+	} {
+		r := goodRecords()
+		c.spoil(r)
+		rules := map[string]bool{}
+		for _, finding := range Judge(r) {
+			rules[finding.Rule] = true
+		}
+		if c.rule == "" && len(rules) > 0 || c.rule != "" && (len(rules) != 1 || !rules[c.rule]) {
+			t.Errorf("%s: found %v, want %q", name, rules, c.rule)
+		}
+	}
+}
+
+// A seed draws the same troubles each time, some of which overlap.
+func TestTroublesAreDrawnFromTheSeed(t *testing.T) {
+	one, again := DrawTroubles(7, time.Minute, 12, 12), DrawTroubles(7, time.Minute, 12, 12)
+	overlapping := 0
+	for i, trouble := range one {
+		if trouble != again[i] {
+			t.Fatalf("%v and %v", trouble, again[i])
+		}
+		if i > 0 && trouble.At < one[i-1].At+one[i-1].Length {
+			overlapping++
+		}
+	}
+	if overlapping < len(one)/3 {
+		t.Errorf("%d of %d overlap", overlapping, len(one))
+	}
+}
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -10,7 +10,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"sync/atomic"
@@ -29,13 +28,12 @@
 	Members      []*Member
 	OperatorFile string // names the supervisors by the addresses of their links
 
-	subnet     string // first three parts of the addresses of members
-	subnetLock net.Listener
-	lastJob    atomic.Uint64
-	discovery  *fake.Discovery
-	engines    map[string]*fake.Engine // by name
-	voters     int
-	http       http.Client
+	subnet    *Subnet // of the addresses of members
+	lastJob   atomic.Uint64
+	discovery *fake.Discovery
+	engines   map[string]*fake.Engine // by name
+	voters    int
+	http      http.Client
 }
 
 // Member is a controller and its supervisor.
@@ -101,8 +99,8 @@
 	if c.discovery != nil {
 		c.discovery.Close()
 	}
-	if c.subnetLock != nil {
-		_ = c.subnetLock.Close() // nothing was ever accepted
+	if c.subnet != nil {
+		c.subnet.Release()
 	}
 	_ = os.RemoveAll(c.Dir) // a temporary folder: what is left is the system's to remove
 }
--- a/internal/testcluster/config.go
+++ b/internal/testcluster/config.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -56,7 +54,7 @@
 			c.Close()
 		}
 	}()
-	c.lockSubnet()
+	c.subnet = LockSubnet()
 	known, err := c.startEngines(o.Engines)
 	if err != nil {
 		return c, err
@@ -78,17 +76,6 @@
 	return c, nil
 }
 
-// lockSubnet chooses a loopback network that no other cluster on this machine has.
-func (c *Cluster) lockSubnet() {
-	for c.subnetLock == nil {
-		c.subnet = fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
-		lock, err := net.Listen("tcp4", c.subnet+".250:7000")
-		if err == nil {
-			c.subnetLock = lock
-		}
-	}
-}
-
 // startEngines starts the engines and the discovery server, and returns the event that lists them all.
 func (c *Cluster) startEngines(count int) (known string, err error) {
 	if c.discovery, err = fake.StartDiscovery("127.0.0.1:0", 1); err != nil {
@@ -111,7 +98,7 @@
 // addMembers gives members their names, addresses and links.
 func (c *Cluster) addMembers(count int) error {
 	for i := range count {
-		address := func(port int) string { return fmt.Sprintf("%s.%d:%d", c.subnet, i+1, port) }
+		address := func(port int) string { return c.subnet.Address(i+1, port) }
 		m := &Member{Name: fmt.Sprint("c", i+1), ClientAddress: address(7000), SupervisorAddress: address(7001)}
 		link, err := NewLink(address(7002), m.SupervisorAddress)
 		if err != nil {
