--- a/internal/soak/feed.go
+++ b/internal/soak/feed.go
@@ -55,7 +55,6 @@
 	isDown   bool // connections are closed at once
 	isSilent bool // connections stand, nothing is sent
 	piece    int  // bytes sent at once; 0: a whole line
-	told     int  // number of the last event that this controller was told
 	conns    map[net.Conn]int
 }
 
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -245,7 +245,7 @@
 
 func (j *judge) checkWindows(engine string, start time.Time) {
 	var arrivals []time.Time
-	for _, fetch := range j.Records.fetches {
+	for _, fetch := range j.fetches {
 		if since := fetch.At.Sub(start); fetch.Engine == engine && since >= 0 && since < warmUpTime {
 			arrivals = append(arrivals, fetch.At)
 		}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"strconv"
@@ -29,11 +30,11 @@
 	proxyBuffer = 32 << 10
 
 	queuedCommands = 1024 // on one connection, while nothing passes
-	dialDeadline   = 2 * time.Second
+	dialDeadline   = time.Second
 )
 
-// Proxy is the way to one engine. It records each fetch that comes by, forwards what passes, and fails on request. It is
-// safe for concurrent use.
+// Proxy is the way to one engine. It records each fetch that comes by, forwards what passes, and fails on request. It
+// is safe for concurrent use.
 type Proxy struct {
 	listener net.Listener
 	name     string
@@ -88,6 +89,12 @@
 	}
 }
 
+// dial connects to an address.
+func dial(address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialDeadline}
+	return dialer.DialContext(context.Background(), "tcp4", address)
+}
+
 // reset closes a connection such that its peer sees a reset.
 func reset(conn net.Conn) {
 	if tcp, isTCP := conn.(*net.TCPConn); isTCP {
@@ -126,7 +133,7 @@
 	p.conns[controller] = struct{}{}
 	target, life := p.target, p.life
 	p.mu.Unlock()
-	engineConn, err := net.DialTimeout("tcp4", target, dialDeadline)
+	engineConn, err := dial(target)
 	if err != nil {
 		reset(controller)
 		return
