A log whose reader goes away or hangs neither ends the program nor holds it up

Cause: the log was written to standard error by whoever logged. When its reader goes away, Go's runtime ends a program that writes to a broken pipe on descriptor 2 by SIGPIPE (measured on: one SIGHUP after the reader had gone, exit by signal 13; every open call is lost). When the reader hangs, the pipe fills and every goroutine that logs stands still: SIGTERM never ended. Change: logging writes lines in a goroutine of its own, 1,024 of them queued at most, what is beyond is dropped, counted and said later; SIGPIPE is caught (not ignored, which child processes would inherit); the end waits for the log up to a second. Supervisor and coordinator alike.

--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -27,7 +27,7 @@
 func serve(options command.ServeOptions) error {
 	reload := make(chan os.Signal, 1) // caught before anything else: SIGHUP never ends the program
 	signal.Notify(reload, syscall.SIGHUP)
-	logging.Setup(os.Stderr)
+	defer logging.Setup(os.Stderr)()
 	if options.Operator == "" {
 		options.Operator = os.Getenv("ROUTER_OPERATOR")
 	}
--- a/internal/command/fleet/coordinate.go
+++ b/internal/command/fleet/coordinate.go
@@ -27,7 +27,7 @@
 // coordinate carries the change in a folder on until it ends, or a signal ends the process. Where begin is not nil, it
 // begins a new change first.
 func coordinate(operatorFile, folder string, begin beginFunc) error {
-	logging.Setup(os.Stderr)
+	defer logging.Setup(os.Stderr)()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	fleet, err := loadFleet(operatorFile)
--- a/internal/command/fleet/supervise.go
+++ b/internal/command/fleet/supervise.go
@@ -46,7 +46,7 @@
 part fleet of the operator's file gives for ROUTER_NAME. SIGTERM lets the controller drain.`,
 		Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			logging.Setup(os.Stderr)
+			defer logging.Setup(os.Stderr)()
 			return options.withEnvironment().run()
 		},
 	}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -47,6 +47,7 @@
 
 	conn     net.Conn
 	connName string
+	since    time.Time // of the connection
 	conns    int
 	received []byte
 	lastID   uint32
@@ -72,6 +73,7 @@
 	}
 	c.conns++
 	c.conn = conn
+	c.since = time.Now()
 	c.connName = fmt.Sprintf("%s-%d", c.name, c.conns)
 	c.received = nil
 	c.lastID = 0
@@ -117,7 +119,8 @@
 
 func (c *loadClient) nextCall() request {
 	c.lastID++
-	call := &Call{ID: fmt.Sprintf("%016x", c.lastCall.Add(1)), Controller: c.controller.index, Connection: c.connName}
+	call := &Call{ID: fmt.Sprintf("%016x", c.lastCall.Add(1)), Controller: c.controller.index, Connection: c.connName,
+		ConnectedAt: c.since}
 	switch draw := c.random.IntN(10); {
 	case draw < 3:
 		call.Type = typeImport
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -97,11 +97,11 @@
 	}
 }
 
-// excused reports whether a call's controller was killed before it was answered, or was about to be stopped when it was
-// sent.
+// excused reports whether the process that a call was sent to was killed before it was answered, or was about to be
+// stopped when it was sent.
 func (j *judge) excused(call *Call) bool {
 	killed := slices.ContainsFunc(j.kills[call.Controller], func(at time.Time) bool {
-		return !at.Before(call.SentAt) && at.Before(call.EndedAt.Add(time.Second))
+		return !at.Before(call.ConnectedAt) && at.Before(call.EndedAt.Add(time.Second))
 	})
 	stopped := slices.ContainsFunc(j.stops[call.Controller], func(at time.Time) bool {
 		since := call.SentAt.Sub(at)
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -29,10 +29,11 @@
 	Connection string // of the client
 	Timeout    time.Duration
 
-	SentAt  time.Time // its last byte was written
-	EndedAt time.Time // of the outcome
-	Outcome Outcome
-	Answers int // that came under its id
+	ConnectedAt time.Time
+	SentAt      time.Time // its last byte was written
+	EndedAt     time.Time // of the outcome
+	Outcome     Outcome
+	Answers     int // that came under its id
 }
 
 // Fetch is a dispatch that came to an engine's address.
