Starts and reloads wait out a moment's shortage of the system

Cause: a start whose socket, bind or open failed for a moment (ENFILE, ENOBUFS, EADDRINUSE of a predecessor that is just closing, EIO) ended the process; a SIGHUP whose open failed so changed nothing and was not tried again: a feed that had moved was never followed. Change: internal/shortage has the errors that pass in one place (dials use it too) and tries again: 5 s for the address, 2 s for each file. Other errors, a bad file among them, end or change nothing as before.

--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -16,7 +16,6 @@
 	"swiftreel/internal/command"
 	"swiftreel/internal/config"
 	"swiftreel/internal/logging"
-	"swiftreel/internal/operator"
 )
 
 func main() {
@@ -31,14 +30,14 @@
 	if options.Operator == "" {
 		options.Operator = os.Getenv("ROUTER_OPERATOR")
 	}
-	file, err := config.Load(os.Getenv)
+	file, err := loadConfig()
 	if err != nil {
 		return err
 	}
 	if len(file.UnknownNames) > 0 {
 		slog.Warn("config_names_unknown", "names", strings.Join(file.UnknownNames, ","))
 	}
-	operatorFile, err := operator.Load(options.Operator)
+	operatorFile, err := loadOperatorFile(options.Operator)
 	if err != nil {
 		return err
 	}
--- a/cmd/swiftreel/reload.go
+++ b/cmd/swiftreel/reload.go
@@ -73,7 +73,7 @@
 }
 
 func (r *reloader) read() (files, error) {
-	file, err := config.Load(os.Getenv)
+	file, err := loadConfig()
 	if err != nil {
 		return files{}, err
 	}
--- a/internal/engine/dial.go
+++ b/internal/engine/dial.go
@@ -3,12 +3,12 @@
 import (
 	"errors"
 	"net"
-	"slices"
 	"syscall"
 	"time"
 
 	"swiftreel/internal/backend"
 	"swiftreel/internal/counters"
+	"swiftreel/internal/shortage"
 )
 
 const (
@@ -18,17 +18,6 @@
 	minCompleteTime = 500 * time.Millisecond
 )
 
-// ownShortages are errors of socket and connect by which this machine could not make a dial: they say nothing of the
-// engine, and pass.
-var ownShortages = []error{
-	syscall.EMFILE, syscall.ENFILE, // descriptors
-	syscall.ENOBUFS, syscall.ENOMEM, // memory
-	syscall.EADDRNOTAVAIL, syscall.EADDRINUSE, syscall.EAGAIN, // ports
-	syscall.ENETUNREACH, syscall.ENETDOWN, // its own network
-	syscall.EACCES, syscall.EPERM, // its own rules
-	syscall.EINTR,
-}
-
 // completeWithin is how long an answer that has begun may take to be complete.
 func completeWithin(bounds backend.Limits) time.Duration {
 	return max(2*bounds.DialTimeout, minCompleteTime)
@@ -77,6 +66,8 @@
 	}
 }
 
+// isOwnShortage reports whether this machine could not make a dial, also by rules of its own: that says nothing of the
+// engine.
 func isOwnShortage(err error) bool {
-	return slices.ContainsFunc(ownShortages, func(shortage error) bool { return errors.Is(err, shortage) })
+	return shortage.Is(err) || errors.Is(err, syscall.EACCES) || errors.Is(err, syscall.EPERM)
 }
