The close of the clients' server waits for calls taken since the last look; why connections close is counted

Cause: Server.Close half-closed every connection. A call that a reader had taken between its caller's last look (awaitQuiet) and that, which a stall of the process can make long, lost its answer. Why a connection to a client or an engine was closed could not be told from log or counters; a process that is killed logs no counters at all. Change: Close refuses new calls, half-closes connections as they become idle (one step with the look), for up to 500 ms, then the rest. TestACallTakenJustBeforeTheCloseIsAnswered is new.

--- a/internal/client/call.go
+++ b/internal/client/call.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"swiftreel/internal/counters"
 	"swiftreel/internal/gateway"
 	"swiftreel/internal/socketstate"
 )
@@ -103,6 +104,7 @@
 		return
 	}
 	if l.conn.reply(text) != nil {
+		counters.Increment("client_conns_closed_unread")
 		_ = l.conn.socket.Close() // the client does not read: its reader ends with an error
 	}
 	l.conn.server.owedAnswers.Add(-1)
--- a/internal/client/eviction.go
+++ b/internal/client/eviction.go
@@ -38,6 +38,7 @@
 	switch {
 	case evicted != nil:
 		if evicted.halfCloseIfIdle() {
+			counters.Increment("client_conns_evicted")
 			s.linger(evicted)
 		}
 		return true
--- a/internal/client/input_end_test.go
+++ b/internal/client/input_end_test.go
@@ -109,6 +109,31 @@
 	}
 }
 
+// A call is taken between the last look of whoever shuts down and the close, and its answer takes a moment: it arrives.
+func TestACallTakenJustBeforeTheCloseIsAnswered(t *testing.T) {
+	s := newTestServer(t, 6)
+	close(s.door.open)
+	conn := s.dial()
+	conn.Write(callOf(1, "SELECT 1 FROM a_1.b"))
+	open := s.jobs.nextRequest(t)
+	closed := make(chan struct{})
+	go func() {
+		s.server.Close()
+		close(closed)
+	}()
+	s.until("not closing", func() bool {
+		s.server.mu.Lock()
+		defer s.server.mu.Unlock()
+		return s.server.isClosed
+	})
+	open.Client.Done([][]byte{[]byte("a\tb\tc\n")})
+	if answers := readAnswersUntilEnd(t, conn); string(answers[1].Body) != "a\tb\tc\n" {
+		t.Errorf("answered %+v", answers)
+	}
+	<-closed
+	s.server = NewServer(s.jobs, s.server.limits) // for the clean-up to close
+}
+
 // A connection that the listener has handed out waits for room: it counts as input that is pending, or a shutdown
 // would close it unread.
 func TestAConnectionThatWaitsForRoomIsPending(t *testing.T) {
--- a/internal/client/server.go
+++ b/internal/client/server.go
@@ -34,6 +34,7 @@
 
 	malformed      ratelog.Logger
 	unusable       ratelog.Logger
+	writesFailed   ratelog.Logger
 	stalls         *stallDetector
 	owedAnswers    atomic.Int64 // calls not answered, or with a result being written
 	pendingReplies atomic.Int64 // connections with refusals or heartbeats not written yet
@@ -145,16 +146,47 @@
 	return false
 }
 
+// closeTimeout is how long Close waits for what came between its caller's last look and the close.
+const closeTimeout = 500 * time.Millisecond
+
 // Close ends all connections and waits for their readers. Each is half-closed first, so that an answer that was just
-// written reaches a client which has sent more; that is not taken.
+// written reaches a client which has sent more; that is not taken. A call that was read since its caller has looked is
+// answered before, for as long as closeTimeout.
 func (s *Server) Close() {
+	s.RefuseCalls()
 	s.mu.Lock()
 	s.isClosed = true
-	close(s.done)
-	for c := range s.conns {
-		c.halfClose()
-	}
 	s.capacityFreed.Broadcast()
 	s.mu.Unlock()
+	for stop := time.Now().Add(closeTimeout); !s.closeIdle() && time.Now().Before(stop); {
+		time.Sleep(closePoll)
+	}
+	close(s.done)
+	s.closeAll()
 	s.reading.Wait()
 }
+
+const closePoll = 2 * time.Millisecond
+
+// closeIdle half-closes connections on which nothing is owed and nothing has come, and reports whether those are all.
+func (s *Server) closeIdle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	isAll := true
+	for c := range s.conns {
+		isAll = (c.isClosing() || c.halfCloseIfIdle()) && isAll
+	}
+	return isAll
+}
+
+// closeAll half-closes all connections.
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if !c.isClosing() {
+			counters.Increment("client_conns_closed_in_use")
+			c.halfClose()
+		}
+	}
+}
--- a/internal/client/write.go
+++ b/internal/client/write.go
@@ -5,8 +5,6 @@
 	"net"
 	"os"
 	"time"
-
-	"swiftreel/internal/counters"
 )
 
 const (
@@ -84,7 +82,8 @@
 		n, err := parts.WriteTo(c.socket)
 		isSlow := n > 0 && errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(deadline)
 		if err != nil && !isSlow {
-			counters.Increment("client_writes_failed")
+			c.server.writesFailed.CountAndWarn("client_writes_failed", "client_write_failed",
+				"address", c.socket.RemoteAddr(), "reason", err)
 			_ = c.socket.Close() // its reader ends with an error
 			return
 		}
--- a/internal/engine/abort.go
+++ b/internal/engine/abort.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"swiftreel/internal/backend"
-	"swiftreel/internal/counters"
 )
 
 // Cancel tells the engine that nobody waits for a dispatch any more. It returns false if the dispatch has ended. Else
@@ -74,9 +73,8 @@
 	p := c.pool
 	p.suspect(c.engine.Name, since)
 	if c.lane == backend.Restartable || len(c.open) == 0 {
-		counters.Increment("engine_conns_silent")
 		c.isCutByUs = true
-		p.remove(c) // its reader ends the rest
+		p.remove(c, closedSilent) // its reader ends the rest
 		return
 	}
 	afterReading(p.bounds.DialTimeout, func() { c.checkAbort(id, since) })
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -78,7 +78,7 @@
 
 func (c *conn) dialFailed(err error) {
 	c.pool.mu.Lock()
-	c.pool.remove(c)
+	c.pool.remove(c, closedUndialled)
 	c.pool.mu.Unlock()
 	c.endAll(outcomeOfDial(err))
 }
@@ -134,7 +134,7 @@
 	if lostByPeer && len(c.open) > 0 {
 		p.idleLimit.lost(c.idleBefore, time.Now())
 	}
-	p.remove(c)
+	p.remove(c, closedLost)
 	isCutByUs := c.isCutByUs
 	p.mu.Unlock()
 	_ = socket.Close() // it is lost already
--- a/internal/engine/dispatch.go
+++ b/internal/engine/dispatch.go
@@ -105,7 +105,7 @@
 		d.conn.release(d)
 		d.close(backend.Failed)
 		d.conn.isCutByUs = true
-		p.remove(d.conn) // its reader ends the others
+		p.remove(d.conn, closedMalformed) // its reader ends the others
 	}
 	p.mu.Unlock()
 	if wasOpen {
--- a/internal/engine/placement.go
+++ b/internal/engine/placement.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"swiftreel/internal/backend"
+	"swiftreel/internal/counters"
 )
 
 // reservedShare is the part of the connections, one in so many, that is reserved for engines that have none;
@@ -134,7 +135,7 @@
 	if oldest == nil {
 		return false
 	}
-	p.remove(oldest)
+	p.remove(oldest, closedForAnother)
 	return true
 }
 
@@ -147,11 +148,29 @@
 	}
 }
 
+// closeReason says why a connection is closed. It names a counter.
+type closeReason string
+
+// The reasons.
+const (
+	closedIdle       closeReason = "engine_conns_closed_idle"
+	closedSuspect    closeReason = "engine_conns_closed_suspect"
+	closedForAnother closeReason = "engine_conns_closed_for_another"
+	closedOfEngine   closeReason = "engine_conns_closed_engine_removed"
+	closedSilent     closeReason = "engine_conns_closed_silent" // an abort was not read
+	closedMalformed  closeReason = "engine_conns_closed_malformed"
+	closedBySend     closeReason = "engine_conns_closed_send_failed"
+	closedLost       closeReason = "engine_conns_lost" // by the engine or the network, or cut off as of no further use
+	closedUndialled  closeReason = "engine_conns_not_dialled"
+	closedAtStop     closeReason = "engine_conns_closed_at_stop"
+)
+
 // remove takes a connection out of the pool and closes it; its reader ends what is open on it. The lock is held.
-func (p *Pool) remove(target *conn) {
+func (p *Pool) remove(target *conn, why closeReason) {
 	if target.isRemoved {
 		return
 	}
+	counters.Increment(string(why))
 	target.isRemoved = true
 	p.connCount--
 	// A new slice: callers range over the old one.
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -66,7 +66,7 @@
 	defer p.mu.Unlock()
 	for _, c := range p.conns[name] {
 		if c.isIdle() {
-			p.remove(c)
+			p.remove(c, closedOfEngine)
 		}
 	}
 }
@@ -93,8 +93,12 @@
 	limit := p.idleLimit.value(now)
 	for _, conns := range p.conns {
 		for _, c := range conns {
-			if c.isIdle() && (c.isSuspect || now.Sub(c.idleSince) >= limit) {
-				p.remove(c)
+			switch {
+			case !c.isIdle():
+			case c.isSuspect:
+				p.remove(c, closedSuspect)
+			case now.Sub(c.idleSince) >= limit:
+				p.remove(c, closedIdle)
 			}
 		}
 	}
@@ -108,7 +112,7 @@
 	p.isClosed = true
 	for _, conns := range p.conns {
 		for _, c := range conns {
-			p.remove(c)
+			p.remove(c, closedAtStop)
 		}
 	}
 }
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -87,7 +87,7 @@
 		return
 	}
 	delete(c.open, dispatch.id)
-	p.remove(c)
+	p.remove(c, closedBySend)
 	// Past half the dial time-out another connection might be too late for an engine that now drains.
 	canMove := written == 0 && dispatch.moves < maxMoves && time.Since(dispatch.orderedAt) <= p.bounds.DialTimeout/2
 	if !canMove {
