A call that lay in the queue of connections counts from its sending; the soak has failing calls

Change: Server looks whether a connection waits before it accepts; one that did may have come as early as the last that was waited for, and what is first read on it counts from then. failpoint: dial and accept fail and the wall clock steps as a file says (tag fault); the soak steers them for each controller. Coordinator: a line appended after a torn one (full disk, kill) is no longer lost with it.

--- a/cmd/swiftreel/hooks_fault.go
+++ b/cmd/swiftreel/hooks_fault.go
@@ -2,10 +2,25 @@
 
 package main
 
-import "swiftreel/internal/failpoint"
+import (
+	"net"
+
+	"swiftreel/internal/failpoint"
+)
 
 func init() {
 	testHooks.beforeListen = failpoint.DelayStart
 	testHooks.afterStart = failpoint.StartFaults
 	testHooks.ignoreSnapshot = failpoint.IgnoreSnapshot
+	testHooks.listener = func(l net.Listener) net.Listener { return failingListener{l.(*net.TCPListener)} }
+}
+
+// failingListener is a listener whose accept fails while a fault says so.
+type failingListener struct{ *net.TCPListener }
+
+func (l failingListener) Accept() (net.Conn, error) {
+	if err := failpoint.SyscallError("accept"); err != nil {
+		return nil, err
+	}
+	return l.TCPListener.Accept()
 }
--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -50,6 +50,9 @@
 	if err != nil {
 		return err
 	}
+	if testHooks.listener != nil {
+		listener = testHooks.listener(listener)
+	}
 	return run(file, listener, options, stop, reload)
 }
 
--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -16,6 +16,10 @@
 	socket     *net.TCPConn
 	acceptedAt time.Time
 
+	// queuedSince is when it may have come: what was first read on it may have been sent then, while accepts failed or
+	// there was no room. Its reader clears it.
+	queuedSince time.Time
+
 	// Used by the reader only.
 	buffer          []byte // nil while nothing can be read
 	start, end      int    // buffer[start:end] is read and not yet used
@@ -77,7 +81,7 @@
 		if err := c.fill(); err != nil {
 			return err
 		}
-		if err := c.handleMessages(c.server.stalls.earliestSendTime(time.Now())); err != nil {
+		if err := c.handleMessages(c.earliestSendTime()); err != nil {
 			return c.passOnCallsBefore(err)
 		}
 		mayHaveMore := c.filledBuffer && c.readSincePassOn < maxReadAhead && c.hasBufferedInput()
@@ -87,6 +91,16 @@
 	}
 }
 
+// earliestSendTime is the earliest time at which what was just read may have been sent.
+func (c *conn) earliestSendTime() time.Time {
+	earliest := c.server.stalls.earliestSendTime(time.Now())
+	if !c.queuedSince.IsZero() && c.queuedSince.Before(earliest) {
+		earliest = c.queuedSince
+	}
+	c.queuedSince = time.Time{}
+	return earliest
+}
+
 // passOnCallsBefore passes the calls on that came before what cannot be read: they are as good as any. It returns why
 // the reading ends: the reason given, unless the client has gone.
 func (c *conn) passOnCallsBefore(reason error) error {
--- a/internal/client/input_end_test.go
+++ b/internal/client/input_end_test.go
@@ -4,10 +4,13 @@
 	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
 	"swiftreel/internal/counters"
+	"swiftreel/internal/gateway"
+	"swiftreel/internal/limits"
 )
 
 // Whatever ends the reading of a connection, the calls that were taken on it before are owed their answers: they are
@@ -152,6 +155,61 @@
 	s.jobs.nextRequest(t)
 }
 
+// failingListener fails to accept until it is released, as a machine without descriptors does.
+type failingListener struct {
+	*net.TCPListener
+	released chan struct{}
+}
+
+func (l failingListener) Accept() (net.Conn, error) {
+	select {
+	case <-l.released:
+		return l.TCPListener.Accept()
+	default:
+		return nil, &net.OpError{Op: "accept", Err: syscall.ENFILE}
+	}
+}
+
+// Accepts fail for a while, and a call lies unread in the queue of connections: its client counts the timeout from when
+// it was sent. One that is sent later over the same connection counts from then.
+func TestACallThatLayInTheQueueCountsFromItsSending(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	failing := failingListener{listener.(*net.TCPListener), make(chan struct{})}
+	budget := new(limits.Budget)
+	budget.ClientConns.Store(6)
+	budget.MessageBytes.SetCapacity(1 << 20)
+	jobs := &recordingSubmitter{requests: make(chan gateway.Request, 10)}
+	server := NewServer(jobs, budget)
+	defer server.Close()
+	defer listener.Close()
+	go func() { _ = server.Serve(failing) }() // an error shows as a call that is not taken
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.Write(callOf(1, "SELECT 1 FROM a_1.b"))
+	sentAt := time.Now()
+	failed := counters.Value("accepts_failed")
+	s := testServer{t: t}
+	s.until("no accept fails", func() bool { return counters.Value("accepts_failed") >= failed+5 })
+	close(failing.released)
+	if first := jobs.nextRequest(t); first.ArrivedAt.After(sentAt) {
+		t.Errorf("it counts from %v after its sending", first.ArrivedAt.Sub(sentAt))
+	}
+	secondAt := time.Now()
+	conn.Write(callOf(2, "SELECT 2 FROM a_1.b"))
+	if second := jobs.nextRequest(t); second.ArrivedAt.Before(secondAt) {
+		t.Errorf("the next one counts from %v before its sending", secondAt.Sub(second.ArrivedAt))
+	}
+	conn.Write(AppendRevoke(nil, 1))
+	conn.Write(AppendRevoke(nil, 2))
+	s.until("answers stay owed", func() bool { return server.OwedAnswers() == 0 })
+}
+
 // midMessageCount counts the connections of which part of a message was read.
 func (f *Server) midMessageCount() (count int) {
 	f.mu.Lock()
--- a/internal/client/server.go
+++ b/internal/client/server.go
@@ -35,6 +35,7 @@
 	malformed      ratelog.Logger
 	unusable       ratelog.Logger
 	writesFailed   ratelog.Logger
+	acceptsFailed  ratelog.Logger
 	stalls         *stallDetector
 	owedAnswers    atomic.Int64 // calls not answered, or with a result being written
 	pendingReplies atomic.Int64 // connections with refusals or heartbeats not written yet
@@ -72,34 +73,47 @@
 	s.mu.Unlock()
 	s.stalls.reset(time.Now())
 	go s.stalls.run(s.done)
+	queuedSince := time.Now()
 	for {
+		wasQueued := s.isQueued()
 		accepted, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		socket, isTCP := accepted.(*net.TCPConn)
 		if err != nil || !isTCP {
-			counters.Increment("accepts_failed")
+			s.acceptsFailed.CountAndWarn("accepts_failed", "accept_failed", "reason", err)
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		s.admit(socket)
+		if !wasQueued { // it was waited for: it has just come, and nobody else waits
+			queuedSince = time.Now()
+		}
+		s.admit(socket, queuedSince)
 	}
 }
 
+// isQueued reports whether a connection waits to be accepted.
+func (s *Server) isQueued() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listener != nil && socketstate.Readable(s.listener)
+}
+
 // admit serves a connection once there is room for it: only now, as nobody has to leave while nobody waits to be
-// accepted.
-func (s *Server) admit(socket *net.TCPConn) {
+// accepted. It may have come as early as queuedSince.
+func (s *Server) admit(socket *net.TCPConn, queuedSince time.Time) {
 	s.isAdmitting.Store(true)
 	defer s.isAdmitting.Store(false)
 	s.awaitCapacity()
-	s.start(socket)
+	s.start(socket, queuedSince)
 }
 
 // start serves a connection, or closes it if the server is closed.
-func (s *Server) start(socket *net.TCPConn) {
+func (s *Server) start(socket *net.TCPConn, queuedSince time.Time) {
 	now := time.Now()
-	c := &conn{server: s, socket: socket, acceptedAt: now, lastUsed: now, open: map[uint32]*call{}}
+	c := &conn{server: s, socket: socket, acceptedAt: now, queuedSince: queuedSince, lastUsed: now,
+		open: map[uint32]*call{}}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.isClosed {
--- a/internal/coordinator/history.go
+++ b/internal/coordinator/history.go
@@ -52,14 +52,30 @@
 	if info, err := os.Stat(path); err == nil && info.Size() > maxHistoryBytes {
 		_ = os.Rename(path, path+previousSuffix) // the line is appended all the same
 	}
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, fileMode)
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_RDWR, fileMode)
 	if err != nil {
 		return err
 	}
-	_, err = file.Write(append(text, '\n'))
+	line := append(text, '\n')
+	if endsTorn(file) {
+		line = append([]byte{'\n'}, line...)
+	}
+	_, err = file.Write(line)
 	return errors.Join(err, file.Close())
 }
 
+// endsTorn reports whether the last line of a file was written in part: a full disk or a kill has cut it off, and what
+// is appended to it could not be read either.
+func endsTorn(file *os.File) bool {
+	info, err := file.Stat()
+	if err != nil || info.Size() == 0 {
+		return false
+	}
+	last := make([]byte, 1)
+	_, err = file.ReadAt(last, info.Size()-1)
+	return err == nil && last[0] != '\n'
+}
+
 // readLines decodes the end of a file of lines. Lines that cannot be decoded, as a torn one, are left out; a file
 // that is missing has no lines.
 func readLines[T any](path string) ([]T, error) {
--- /dev/null
+++ b/internal/coordinator/history_test.go
@@ -0,0 +1,26 @@
+package coordinator
+
+import (
+	"os"
+	"testing"
+)
+
+// A full disk, or a kill, leaves a line half written: only that one is lost, not what is appended after it.
+func TestATornLineCostsNoOther(t *testing.T) {
+	store := UnlockedFolder(t.TempDir())
+	store.addTransition(Transition{Reason: "first"})
+	path := store.path(historyFile)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, append(text, text[:len(text)/2]...), fileMode); err != nil {
+		t.Fatal(err)
+	}
+	store.addTransition(Transition{Reason: "second"})
+	store.addTransition(Transition{Reason: "third"})
+	history, err := store.History()
+	if err != nil || len(history) != 3 || history[1].Reason != "second" || history[2].Reason != "third" {
+		t.Errorf("%+v, %v", history, err)
+	}
+}
--- a/internal/engine/dial.go
+++ b/internal/engine/dial.go
@@ -29,7 +29,7 @@
 	deadline := time.Now().Add(p.bounds.DialTimeout)
 	resets := 0
 	for {
-		socket, err := p.dialTimeout("tcp4", c.engine.Address, max(minDialTimeout, time.Until(deadline)))
+		socket, err := p.dialOnce(c.engine.Address, max(minDialTimeout, time.Until(deadline)))
 		switch {
 		case err == nil:
 			return socket, nil
@@ -47,6 +47,15 @@
 	}
 }
 
+func (p *Pool) dialOnce(address string, timeout time.Duration) (net.Conn, error) {
+	if testHooks.dialError != nil {
+		if err := testHooks.dialError(); err != nil {
+			return nil, err
+		}
+	}
+	return p.dialTimeout("tcp4", address, timeout)
+}
+
 // hasRemoved reports whether a connection was removed: nobody waits for it any more.
 func (p *Pool) hasRemoved(c *conn) bool {
 	p.mu.Lock()
--- a/internal/failpoint/fault.go
+++ b/internal/failpoint/fault.go
@@ -102,7 +102,7 @@
 }
 
 // WallClock returns the time of day, as far as a fault does not move it.
-func WallClock() time.Time { return time.Now().Add(milliseconds(clockVariable)) }
+func WallClock() time.Time { return time.Now().Add(milliseconds(clockVariable) + clockStep()) }
 
 // IgnoreSnapshot reports whether what an older process has learned is not restored.
 func IgnoreSnapshot() bool { return variable(ignoreSnapshotVariable) != "" }
--- a/internal/proof/soak/main.go
+++ b/internal/proof/soak/main.go
@@ -44,7 +44,7 @@
 	engines := flag.Int("engines", 12, "processes")
 	clients := flag.Int("clients", 6, "of each controller")
 	program := flag.String("program", "", "a built controller; empty: build this tree's")
-	tags := flag.String("tags", "", "build tags of the controllers")
+	tags := flag.String("tags", "", "build tags of the controllers; fault: system calls fail and clocks step, too")
 	logs := flag.String("logs", "", "folder for the controllers' logs")
 	env := flag.String("env", "", "more of the controllers' environment, NAME=VALUE separated by spaces")
 	flag.Parse()
@@ -67,7 +67,7 @@
 	for i := range *seeds {
 		config := soak.Config{Program: *program, EngineProgram: []string{self, "engine"}, Seed: *first + uint64(i),
 			Controllers: *controllers, Engines: *engines, Clients: *clients, Length: *length, LogFolder: *logs,
-			Env: strings.Fields(*env)}
+			Env: strings.Fields(*env), Faults: *tags != ""}
 		report, err := soak.Run(config)
 		if err != nil {
 			return err
--- a/internal/soak/controller.go
+++ b/internal/soak/controller.go
@@ -61,7 +61,8 @@
 	if err := c.writeConfig(); err != nil {
 		return err
 	}
-	process, err := testcluster.StartProcess(c.program, append([]string{"ROUTER_CONFIG=" + c.configFile}, c.env...))
+	env := append([]string{"ROUTER_CONFIG=" + c.configFile, "FAULT_SYSCALLS=" + c.steeringFile()}, c.env...)
+	process, err := testcluster.StartProcess(c.program, env)
 	if err != nil {
 		return err
 	}
@@ -152,6 +153,29 @@
 	c.records.addPause(c.index, Interval{from, time.Now()})
 }
 
+// steeringFile is where a build with the tag fault reads which system calls fail.
+func (c *Controller) steeringFile() string { return c.configFile + ".syscalls" }
+
+// steer has system calls fail for the length of a trouble, or sets the wall clock: that stays.
+func (c *Controller) steer(t Trouble) error {
+	errors := []string{"ENOBUFS", "ENFILE", "ENETUNREACH", "EADDRNOTAVAIL", "EHOSTUNREACH", "ETIMEDOUT"}
+	steps := []string{"1h", "-1h", "5s", "-5s"}
+	draw := int(t.Length / time.Millisecond)
+	text := map[string]string{
+		troubleDialFails:   "dial " + errors[draw%len(errors)],
+		troubleAcceptFails: "accept " + errors[draw%2],
+		troubleClockStep:   "clock " + steps[draw%len(steps)],
+	}[t.Kind]
+	if err := os.WriteFile(c.steeringFile(), []byte(text), 0o600); err != nil {
+		return err
+	}
+	time.Sleep(t.Length / 2)
+	if t.Kind == troubleClockStep {
+		return nil
+	}
+	return os.WriteFile(c.steeringFile(), nil, 0o600)
+}
+
 // move writes a configuration by which the feed is elsewhere, and sends SIGHUP.
 func (c *Controller) move() error {
 	c.place = (c.place + 1) % len(c.entrances)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -23,6 +23,7 @@
 	Clients       int // of each controller
 	Length        time.Duration
 	Env           []string // more of the controllers' environment
+	Faults        bool     // Program is built with the tag fault, steered
 	LogFolder     string   // where controllers' logs are kept; empty: nowhere
 }
 
@@ -66,7 +67,7 @@
 	if err := r.start(); err != nil {
 		return Report{}, err
 	}
-	troubles := DrawTroubles(config.Seed, config.Length, config.Controllers, config.Engines)
+	troubles := DrawTroubles(config.Seed, config.Length, config.Controllers, config.Engines, config.Faults)
 	var clients sync.WaitGroup
 	r.startClients(&clients)
 	r.play(troubles)
@@ -263,6 +264,8 @@
 		err = c.start()
 	case troublePause:
 		c.pause(t.Length)
+	case troubleDialFails, troubleAcceptFails, troubleClockStep:
+		err = c.steer(t)
 	case troubleMove:
 		if err = c.move(); err == nil {
 			time.Sleep(t.Length / 10)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -151,7 +151,7 @@
 
 // A seed draws the same troubles each time, some of which overlap.
 func TestTroublesAreDrawnFromTheSeed(t *testing.T) {
-	one, again := DrawTroubles(7, time.Minute, 12, 12), DrawTroubles(7, time.Minute, 12, 12)
+	one, again := DrawTroubles(7, time.Minute, 12, 12, true), DrawTroubles(7, time.Minute, 12, 12, true)
 	overlapping := 0
 	for i, trouble := range one {
 		if trouble != again[i] {
--- a/internal/soak/troubles.go
+++ b/internal/soak/troubles.go
@@ -36,6 +36,11 @@
 	troubleReset      = "engine_resets"
 	troubleSlow       = "engine_slow_answers"
 	troubleBadClient  = "bad_clients"
+
+	// For builds with the tag fault, which Config.Faults says.
+	troubleDialFails   = "dials_fail"   // with an error of the machine's own
+	troubleAcceptFails = "accepts_fail" // likewise
+	troubleClockStep   = "clock_steps"
 )
 
 var (
@@ -50,14 +55,16 @@
 	settleTime   = 2 * time.Second        // before the first, and after the last begins
 )
 
+var faultTroubles = []string{troubleDialFails, troubleAcceptFails, troubleClockStep}
+
 // DrawTroubles draws the troubles of a run from a seed: groups of some that begin within a moment, so that two or three
-// overlap.
-func DrawTroubles(seed uint64, length time.Duration, controllers, engines int) []Trouble {
+// overlap. faults says that those are drawn too that need a build with the tag fault.
+func DrawTroubles(seed uint64, length time.Duration, controllers, engines int, faults bool) []Trouble {
 	random := rand.New(rand.NewPCG(seed, 0x50a4))
 	var troubles []Trouble
 	for at := settleTime; at < length-settleTime; {
 		for range overlap {
-			troubles = append(troubles, drawTrouble(random, at, controllers, engines))
+			troubles = append(troubles, drawTrouble(random, at, controllers, engines, faults))
 			at += time.Duration(random.Int64N(int64(200 * time.Millisecond)))
 		}
 		at += time.Duration(random.ExpFloat64() * float64(overlap*troubleEvery))
@@ -66,9 +73,12 @@
 	return troubles
 }
 
-func drawTrouble(random *rand.Rand, at time.Duration, controllers, engines int) Trouble {
+func drawTrouble(random *rand.Rand, at time.Duration, controllers, engines int, faults bool) Trouble {
 	t := Trouble{At: at, Length: time.Duration(300+random.IntN(2200)) * time.Millisecond}
 	switch draw := random.IntN(20); {
+	case faults && draw < 6:
+		t.Kind = faultTroubles[random.IntN(len(faultTroubles))]
+		t.Target = random.IntN(controllers)
 	case draw == 0:
 		t.Kind = troubleBadClient
 		t.Target = random.IntN(controllers)
