--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -56,7 +56,8 @@
 	r := newRecords()
 	r.addChange(Change{Engine: "e0", State: "ready", At: after(-time.Minute)})
 	r.addCall(&Call{ID: "a", Type: typeImport, Key: "k", Connection: "k-1", Timeout: time.Second,
-		ConnectedAt: after(-time.Second), SentAt: runStart, EndedAt: after(100 * time.Millisecond), Outcome: Served, Answers: 1})
+		ConnectedAt: after(-time.Second), SentAt: runStart, EndedAt: after(100 * time.Millisecond),
+		Outcome: Served, Answers: 1})
 	r.addFetch(Fetch{ID: "a", Engine: "e0", At: after(10 * time.Millisecond), Given: 990 * time.Millisecond})
 	r.addExecution(Execution{ID: "a", Engine: "e0", BeganAt: after(11 * time.Millisecond)})
 	return r
