The second log line of all counters is gone: the gateway logs them already

Cause: added cmd/swiftreel/counters_log.go; internal/gateway/reconcile.go has logged the counters each minute, where any changed, all along. Change: taken out. Checked: go build, go vet; cmd/swiftreel's tests run with the whole suite before the landing.

--- a/cmd/swiftreel/server.go
+++ b/cmd/swiftreel/server.go
@@ -26,7 +26,6 @@
 	plans     *planFollower
 	discovery *discovery.Watcher
 	reloader  *reloader
-	counters  *countersLog
 }
 
 // newServer makes a server. It owns the listener from start on.
@@ -77,7 +76,6 @@
 
 // start begins to serve. It does not wait.
 func (s *server) start(reload <-chan os.Signal) {
-	s.counters = startCountersLog()
 	go s.reloader.run(reload)
 	go func() { _ = s.clients.Serve(s.listener) }() // ends without an error once the listener is closed
 	s.sparql.start()
--- a/cmd/swiftreel/shutdown.go
+++ b/cmd/swiftreel/shutdown.go
@@ -33,7 +33,6 @@
 	s.clients.Close()
 	s.sparql.close()
 	s.reloader.close()
-	s.counters.close()
 	s.stats.close()
 	s.discovery.Close()
 	s.plans.close()
