Connections that wait for room at the end are answered; a feed's lost SYN is waited for

Cause: a connection accepted while all others were busy waited in awaitCapacity through the shutdown and was then closed unread (its call lost); the dial to the feed had 1 s, just what the system takes to send a lost SYN again. Change: once calls are refused such a connection is served, its calls throttled; the feed's dial has 2 s (a silent watch and one such dial stay within 7 s).

--- a/internal/client/eviction.go
+++ b/internal/client/eviction.go
@@ -15,11 +15,11 @@
 )
 
 // awaitCapacity waits until one more connection may be held. Its descriptor, already open, is one of the reserved
-// ones (package limits).
+// ones (package limits). Once calls are refused, those of a connection that waits are refused, too, and need no room.
 func (s *Server) awaitCapacity() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for len(s.conns) >= s.limits.ClientConns.Max() && !s.isClosed {
+	for len(s.conns) >= s.limits.ClientConns.Max() && !s.isClosed && !s.isRefusing.Load() {
 		counters.Increment("client_conns_full")
 		if s.evictOne(time.Now()) {
 			continue
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	dialTimeout     = time.Second
+	dialTimeout     = 2 * time.Second         // a SYN that is lost is sent again after a second
 	silenceTimeout  = 2500 * time.Millisecond // the feed sends something every second
 	lineTimeout     = time.Minute             // of one line: a complete list may come over a slow or crowded way
 	firstReconnect  = 100 * time.Millisecond  // delay; doubles each time the feed says nothing
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -142,6 +142,12 @@
 
 // checkFetch holds one dispatch against the client's leave, its deadline, its placement and the state of its engine.
 func (j *judge) checkFetch(call *Call, fetch Fetch) {
+	if call.Type == typeLocal && !isOfAllowedKind(fetch.Engine) {
+		j.report("placement", "call %s reaches %s", call.ID, fetch.Engine)
+	}
+	if j.wasStalled(fetch.At) {
+		return // it may have come long before it was recorded
+	}
 	if call.Outcome == Left && fetch.At.Sub(call.EndedAt) > leaveTerm+recordSlack {
 		j.report("gone", "call %s reaches %s %v after its client left", call.ID, fetch.Engine, fetch.At.Sub(call.EndedAt))
 	}
@@ -149,14 +155,16 @@
 	if fetch.Given > left+deadlineTerm+recordSlack && !j.wasPaused(call) {
 		j.report("deadline", "call %s gives %s %v of %v", call.ID, fetch.Engine, fetch.Given, left)
 	}
-	if call.Type == typeLocal && !isOfAllowedKind(fetch.Engine) {
-		j.report("placement", "call %s reaches %s", call.ID, fetch.Engine)
-	}
 	if since, unavailable := j.unavailableFor(call.Controller, fetch); unavailable && since > drainGrace+recordSlack {
 		j.report("drain", "call %s reaches %s %v after it was listed as not ready", call.ID, fetch.Engine, since)
 	}
 }
 
+// wasStalled reports whether the recording process got no CPU at a time.
+func (j *judge) wasStalled(at time.Time) bool {
+	return slices.ContainsFunc(j.stalls, func(stall Interval) bool { return !at.Before(stall.From) && at.Before(stall.To) })
+}
+
 // wasPaused reports whether a call's controller was paused between its sending and its end: it cannot know then how
 // long the call lay unread.
 func (j *judge) wasPaused(call *Call) bool {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -78,6 +78,7 @@
 	kills      map[int][]time.Time
 	stops      map[int][]time.Time // SIGTERM
 	faults     []string            // processes that did what they must not
+	stalls     []Interval          // of the recording process itself: times recorded then are late
 }
 
 func newRecords() *Records {
@@ -126,6 +127,12 @@
 	r.stops[controller] = append(r.stops[controller], at)
 }
 
+func (r *Records) addStall(stall Interval) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stalls = append(r.stalls, stall)
+}
+
 func (r *Records) addFault(text string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -33,6 +33,7 @@
 	Findings []Finding
 	Outcomes map[Outcome]int
 	Fetches  int
+	Stalls   int // of the recording process: what was recorded then is not judged by its time
 }
 
 // run is a run under way.
@@ -69,13 +70,14 @@
 	}
 	troubles := DrawTroubles(config.Seed, config.Length, config.Controllers, config.Engines, config.Faults)
 	var clients sync.WaitGroup
+	clients.Go(func() { watchStalls(r.records, r.stopped.Load) })
 	r.startClients(&clients)
 	r.play(troubles)
 	r.stopped.Store(true)
 	clients.Wait()
 	r.end()
 	report := Report{Troubles: troubles, Findings: Judge(r.records), Outcomes: map[Outcome]int{},
-		Fetches: len(r.records.fetches)}
+		Fetches: len(r.records.fetches), Stalls: len(r.records.stalls)}
 	for _, call := range r.records.calls {
 		report.Outcomes[call.Outcome]++
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -107,6 +107,10 @@
 			r.calls[0].EndedAt = after(-time.Second)
 		}, "gone"},
 		"too much time": {func(r *Records) { r.fetches[0].Given = 2 * time.Second }, "deadline"},
+		"too much time by a late record": {func(r *Records) {
+			r.fetches[0].Given = 2 * time.Second
+			r.addStall(Interval{after(0), after(20 * time.Millisecond)})
+		}, ""},
 		"wrong place": {func(r *Records) {
 			r.calls[0].Type = typeLocal
 			r.fetches[0].Engine = "e2"
