--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -41,6 +41,7 @@
 	idleBefore    time.Duration // until what is open now was sent; 0 once something is received
 	lastReceived  time.Time
 	connectedAt   time.Time // zero until dialled
+	dialTime      time.Duration
 
 	writeMu sync.Mutex // held while a message is written
 }
@@ -63,11 +64,13 @@
 
 // run dials the connection, sends what waited for that, and reads answers until the connection ends.
 func (c *conn) run() {
+	startedAt := time.Now()
 	socket, err := c.pool.dial(c)
 	if err != nil {
 		c.dialFailed(err)
 		return
 	}
+	c.dialTime = time.Since(startedAt) // read by this goroutine only
 	reader := newAnswerReader(socket, completeWithin(c.pool.bounds))
 	for _, d := range c.connected(socket, reader) {
 		c.send(d)
@@ -131,8 +134,8 @@
 	p := c.pool
 	p.mu.Lock()
 	lostByPeer := !c.isRemoved && !c.isCutByUs // the engine, or the network
-	if lostByPeer && len(c.open) > 0 {
-		p.idleLimit.lost(c.idleBefore, time.Now())
+	if now := time.Now(); lostByPeer && c.wasResetPromptly(now) {
+		p.idleLimit.lost(c.idleBefore, now)
 	}
 	p.remove(c, closedLost)
 	isCutByUs := c.isCutByUs
@@ -145,6 +148,16 @@
 	}
 }
 
+// wasResetPromptly reports whether the connection has ended in answer to what was just written. The lock is held.
+func (c *conn) wasResetPromptly(now time.Time) bool {
+	for _, d := range c.open {
+		if d.state != stateQueued && isPromptReset(now.Sub(d.writtenAt), c.dialTime) {
+			return true
+		}
+	}
+	return false
+}
+
 // endAll ends all that is open when the connection has ended. What is being written is ended by its writer.
 func (c *conn) endAll(end backend.Outcome) {
 	c.pool.mu.Lock()
--- a/internal/engine/idle_limit.go
+++ b/internal/engine/idle_limit.go
@@ -6,6 +6,11 @@
 	idleReduction    = 0.75             // of the idle time after which a connection was lost
 	minIdleLimit     = time.Millisecond // a connection idle for less is not to blame for its loss
 	idleLimitHoldoff = 10 * time.Second // without a loss, until twice the limit is tried
+
+	// A network or engine that has forgotten a connection resets it as soon as something comes over it: within a round
+	// trip, for which the dial stands, and resetDelay. What breaks later breaks for another reason.
+	maxRoundTrip = 50 * time.Millisecond
+	resetDelay   = 10 * time.Millisecond
 )
 
 // idleLimit is for how long a connection may have been idle to carry another dispatch. Some networks silently drop
@@ -16,6 +21,11 @@
 	changedAt  time.Time
 }
 
+// isPromptReset reports whether a connection ended so soon after a write that its idle time before is to blame.
+func isPromptReset(sinceWrite, dialTime time.Duration) bool {
+	return sinceWrite <= min(maxRoundTrip, dialTime)+resetDelay
+}
+
 func newIdleLimit(configured time.Duration) idleLimit {
 	return idleLimit{configured: configured, current: configured}
 }
--- a/internal/engine/pool_test.go
+++ b/internal/engine/pool_test.go
@@ -76,6 +76,40 @@
 	b.expectOutcome(backend.Full)
 }
 
+// An engine that resets connections in the middle of its work says nothing of idle times: the connection that is idle
+// is used on.
+func TestAResetDuringWorkIsNotBlamedOnIdleness(t *testing.T) {
+	b := newHarness(t, nil)
+	serve := func(id string) *fake.Session {
+		b.start(id)
+		from := b.nextFetch()
+		from.Answer(id, "full", "", "")
+		b.expectOutcome(backend.Full)
+		return from
+	}
+	first := serve("a")
+	idle := 20 * time.Millisecond
+	since := time.Now()
+	b.until("time stands still", func() bool { return time.Since(since) > idle })
+	b.start("b")
+	if b.nextFetch() != first {
+		t.Fatal("an idle connection was not used")
+	}
+	working := time.Now()
+	b.until("time stands still", func() bool { return time.Since(working) > 100*time.Millisecond }) // past any round trip
+	first.Reset()
+	b.expectOutcome(backend.Reset)
+	second := serve("c")
+	since = time.Now()
+	b.until("time stands still", func() bool { return time.Since(since) > 2*idle })
+	b.start("d")
+	if b.nextFetch() != second {
+		t.Error("a connection that was idle for a moment was not used")
+	}
+	second.Answer("d", "full", "", "")
+	b.expectOutcome(backend.Full)
+}
+
 // A controller that stood still between order and send could send to an engine that it has been told is draining: the
 // decision module, which knows, is asked when the first byte would go out.
 func TestADispatchThatIsNotPermittedIsSuperseded(t *testing.T) {
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -162,7 +162,9 @@
 
 // wasStalled reports whether the recording process got no CPU at a time.
 func (j *judge) wasStalled(at time.Time) bool {
-	return slices.ContainsFunc(j.stalls, func(stall Interval) bool { return !at.Before(stall.From) && at.Before(stall.To) })
+	return slices.ContainsFunc(j.stalls, func(stall Interval) bool {
+		return !at.Before(stall.From) && at.Before(stall.To)
+	})
 }
 
 // wasPaused reports whether a call's controller was paused between its sending and its end: it cannot know then how
