--- a/Makefile
+++ b/Makefile
@@ -59,7 +59,7 @@
 proof-upgrade:
 	go run ./internal/proof/upgrade
 
-# Real controllers and engines on loopback, with troubles that overlap, judged by the invariants; for example
+# Real controllers and engines on loopback, with faults that overlap, judged by the invariants; for example
 # make soak SOAK="-seed 7 -seeds 10 -length 60s". Needs about two cores and 500 MB for its 25 processes.
 soak:
 	go run ./internal/proof/soak $(SOAK)
--- a/choice/action.go
+++ b/choice/action.go
@@ -45,7 +45,7 @@
 const (
 	TooLateToServe  Reason = "too_late_to_serve" // it would end after its client gives up, or is about to
 	WouldNotFinish  Reason = "stopping"          // it would end after this process does
-	WorthTooLittle  Reason = "worth_too_little"  // less than the price of the work, in an overload
+	ValueTooLow     Reason = "value_too_low"     // less than the price of the work, in an overload
 	QueueFull       Reason = "queue_full"
 	NoRetryLeft     Reason = "no_retry_left"    // its attempt failed, and another is not allowed
 	ProgressStopped Reason = "progress_stopped" // reports on its attempt stopped, and it cannot be repeated
--- a/choice/permission.go
+++ b/choice/permission.go
@@ -8,7 +8,7 @@
 	Permitted         Refusal = iota
 	JobOver                   // rule 1: the job has its final answer, or no time is left for one
 	AttemptOver               // rule 1: another attempt is out; this one has ended or is being canceled
-	ClientGone                // rule 1: nobody waits for the answer
+	ClientLeft                // rule 1: nobody waits for the answer
 	AttemptsUsedUp            // the job had all its attempts
 	RepeatUnsafe              // rule 2: the job may have run, and a repeat may have an effect
 	EngineUnavailable         // rule 3: the engine drains, was removed, or has another address by now
@@ -24,7 +24,7 @@
 	Permitted:         "permitted",
 	JobOver:           "job_over",
 	AttemptOver:       "attempt_over",
-	ClientGone:        "client_gone",
+	ClientLeft:        "client_left",
 	AttemptsUsedUp:    "attempts_used_up",
 	RepeatUnsafe:      "repeat_unsafe",
 	EngineUnavailable: "engine_unavailable",
@@ -90,7 +90,7 @@
 	case j.attempt == nil, j.attempt.seq != facts.Seq, j.attempt.cancelRequested:
 		return AttemptOver
 	case !facts.ClientConnected:
-		return ClientGone
+		return ClientLeft
 	case now > j.attempt.sendDeadline, now-j.attempt.dispatchedAt > facts.MaxAge:
 		return OrderTooOld
 	case j.attempt.engine.State != Ready, !facts.SameAddress:
--- a/choice/permission_test.go
+++ b/choice/permission_test.go
@@ -46,7 +46,7 @@
 		"the client left": {func(p *permissionStage) {
 			p.handle(Event{Kind: ClientDisconnected, Job: p.job})
 		}, JobOver},
-		"its socket shows": {func(p *permissionStage) { p.facts.ClientConnected = false }, ClientGone},
+		"its socket shows": {func(p *permissionStage) { p.facts.ClientConnected = false }, ClientLeft},
 		"the attempt is being canceled": {func(p *permissionStage) {
 			p.c.cancelAttempt(p.c.jobs[p.job].attempt)
 		}, AttemptOver},
--- a/choice/shedding.go
+++ b/choice/shedding.go
@@ -22,7 +22,7 @@
 		value *= t.lateValueFactor
 	}
 	if (late && value == 0) || value/j.work < t.price*c.demand.meanValue/c.demand.meanWork {
-		return WorthTooLittle
+		return ValueTooLow
 	}
 	return ""
 }
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -28,18 +28,18 @@
 
 // The violations, by rule.
 const (
-	SentAfterAnswer       Violation = "rule_1_sent_after_answer"
-	SentTwiceAtOnce       Violation = "rule_1_sent_twice_at_once"
-	SentAfterClientLeft   Violation = "rule_1_sent_after_client_left"
-	GivenTooMuchTime      Violation = "rule_1_given_too_much_time"
-	AnsweredTwice         Violation = "rule_1_answered_twice"
-	RefusedAfterEffect    Violation = "rule_2_refused_though_it_may_have_run"
-	RepeatedAfterEffect   Violation = "rule_2_sent_again_though_it_may_have_run"
-	SentToUnavailable     Violation = "rule_3_sent_to_an_unavailable_engine"
-	SentOutOfOrder        Violation = "rule_5_sent_beside_or_after_a_later_job_of_its_key"
-	SentWhileKeyPauses    Violation = "rule_5_sent_while_its_key_pauses"
-	SentForUnknownJob     Violation = "rule_1_sent_for_an_unknown_job"
-	EndedWithoutBeingSent Violation = "rule_1_ended_without_being_sent"
+	DispatchedAfterAnswer     Violation = "rule_1_dispatched_after_answer"
+	DispatchedTwiceAtOnce     Violation = "rule_1_dispatched_twice_at_once"
+	DispatchedAfterClientLeft Violation = "rule_1_dispatched_after_client_left"
+	GivenTooMuchTime          Violation = "rule_1_given_too_much_time"
+	AnsweredTwice             Violation = "rule_1_answered_twice"
+	RefusedAfterEffect        Violation = "rule_2_refused_though_it_may_have_run"
+	RepeatedAfterEffect       Violation = "rule_2_dispatched_again_though_it_may_have_run"
+	DispatchedToUnavailable   Violation = "rule_3_dispatched_to_an_unavailable_engine"
+	DispatchedOutOfOrder      Violation = "rule_5_dispatched_beside_or_after_a_later_job_of_its_key"
+	DispatchedWhileKeyPauses  Violation = "rule_5_dispatched_while_its_key_pauses"
+	DispatchedForUnknownJob   Violation = "rule_1_dispatched_for_an_unknown_job"
+	EndedWithoutDispatch      Violation = "rule_1_ended_without_dispatch"
 )
 
 // Job is what the rules ask of a job.
@@ -50,8 +50,8 @@
 	Key      choice.Key // its jobs run one after the other; 0: no order
 }
 
-// Send is a dispatch of which the first byte goes out.
-type Send struct {
+// Dispatch is one of which the first byte goes out.
+type Dispatch struct {
 	Job              choice.JobID
 	At               time.Time
 	Given            time.Duration // how long the engine may take
@@ -81,10 +81,10 @@
 
 // keyRecord is what is known of a key.
 type keyRecord struct {
-	open        map[choice.JobID]*record
-	arrivals    int
-	lastSent    int // arrival of the latest job that was sent
-	pausedUntil time.Time
+	open           map[choice.JobID]*record
+	arrivals       int
+	lastDispatched int // arrival of the latest job that was sent
+	pausedUntil    time.Time
 }
 
 // NewLedger returns an empty ledger. A grace of 0 is not checked.
@@ -114,27 +114,27 @@
 	}
 }
 
-// Sent records a send, and returns the rules that it breaks.
-func (l *Ledger) Sent(s Send) []Violation {
+// Dispatched records a dispatch, and returns the rules that it breaks.
+func (l *Ledger) Dispatched(d Dispatch) []Violation {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := l.jobs[s.Job]
+	r := l.jobs[d.Job]
 	if r == nil {
-		return []Violation{SentForUnknownJob}
+		return []Violation{DispatchedForUnknownJob}
 	}
 	broken := violations{}
-	broken.add(r.isAnswered, SentAfterAnswer)
-	broken.add(r.isOut, SentTwiceAtOnce)
-	broken.add(!r.leftAt.IsZero() && s.At.Sub(r.leftAt) > leaveSlack, SentAfterClientLeft)
-	broken.add(s.Given > r.Deadline.Sub(s.At)+deadlineSlack, GivenTooMuchTime)
+	broken.add(r.isAnswered, DispatchedAfterAnswer)
+	broken.add(r.isOut, DispatchedTwiceAtOnce)
+	broken.add(!r.leftAt.IsZero() && d.At.Sub(r.leftAt) > leaveSlack, DispatchedAfterClientLeft)
+	broken.add(d.Given > r.Deadline.Sub(d.At)+deadlineSlack, GivenTooMuchTime)
 	broken.add(r.RunOnce && r.mayHaveRun, RepeatedAfterEffect)
-	isPastGrace := !s.UnavailableSince.IsZero() && s.At.Sub(s.UnavailableSince) > l.drainGrace
-	broken.add(l.drainGrace > 0 && isPastGrace, SentToUnavailable)
+	isPastGrace := !d.UnavailableSince.IsZero() && d.At.Sub(d.UnavailableSince) > l.drainGrace
+	broken.add(l.drainGrace > 0 && isPastGrace, DispatchedToUnavailable)
 	if r.Key != 0 {
 		key := l.key(r.Key)
-		broken.add(key.isAnotherOut(r) || r.arrival < key.lastSent, SentOutOfOrder)
-		broken.add(s.At.Before(key.pausedUntil), SentWhileKeyPauses)
-		key.lastSent = max(key.lastSent, r.arrival)
+		broken.add(key.isAnotherOut(r) || r.arrival < key.lastDispatched, DispatchedOutOfOrder)
+		broken.add(d.At.Before(key.pausedUntil), DispatchedWhileKeyPauses)
+		key.lastDispatched = max(key.lastDispatched, r.arrival)
 	}
 	r.isOut = true
 	return broken.list
@@ -202,7 +202,7 @@
 		l.key(r.Key).pausedUntil = now.Add(l.orderPause)
 	}
 	if !wasOut && result == choice.Done {
-		return []Violation{EndedWithoutBeingSent}
+		return []Violation{EndedWithoutDispatch}
 	}
 	return nil
 }
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -30,14 +30,14 @@
 	return l
 }
 
-// send sends a job after a time, given a second.
-func send(id choice.JobID, after time.Duration) Send {
-	return Send{Job: id, At: at(after), Given: time.Second}
+// dispatch dispatches a job after a time, given a second.
+func dispatch(id choice.JobID, after time.Duration) Dispatch {
+	return Dispatch{Job: id, At: at(after), Given: time.Second}
 }
 
 // end sends a job and has its attempt end.
 func end(l *Ledger, id choice.JobID, result choice.Result) {
-	l.Sent(send(id, 0))
+	l.Dispatched(dispatch(id, 0))
 	l.Ended(id, result, start)
 }
 
@@ -47,81 +47,81 @@
 		play func(l *Ledger) []Violation
 		want []Violation
 	}{
-		{"a send", func(l *Ledger) []Violation { return l.Sent(send(job, 0)) }, nil},
-		{"unknown", func(l *Ledger) []Violation { return l.Sent(send(9, 0)) }, []Violation{SentForUnknownJob}},
+		{"a send", func(l *Ledger) []Violation { return l.Dispatched(dispatch(job, 0)) }, nil},
+		{"unknown", func(l *Ledger) []Violation { return l.Dispatched(dispatch(9, 0)) }, []Violation{DispatchedForUnknownJob}},
 		{"after its answer", func(l *Ledger) []Violation {
 			l.Answered(job, true)
-			return l.Sent(send(job, 0))
-		}, []Violation{SentAfterAnswer}},
+			return l.Dispatched(dispatch(job, 0))
+		}, []Violation{DispatchedAfterAnswer}},
 		{"twice at once", func(l *Ledger) []Violation {
-			l.Sent(send(job, 0))
-			return l.Sent(send(job, time.Second))
-		}, []Violation{SentTwiceAtOnce}},
+			l.Dispatched(dispatch(job, 0))
+			return l.Dispatched(dispatch(job, time.Second))
+		}, []Violation{DispatchedTwiceAtOnce}},
 		{"soon after the leave", func(l *Ledger) []Violation {
 			l.ClientLeft(job, start)
-			return l.Sent(send(job, leaveSlack))
+			return l.Dispatched(dispatch(job, leaveSlack))
 		}, nil},
 		{"after the leave", func(l *Ledger) []Violation {
 			l.ClientLeft(job, start)
 			l.ClientLeft(job, at(time.Second))
-			return l.Sent(send(job, leaveSlack+1))
-		}, []Violation{SentAfterClientLeft}},
+			return l.Dispatched(dispatch(job, leaveSlack+1))
+		}, []Violation{DispatchedAfterClientLeft}},
 		{"given what is left", func(l *Ledger) []Violation {
-			return l.Sent(Send{Job: job, At: at(time.Second), Given: 9*time.Second + deadlineSlack})
+			return l.Dispatched(Dispatch{Job: job, At: at(time.Second), Given: 9*time.Second + deadlineSlack})
 		}, nil},
 		{"given more", func(l *Ledger) []Violation {
-			return l.Sent(Send{Job: job, At: at(time.Second), Given: 9*time.Second + deadlineSlack + 1})
+			return l.Dispatched(Dispatch{Job: job, At: at(time.Second), Given: 9*time.Second + deadlineSlack + 1})
 		}, []Violation{GivenTooMuchTime}},
 		{"again after it never ran", func(l *Ledger) []Violation {
 			end(l, job, choice.DialFailed)
-			return l.Sent(send(job, time.Second))
+			return l.Dispatched(dispatch(job, time.Second))
 		}, nil},
 		{"again after it may have run", func(l *Ledger) []Violation {
 			end(l, job, choice.Reset)
-			return l.Sent(send(job, time.Second))
+			return l.Dispatched(dispatch(job, time.Second))
 		}, []Violation{RepeatedAfterEffect}},
 		{"within the grace", func(l *Ledger) []Violation {
-			return l.Sent(Send{Job: job, At: at(drainGrace), UnavailableSince: start})
+			return l.Dispatched(Dispatch{Job: job, At: at(drainGrace), UnavailableSince: start})
 		}, nil},
 		{"past the grace", func(l *Ledger) []Violation {
-			return l.Sent(Send{Job: job, At: at(drainGrace + 1), UnavailableSince: start})
-		}, []Violation{SentToUnavailable}},
+			return l.Dispatched(Dispatch{Job: job, At: at(drainGrace + 1), UnavailableSince: start})
+		}, []Violation{DispatchedToUnavailable}},
 		{"after the earlier of its key", func(l *Ledger) []Violation {
 			end(l, job, choice.Done)
-			return l.Sent(send(later, 0))
+			return l.Dispatched(dispatch(later, 0))
 		}, nil},
 		{"beside the earlier of its key", func(l *Ledger) []Violation {
-			l.Sent(send(job, 0))
-			return l.Sent(send(later, 0))
-		}, []Violation{SentOutOfOrder}},
+			l.Dispatched(dispatch(job, 0))
+			return l.Dispatched(dispatch(later, 0))
+		}, []Violation{DispatchedOutOfOrder}},
 		{"after a later one of its key", func(l *Ledger) []Violation {
 			end(l, later, choice.Done)
-			return l.Sent(send(job, 0))
-		}, []Violation{SentOutOfOrder}},
+			return l.Dispatched(dispatch(job, 0))
+		}, []Violation{DispatchedOutOfOrder}},
 		{"again after no byte went out", func(l *Ledger) []Violation {
-			l.Sent(send(job, 0))
+			l.Dispatched(dispatch(job, 0))
 			l.Withdrawn(job)
-			return l.Sent(send(job, 0))
+			return l.Dispatched(dispatch(job, 0))
 		}, nil},
 		{"while its key pauses", func(l *Ledger) []Violation {
 			end(l, job, choice.Canceled)
 			l.Removed(job)
-			return l.Sent(send(later, orderPause-1))
-		}, []Violation{SentWhileKeyPauses}},
+			return l.Dispatched(dispatch(later, orderPause-1))
+		}, []Violation{DispatchedWhileKeyPauses}},
 		{"after its key's pause", func(l *Ledger) []Violation {
 			end(l, job, choice.Canceled)
 			l.Removed(job)
-			return l.Sent(send(later, orderPause))
+			return l.Dispatched(dispatch(later, orderPause))
 		}, nil},
 		{"done without a send", func(l *Ledger) []Violation { return l.Ended(job, choice.Done, start) },
-			[]Violation{EndedWithoutBeingSent}},
+			[]Violation{EndedWithoutDispatch}},
 		{"refused", func(l *Ledger) []Violation { return l.Answered(job, true) }, nil},
 		{"answered twice", func(l *Ledger) []Violation {
 			l.Answered(job, false)
 			return l.Answered(job, false)
 		}, []Violation{AnsweredTwice}},
 		{"refused while it is out", func(l *Ledger) []Violation {
-			l.Sent(send(job, 0))
+			l.Dispatched(dispatch(job, 0))
 			return l.Answered(job, true)
 		}, []Violation{RefusedAfterEffect}},
 		{"failed after it may have run", func(l *Ledger) []Violation {
@@ -135,7 +135,7 @@
 	}
 	repeatable := newTestLedger(false)
 	end(repeatable, job, choice.Reset)
-	if got := repeatable.Sent(send(job, time.Second)); slices.Contains(got, RepeatedAfterEffect) {
+	if got := repeatable.Dispatched(dispatch(job, time.Second)); slices.Contains(got, RepeatedAfterEffect) {
 		t.Errorf("a repeatable job sent again: %v", got)
 	}
 }
--- a/internal/failpoint/syscalls_fault.go
+++ b/internal/failpoint/syscalls_fault.go
@@ -58,8 +58,17 @@
 	return values
 }
 
-// SyscallError returns the error with which a call fails now; nil: it does not.
+// slowCall is the word for a call that takes slowCallTime and then does not fail.
+const (
+	slowCall     = "SLOW"
+	slowCallTime = 200 * time.Millisecond
+)
+
+// SyscallError returns the error with which a call fails now; nil: it does not. It waits where the call is slow.
 func SyscallError(call string) error {
+	if steered(call) == slowCall {
+		time.Sleep(slowCallTime)
+	}
 	if number, known := injectable[steered(call)]; known {
 		return os.NewSyscallError(call, number)
 	}
--- a/internal/gateway/send_gate.go
+++ b/internal/gateway/send_gate.go
@@ -40,7 +40,7 @@
 	given := left.Truncate(time.Millisecond)
 	s.gateway.trace.job(s.job.id, "call", string(s.job.ID), "attempt", s.attempt.sequence, "engine", s.attempt.engine,
 		"sent_with", given)
-	broken := s.gateway.audit.Sent(audit.Send{Job: s.job.id, At: now, Given: given, UnavailableSince: unavailableSince})
+	broken := s.gateway.audit.Dispatched(audit.Dispatch{Job: s.job.id, At: now, Given: given, UnavailableSince: unavailableSince})
 	s.gateway.reportViolations(s.job, s.attempt.engine, broken)
 	return backend.Permission{Granted: true, TimeoutMS: given.Milliseconds()}
 }
--- a/internal/proof/soak/main.go
+++ b/internal/proof/soak/main.go
@@ -1,4 +1,4 @@
-// Command soak plays runs of many seeds with real controller and engine processes on loopback, with troubles that
+// Command soak plays runs of many seeds with real controller and engine processes on loopback, with faults that
 // overlap, and ends with 1 where an invariant is broken. It prints what a seed was made of, so that it can be played
 // again.
 package main
@@ -27,11 +27,11 @@
 	}
 }
 
-// runEngine is the engine's process: name, life, seed.
+// runEngine is the engine's process: name, incarnation, seed.
 func runEngine(args []string) {
-	life, _ := strconv.Atoi(args[1])              // written by this program
+	incarnation, _ := strconv.Atoi(args[1])       // written by this program
 	seed, _ := strconv.ParseUint(args[2], 10, 64) // likewise
-	err := soak.EngineMain(args[0], life, seed, os.Stdout)
+	err := soak.EngineMain(args[0], incarnation, seed, os.Stdout)
 	fmt.Fprintln(os.Stderr, err)
 	os.Exit(1)
 }
@@ -67,7 +67,7 @@
 	for i := range *seeds {
 		config := soak.Config{Program: *program, EngineProgram: []string{self, "engine"}, Seed: *first + uint64(i),
 			Controllers: *controllers, Engines: *engines, Clients: *clients, Length: *length, LogFolder: *logs,
-			Env: strings.Fields(*env), Faults: *tags != ""}
+			Env: strings.Fields(*env), InjectErrors: *tags != ""}
 		report, err := soak.Run(config)
 		if err != nil {
 			return err
@@ -101,12 +101,12 @@
 	for _, f := range report.Findings {
 		rules[f.Rule]++
 	}
-	fmt.Printf("seed %d: %d troubles, calls %v, %d dispatches, %d stalls here, findings %v\n", seed, len(report.Troubles), report.Outcomes,
+	fmt.Printf("seed %d: %d faults, calls %v, %d dispatches, %d stalls here, findings %v\n", seed, len(report.Faults), report.Outcomes,
 		report.Fetches, report.Stalls, rules)
 	if len(report.Findings) == 0 {
 		return true
 	}
-	for _, t := range report.Troubles {
+	for _, t := range report.Faults {
 		fmt.Println("   ", t)
 	}
 	for i, f := range report.Findings {
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -20,6 +20,7 @@
 	restTime      = 700 * time.Millisecond
 	pieceInterval = 40 * time.Millisecond
 	statement     = "SELECT 1 FROM a_1.b"
+	badInputBytes = 64 << 10 // more than a controller reads of what it cannot use
 	clientRead    = 4 << 10
 
 	// crossingTime is how shortly before the end of a resting connection a call may be sent that its client sends again.
@@ -217,7 +218,7 @@
 	if !c.send(2) {
 		return false
 	}
-	bad := []byte{0xc1}
+	bad := append([]byte{0xc1}, make([]byte, badInputBytes)...)
 	if c.random.IntN(2) == 0 {
 		next := c.nextCall()
 		bad = next.bytes[:len(next.bytes)/2]
--- a/internal/soak/controller.go
+++ b/internal/soak/controller.go
@@ -123,7 +123,7 @@
 func (c *Controller) awaitEnd(stoppedAt time.Time) {
 	for !c.process.Exited() {
 		if time.Since(stoppedAt) > exitWithin {
-			c.records.addFault(fmt.Sprintf("controller %d has not ended %v after SIGTERM", c.index, exitWithin))
+			c.records.addFailure(fmt.Sprintf("controller %d has not ended %v after SIGTERM", c.index, exitWithin))
 			c.records.addKill(c.index, time.Now())
 			c.process.Kill()
 			return
@@ -131,7 +131,7 @@
 		time.Sleep(pollEvery)
 	}
 	if err := c.process.WaitExit(); err != nil {
-		c.records.addFault(fmt.Sprintf("controller %d ends with %v: %s", c.index, err, lastLines(c.process.Log())))
+		c.records.addFailure(fmt.Sprintf("controller %d ends with %v: %s", c.index, err, lastLines(c.process.Log())))
 	}
 	c.checkLog()
 }
@@ -156,21 +156,21 @@
 // steeringFile is where a build with the tag fault reads which system calls fail.
 func (c *Controller) steeringFile() string { return c.configFile + ".syscalls" }
 
-// steer has system calls fail for the length of a trouble, or sets the wall clock: that stays.
-func (c *Controller) steer(t Trouble) error {
-	errors := []string{"ENOBUFS", "ENFILE", "ENETUNREACH", "EADDRNOTAVAIL", "EHOSTUNREACH", "ETIMEDOUT"}
+// steer has system calls fail for the length of a fault, or sets the wall clock: that stays.
+func (c *Controller) steer(t Fault) error {
+	errors := []string{"ENOBUFS", "ENFILE", "SLOW", "ENETUNREACH", "EADDRNOTAVAIL", "SLOW", "EHOSTUNREACH", "ETIMEDOUT"}
 	steps := []string{"1h", "-1h", "5s", "-5s"}
 	draw := int(t.Length / time.Millisecond)
 	text := map[string]string{
-		troubleDialFails:   "dial " + errors[draw%len(errors)],
-		troubleAcceptFails: "accept " + errors[draw%2],
-		troubleClockStep:   "clock " + steps[draw%len(steps)],
+		faultDialFails:   "dial " + errors[draw%len(errors)],
+		faultAcceptFails: "accept " + errors[draw%2],
+		faultClockStep:   "clock " + steps[draw%len(steps)],
 	}[t.Kind]
 	if err := os.WriteFile(c.steeringFile(), []byte(text), 0o600); err != nil {
 		return err
 	}
 	time.Sleep(t.Length / 2)
-	if t.Kind == troubleClockStep {
+	if t.Kind == faultClockStep {
 		return nil
 	}
 	return os.WriteFile(c.steeringFile(), nil, 0o600)
@@ -186,16 +186,17 @@
 	return nil
 }
 
-// logFaults are texts of a log that show a fault of the program.
-var logFaults = []string{"panic:", "fatal error", "rule_violated", "answer_overdue", "module_fault", "rules_violated=",
-	"DATA RACE"}
+// failureTexts are texts of a log that show a fault of the program.
+var failureTexts = []string{
+	"panic:", "fatal error", "rule_violated", "answer_overdue", "module_fault", "rules_violated=", "DATA RACE",
+}
 
 // checkLog records the lines of the process's log that show a fault.
 func (c *Controller) checkLog() {
 	for line := range strings.Lines(c.process.Log()) {
-		for _, fault := range logFaults {
+		for _, fault := range failureTexts {
 			if strings.Contains(line, fault) {
-				c.records.addFault(fmt.Sprintf("controller %d logs %s", c.index, strings.TrimSpace(line)))
+				c.records.addFailure(fmt.Sprintf("controller %d logs %s", c.index, strings.TrimSpace(line)))
 			}
 		}
 	}
--- a/internal/soak/engine_process.go
+++ b/internal/soak/engine_process.go
@@ -31,9 +31,9 @@
 
 // engineProcess is an engine's process as EngineMain runs it.
 type engineProcess struct {
-	name   string
-	life   int
-	random *rand.Rand
+	name        string
+	incarnation int
+	random      *rand.Rand
 
 	mu      sync.Mutex
 	out     *json.Encoder
@@ -48,8 +48,8 @@
 
 // EngineMain runs an engine until its process is ended. It prints its address, and then each execution as a line of
 // JSON.
-func EngineMain(name string, life int, seed uint64, out io.Writer) error {
-	e := &engineProcess{name: name, life: life, random: rand.New(rand.NewPCG(seed, uint64(life))),
+func EngineMain(name string, incarnation int, seed uint64, out io.Writer) error {
+	e := &engineProcess{name: name, incarnation: incarnation, random: rand.New(rand.NewPCG(seed, uint64(incarnation))),
 		out: json.NewEncoder(out), running: map[runningKey]*time.Timer{}}
 	listener, err := fake.StartEngine("127.0.0.1:0", e.handle)
 	if err != nil {
@@ -85,8 +85,8 @@
 // begin refuses a dispatch, or lets it run for the time of its type. The lock is held.
 func (e *engineProcess) begin(key runningKey, command engine.Command) {
 	refused := len(e.running) >= engineCapacity
-	_ = e.out.Encode(Execution{ID: key.id, Engine: e.name, Life: e.life, Refused: refused, BeganAt: time.Now()}) // the
-	// reader ends with the run
+	began := Execution{ID: key.id, Engine: e.name, Incarnation: e.incarnation, Refused: refused, BeganAt: time.Now()}
+	_ = e.out.Encode(began) // its reader ends with the run
 	if refused {
 		key.session.Answer(key.id, "full", "", "")
 		return
@@ -134,19 +134,19 @@
 	kind    string
 	proxy   *Proxy
 	records *Records
-	program []string // that runs EngineMain, without the figures of a life
+	program []string // that runs EngineMain, without the figures of a incarnation
 	seed    uint64
 
-	life    int
-	process *exec.Cmd
-	reading sync.WaitGroup // of the process's executions
-	paused  bool
+	incarnation int
+	process     *exec.Cmd
+	reading     sync.WaitGroup // of the process's executions
+	paused      bool
 }
 
 // start starts a process of the engine; the one before must have ended.
 func (e *Engine) start() error {
-	e.life++
-	args := append(e.program[1:len(e.program):len(e.program)], e.name, fmt.Sprint(e.life), fmt.Sprint(e.seed))
+	e.incarnation++
+	args := append(e.program[1:len(e.program):len(e.program)], e.name, fmt.Sprint(e.incarnation), fmt.Sprint(e.seed))
 	process := exec.CommandContext(context.Background(), e.program[0], args...)
 	process.Stderr = os.Stderr
 	out, err := process.StdoutPipe()
@@ -163,7 +163,7 @@
 		return fmt.Errorf("engine %s: %w", e.name, err)
 	}
 	e.reading.Go(func() { e.readExecutions(lines) })
-	e.proxy.setTarget(strings.TrimSpace(address), e.life)
+	e.proxy.setTarget(strings.TrimSpace(address), e.incarnation)
 	return nil
 }
 
@@ -183,7 +183,7 @@
 	if e.process == nil {
 		return
 	}
-	e.proxy.setTarget("", e.life)
+	e.proxy.setTarget("", e.incarnation)
 	_ = e.process.Process.Kill() // it may have ended
 	e.reading.Wait()
 	_ = e.process.Wait() // killed
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -50,7 +50,7 @@
 	for _, execution := range records.executions {
 		j.executed[execution.ID] = append(j.executed[execution.ID], execution)
 	}
-	for _, text := range records.faults {
+	for _, text := range records.failures {
 		j.report("process", "%s", text)
 	}
 	for _, call := range records.calls {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -40,12 +40,12 @@
 	name     string
 	records  *Records
 
-	mu     sync.Mutex
-	target string // of the engine's process; empty: none runs
-	life   int
-	mode   ProxyMode
-	change chan struct{} // closed when the mode changes
-	conns  map[net.Conn]struct{}
+	mu          sync.Mutex
+	target      string // of the engine's process; empty: none runs
+	incarnation int
+	mode        ProxyMode
+	change      chan struct{} // closed when the mode changes
+	conns       map[net.Conn]struct{}
 }
 
 // newProxy listens at an address for an engine.
@@ -63,11 +63,11 @@
 func (p *Proxy) address() string { return p.listener.Addr().String() }
 
 // setTarget forwards later connections to a process; empty: connections are reset, as by a machine without a listener.
-func (p *Proxy) setTarget(target string, life int) {
+func (p *Proxy) setTarget(target string, incarnation int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.target = target
-	p.life = life
+	p.incarnation = incarnation
 }
 
 // setMode sets what becomes of connections, those that are open too.
@@ -131,7 +131,7 @@
 	defer p.forget(controller)
 	p.mu.Lock()
 	p.conns[controller] = struct{}{}
-	target, life := p.target, p.life
+	target, incarnation := p.target, p.incarnation
 	p.mu.Unlock()
 	engineConn, err := dial(target)
 	if err != nil {
@@ -146,7 +146,7 @@
 		p.forwardAnswers(controller, engineConn)
 		reset(controller)
 	}()
-	p.forwardCommands(engineConn, controller, life)
+	p.forwardCommands(engineConn, controller, incarnation)
 }
 
 func (p *Proxy) forget(conn net.Conn) {
@@ -180,7 +180,7 @@
 }
 
 // forwardCommands forwards commands one by one, and records each fetch as it arrives, whether it may pass or not.
-func (p *Proxy) forwardCommands(to, from net.Conn, life int) {
+func (p *Proxy) forwardCommands(to, from net.Conn, incarnation int) {
 	queue := make(chan []byte, queuedCommands)
 	defer close(queue)
 	go p.writeCommands(to, queue)
@@ -193,8 +193,8 @@
 			return
 		}
 		if command.Name == "fetch" {
-			p.records.addFetch(Fetch{ID: command.ID, Engine: p.name, Life: life, Controller: controller, At: time.Now(),
-				Given: givenTime(command.Fields)})
+			p.records.addFetch(Fetch{ID: command.ID, Engine: p.name, Incarnation: incarnation, Controller: controller,
+				At: time.Now(), Given: givenTime(command.Fields)})
 		}
 		text := bytes.Clone(passed.Bytes()[:passed.Len()-reader.Buffered()])
 		passed.Next(len(text))
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -38,21 +38,21 @@
 
 // Fetch is a dispatch that came to an engine's address.
 type Fetch struct {
-	ID         string
-	Engine     string
-	Life       int // of the engine's process
-	Controller string
-	At         time.Time // its command was read whole
-	Given      time.Duration
+	ID          string
+	Engine      string
+	Incarnation int // of the engine's process
+	Controller  string
+	At          time.Time // its command was read whole
+	Given       time.Duration
 }
 
 // Execution is a dispatch that an engine's process began.
 type Execution struct {
-	ID      string    `json:"id"`
-	Engine  string    `json:"engine"`
-	Life    int       `json:"life"`
-	Refused bool      `json:"refused"` // it answered that it is full, and ran nothing
-	BeganAt time.Time `json:"began"`
+	ID          string    `json:"id"`
+	Engine      string    `json:"engine"`
+	Incarnation int       `json:"incarnation"`
+	Refused     bool      `json:"refused"` // it answered that it is full, and ran nothing
+	BeganAt     time.Time `json:"began"`
 }
 
 // Change is a state of an engine that a controller was told.
@@ -77,7 +77,7 @@
 	pauses     map[int][]Interval // of controllers' processes
 	kills      map[int][]time.Time
 	stops      map[int][]time.Time // SIGTERM
-	faults     []string            // processes that did what they must not
+	failures   []string            // processes that did what they must not
 	stalls     []Interval          // of the recording process itself: times recorded then are late
 }
 
@@ -133,8 +133,8 @@
 	r.stalls = append(r.stalls, stall)
 }
 
-func (r *Records) addFault(text string) {
+func (r *Records) addFailure(text string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.faults = append(r.faults, text)
+	r.failures = append(r.failures, text)
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -16,20 +16,20 @@
 // Config says what a run consists of.
 type Config struct {
 	Program       string   // of controllers
-	EngineProgram []string // that runs EngineMain with three more arguments: name, life, seed
+	EngineProgram []string // that runs EngineMain with three more arguments: name, incarnation, seed
 	Seed          uint64
 	Controllers   int
 	Engines       int
 	Clients       int // of each controller
 	Length        time.Duration
 	Env           []string // more of the controllers' environment
-	Faults        bool     // Program is built with the tag fault, steered
+	InjectErrors  bool     // Program is built with the tag fault, steered
 	LogFolder     string   // where controllers' logs are kept; empty: nowhere
 }
 
 // Report is what came of a run.
 type Report struct {
-	Troubles []Trouble
+	Faults   []Fault
 	Findings []Finding
 	Outcomes map[Outcome]int
 	Fetches  int
@@ -49,13 +49,13 @@
 	lastCall    atomic.Uint64
 }
 
-// engineSlot is an engine, which has one trouble at a time.
+// engineSlot is an engine, which has one fault at a time.
 type engineSlot struct {
 	mu sync.Mutex
 	*Engine
 }
 
-// controllerSlot is a controller, which has one trouble at a time.
+// controllerSlot is a controller, which has one fault at a time.
 type controllerSlot struct {
 	mu sync.Mutex
 	*Controller
@@ -68,15 +68,15 @@
 	if err := r.start(); err != nil {
 		return Report{}, err
 	}
-	troubles := DrawTroubles(config.Seed, config.Length, config.Controllers, config.Engines, config.Faults)
+	faults := DrawFaults(config.Seed, config.Length, config.Controllers, config.Engines, config.InjectErrors)
 	var clients sync.WaitGroup
 	clients.Go(func() { watchStalls(r.records, r.stopped.Load) })
 	r.startClients(&clients)
-	r.play(troubles)
+	r.play(faults)
 	r.stopped.Store(true)
 	clients.Wait()
 	r.end()
-	report := Report{Troubles: troubles, Findings: Judge(r.records), Outcomes: map[Outcome]int{},
+	report := Report{Faults: faults, Findings: Judge(r.records), Outcomes: map[Outcome]int{},
 		Fetches: len(r.records.fetches), Stalls: len(r.records.stalls)}
 	for _, call := range r.records.calls {
 		report.Outcomes[call.Outcome]++
@@ -172,64 +172,64 @@
 	}
 }
 
-// play has each trouble begin at its time, and waits until all are over.
-func (r *run) play(troubles []Trouble) {
+// play has each fault begin at its time, and waits until all are over.
+func (r *run) play(faults []Fault) {
 	started := time.Now()
 	var running sync.WaitGroup
-	for _, t := range troubles {
+	for _, t := range faults {
 		time.Sleep(time.Until(started.Add(t.At)))
-		running.Go(func() { r.trouble(t) })
+		running.Go(func() { r.fault(t) })
 	}
 	time.Sleep(time.Until(started.Add(r.config.Length)))
 	running.Wait()
 }
 
-func (r *run) trouble(t Trouble) {
+func (r *run) fault(t Fault) {
 	switch t.Kind {
-	case troubleBadClient:
+	case faultBadClient:
 		r.badClients(t)
-	case troubleDrain, troubleRestart, troubleVanish, troubleHang, troubleReset, troubleSlow:
-		r.engineTrouble(t)
+	case faultDrain, faultRestart, faultVanish, faultHang, faultReset, faultSlow:
+		r.engineFault(t)
 	default:
-		r.controllerTrouble(t)
+		r.controllerFault(t)
 	}
 }
 
 // badClients has clients that speak badly come for a time.
-func (r *run) badClients(t Trouble) {
+func (r *run) badClients(t Fault) {
 	random := rand.New(rand.NewPCG(r.config.Seed, uint64(t.At)))
 	for stop := time.Now().Add(t.Length); time.Now().Before(stop); {
 		if fake.MisbehavingClient(r.controllers[t.Target].address, random) {
-			r.records.addFault("a bad client is served")
+			r.records.addFailure("a bad client is served")
 		}
 	}
 }
 
-// engineTrouble plays a trouble at an engine that has none.
-func (r *run) engineTrouble(t Trouble) {
+// engineFault plays a fault at an engine that has none.
+func (r *run) engineFault(t Fault) {
 	e := r.engines[t.Target]
 	if !e.mu.TryLock() {
 		return
 	}
 	defer e.mu.Unlock()
 	switch t.Kind {
-	case troubleDrain:
+	case faultDrain:
 		r.feed.add(false, e.entry("draining", time.Time{}))
 		time.Sleep(t.Length)
 		r.replace(e.Engine)
-	case troubleRestart:
+	case faultRestart:
 		e.kill()
 		time.Sleep(t.Length / 4)
 		r.replace(e.Engine)
-	case troubleHang:
+	case faultHang:
 		e.pause(true)
 		time.Sleep(t.Length)
 		e.pause(false)
-	case troubleReset:
+	case faultReset:
 		e.proxy.setMode(ProxyReset)
 		e.proxy.setMode(ProxyUp)
 	default:
-		e.proxy.setMode(map[string]ProxyMode{troubleVanish: ProxySilent, troubleSlow: ProxySlow}[t.Kind])
+		e.proxy.setMode(map[string]ProxyMode{faultVanish: ProxySilent, faultSlow: ProxySlow}[t.Kind])
 		time.Sleep(t.Length)
 		e.proxy.setMode(ProxyUp)
 	}
@@ -241,14 +241,14 @@
 	e.kill()
 	started := time.Now()
 	if err := e.start(); err != nil {
-		r.records.addFault(err.Error())
+		r.records.addFailure(err.Error())
 		return
 	}
 	r.feed.add(false, e.entry("ready", started))
 }
 
-// controllerTrouble plays a trouble at a controller that has none, or at its feed.
-func (r *run) controllerTrouble(t Trouble) {
+// controllerFault plays a fault at a controller that has none, or at its feed.
+func (r *run) controllerFault(t Fault) {
 	c := r.controllers[t.Target]
 	if !c.mu.TryLock() {
 		return
@@ -256,37 +256,37 @@
 	defer c.mu.Unlock()
 	var err error
 	switch t.Kind {
-	case troubleTerm:
+	case faultTerm:
 		c.terminate()
 		r.saveLog(c.Controller)
 		err = c.start()
-	case troubleKill:
+	case faultKill:
 		c.kill()
 		r.saveLog(c.Controller)
 		err = c.start()
-	case troublePause:
+	case faultPause:
 		c.pause(t.Length)
-	case troubleDialFails, troubleAcceptFails, troubleClockStep:
+	case faultDialFails, faultAcceptFails, faultClockStep:
 		err = c.steer(t)
-	case troubleMove:
+	case faultMove:
 		if err = c.move(); err == nil {
 			time.Sleep(t.Length / 10)
 			err = c.move()
 		}
 	default:
-		c.entrances[c.place].fail(t.Kind == troubleFeedDown, t.Kind == troubleFeedSilent, pieceOf(t.Kind))
+		c.entrances[c.place].fail(t.Kind == faultFeedDown, t.Kind == faultFeedSilent, pieceOf(t.Kind))
 		time.Sleep(t.Length)
 		c.entrances[c.place].fail(false, false, 0)
 	}
 	if err != nil {
-		r.records.addFault(err.Error())
+		r.records.addFailure(err.Error())
 	}
 }
 
-// pieceOf is how many bytes the feed sends at once in a trouble; 0: a whole line.
+// pieceOf is how many bytes the feed sends at once in a fault; 0: a whole line.
 func pieceOf(kind string) int {
 	const piece = 7
-	if kind == troubleFeedSlow {
+	if kind == faultFeedSlow {
 		return piece
 	}
 	return 0
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -15,9 +15,9 @@
 
 func TestMain(m *testing.M) {
 	if len(os.Args) == 5 && os.Args[1] == engineCommand {
-		life, _ := strconv.Atoi(os.Args[3])              // written by this test
+		incarnation, _ := strconv.Atoi(os.Args[3])       // written by this test
 		seed, _ := strconv.ParseUint(os.Args[4], 10, 64) // likewise
-		fmt.Fprintln(os.Stderr, EngineMain(os.Args[2], life, seed, os.Stdout))
+		fmt.Fprintln(os.Stderr, EngineMain(os.Args[2], incarnation, seed, os.Stdout))
 		os.Exit(1)
 	}
 	os.Exit(m.Run())
@@ -41,7 +41,7 @@
 	for _, finding := range report.Findings {
 		t.Error(finding)
 	}
-	if report.Outcomes[Served] == 0 || len(report.Troubles) < 2 {
+	if report.Outcomes[Served] == 0 || len(report.Faults) < 2 {
 		t.Errorf("nothing is shown: %+v", report)
 	}
 }
@@ -140,7 +140,7 @@
 				r.addFetch(r.fetches[0])
 			}
 		}, "retries"},
-		"process": {func(r *Records) { r.addFault("crashed") }, "process"},
+		"process": {func(r *Records) { r.addFailure("crashed") }, "process"},
 	} {
 		r := goodRecords()
 		c.spoil(r)
@@ -154,15 +154,15 @@
 	}
 }
 
-// A seed draws the same troubles each time, some of which overlap.
-func TestTroublesAreDrawnFromTheSeed(t *testing.T) {
-	one, again := DrawTroubles(7, time.Minute, 12, 12, true), DrawTroubles(7, time.Minute, 12, 12, true)
+// A seed draws the same faults each time, some of which overlap.
+func TestFaultsAreDrawnFromTheSeed(t *testing.T) {
+	one, again := DrawFaults(7, time.Minute, 12, 12, true), DrawFaults(7, time.Minute, 12, 12, true)
 	overlapping := 0
-	for i, trouble := range one {
-		if trouble != again[i] {
-			t.Fatalf("%v and %v", trouble, again[i])
+	for i, fault := range one {
+		if fault != again[i] {
+			t.Fatalf("%v and %v", fault, again[i])
 		}
-		if i > 0 && trouble.At < one[i-1].At+one[i-1].Length {
+		if i > 0 && fault.At < one[i-1].At+one[i-1].Length {
 			overlapping++
 		}
 	}
