--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -48,7 +48,8 @@
 		want []Violation
 	}{
 		{"a send", func(l *Ledger) []Violation { return l.Dispatched(dispatch(job, 0)) }, nil},
-		{"unknown", func(l *Ledger) []Violation { return l.Dispatched(dispatch(9, 0)) }, []Violation{DispatchedForUnknownJob}},
+		{"unknown", func(l *Ledger) []Violation { return l.Dispatched(dispatch(9, 0)) },
+			[]Violation{DispatchedForUnknownJob}},
 		{"after its answer", func(l *Ledger) []Violation {
 			l.Answered(job, true)
 			return l.Dispatched(dispatch(job, 0))
