Soak: order is judged by arrivals and by overlap; smaller engines; a pause amid a shutdown

Change: what counts is when a dispatch came to the engine, that it was begun there, and that the next of its key comes no sooner than the work or the rest lasts; engines of 2 cores, so that slow start binds at 74 calls a window; SIGSTOP amid a shutdown is a fault of its own.

--- a/internal/soak/controller.go
+++ b/internal/soak/controller.go
@@ -146,10 +146,11 @@
 
 // pause stops the process for a time.
 func (c *Controller) pause(length time.Duration) {
+	process := c.process
 	from := time.Now()
-	c.process.Signal(syscall.SIGSTOP)
+	process.Signal(syscall.SIGSTOP)
 	time.Sleep(length)
-	c.process.Signal(syscall.SIGCONT)
+	process.Signal(syscall.SIGCONT)
 	c.records.addPause(c.index, Interval{from, time.Now()})
 }
 
--- a/internal/soak/engine_process.go
+++ b/internal/soak/engine_process.go
@@ -19,7 +19,7 @@
 )
 
 // engineCapacity is how many dispatches an engine runs at once; it refuses more.
-const engineCapacity = 2 * engineCores
+const engineCapacity = 3 * engineCores
 
 // Faults of engines, each one in so many dispatches.
 const (
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -22,10 +22,11 @@
 
 // The kinds of fault.
 const (
-	faultTerm       = "controller_term"  // SIGTERM and a new process
-	faultKill       = "controller_kill"  // SIGKILL and a new process
-	faultPause      = "controller_pause" // SIGSTOP, SIGCONT
-	faultMove       = "feed_moves"       // SIGHUP, twice in a row
+	faultTerm       = "controller_term"           // SIGTERM and a new process
+	faultTermPause  = "controller_term_and_pause" // SIGSTOP amid a shutdown
+	faultKill       = "controller_kill"           // SIGKILL and a new process
+	faultPause      = "controller_pause"          // SIGSTOP, SIGCONT
+	faultMove       = "feed_moves"                // SIGHUP, twice in a row
 	faultFeedDown   = "feed_down"
 	faultFeedSilent = "feed_silent"
 	faultFeedSlow   = "feed_in_pieces"
@@ -44,7 +45,7 @@
 )
 
 var (
-	controllerFaults = []string{faultTerm, faultKill, faultPause, faultMove, faultFeedDown, faultFeedSilent,
+	controllerFaults = []string{faultTerm, faultTermPause, faultKill, faultPause, faultMove, faultFeedDown, faultFeedSilent,
 		faultFeedSlow}
 	engineFaults = []string{faultDrain, faultRestart, faultVanish, faultHang, faultReset, faultSlow}
 )
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -207,31 +207,46 @@
 	})
 }
 
-// checkOrder: jobs of one key run one after the other, in the order in which their client sent them.
+// checkOrder: jobs of one key run one after the other, in the order in which their client sent them over a connection.
+// What counts is when a dispatch came to the engine: one that was given up there may still begin later.
 func (j *judge) checkOrder() {
-	keyed := map[string][]*Call{}
+	previous := map[string]*Call{} // by key: one client has a key
 	for _, call := range j.Records.calls {
-		if call.Key != "" {
-			keyed[call.Key] = append(keyed[call.Key], call)
+		if call.Key == "" || len(j.fetched[call.ID]) == 0 {
+			continue
+		}
+		if before := previous[call.Key]; before != nil && before.Connection == call.Connection {
+			j.checkPair(before, call)
 		}
+		previous[call.Key] = call
 	}
-	for _, calls := range keyed {
-		var last *Call
-		var lastAt time.Time
-		for _, call := range calls { // in the order of their sending: one client has a key
-			for _, execution := range j.executed[call.ID] {
-				if execution.Refused {
-					continue
-				}
-				if last != nil && execution.BeganAt.Before(lastAt) && last.Connection == call.Connection {
-					j.report("order", "call %s of key %s begins before call %s, which was sent before it", call.ID, call.Key, last.ID)
-				}
-				last, lastAt = call, execution.BeganAt
-			}
+}
+
+// orderSlack is how much the distance of two dispatches may shrink on their way.
+const orderSlack = 8 * time.Millisecond
+
+// checkPair holds two calls of a key against each other that follow one another: the earlier one runs for its time, or
+// its key rests after it.
+func (j *judge) checkPair(earlier, later *Call) {
+	first := slices.MinFunc(j.fetched[later.ID], byTime)
+	for _, fetch := range j.fetched[earlier.ID] {
+		if !j.wasBegun(fetch) || j.wasStalled(fetch.At) || j.wasStalled(first.At) {
+			continue
+		}
+		if between := first.At.Sub(fetch.At); between < min(workTime[typeImport], orderPause)-orderSlack {
+			j.report("order", "call %s of key %s reaches %s %v after call %s, sent before it, reached %s", later.ID, later.Key,
+				first.Engine, between, earlier.ID, fetch.Engine)
 		}
 	}
 }
 
+// wasBegun reports whether an engine began a dispatch.
+func (j *judge) wasBegun(fetch Fetch) bool {
+	return slices.ContainsFunc(j.executed[fetch.ID], func(e Execution) bool {
+		return !e.Refused && e.Engine == fetch.Engine && e.Incarnation == fetch.Incarnation
+	})
+}
+
 // checkSlowStart: in any window an engine that warms up gets no more calls than it withstands from all controllers that
 // were told of its start.
 func (j *judge) checkSlowStart() {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -247,6 +247,9 @@
 	r.feed.add(false, e.entry("ready", started))
 }
 
+// pauseStep is how much later after SIGTERM the pause of faultTermPause begins, from one target to the next.
+const pauseStep = 40 * time.Millisecond
+
 // controllerFault plays a fault at a controller that has none, or at its feed.
 func (r *run) controllerFault(t Fault) {
 	c := r.controllers[t.Target]
@@ -256,6 +259,11 @@
 	defer c.mu.Unlock()
 	var err error
 	switch t.Kind {
+	case faultTermPause:
+		time.AfterFunc(time.Duration(t.Target)*pauseStep, func() { c.pause(t.Length) })
+		c.terminate()
+		r.saveLog(c.Controller)
+		err = c.start()
 	case faultTerm:
 		c.terminate()
 		r.saveLog(c.Controller)
--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -13,7 +13,7 @@
 	fallMultiple   = 2.0 // of its capacity, that may be dispatched in a window
 	warmUpTime     = 6 * time.Second
 	fallWindow     = time.Second
-	engineCores    = 4
+	engineCores    = 2
 	retryWindow    = 10 * time.Second
 	freeRetries    = 20
 	retryRatio     = 0.3
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -127,8 +127,21 @@
 		"order": {func(r *Records) {
 			r.calls = append([]*Call{{ID: "b", Type: typeImport, Key: "k", Connection: "k-1", Timeout: time.Second,
 				SentAt: after(-time.Millisecond), EndedAt: after(time.Second / 2), Outcome: Served, Answers: 1}}, r.calls...)
+			r.addFetch(Fetch{ID: "b", Engine: "e0", At: after(time.Second / 2), Given: time.Second / 2})
 			r.addExecution(Execution{ID: "b", Engine: "e0", BeganAt: after(time.Second / 2)})
 		}, "order"},
+		"two of a key at once": {func(r *Records) {
+			r.addCall(&Call{ID: "b", Type: typeImport, Key: "k", Connection: "k-1", Timeout: time.Second, SentAt: runStart,
+				EndedAt: after(time.Second / 2), Outcome: Served, Answers: 1})
+			r.addFetch(Fetch{ID: "b", Engine: "e0", At: after(30 * time.Millisecond)})
+			r.addExecution(Execution{ID: "b", Engine: "e0", BeganAt: after(30 * time.Millisecond)})
+		}, "order"},
+		"one of a key after the other": {func(r *Records) {
+			r.addCall(&Call{ID: "b", Type: typeImport, Key: "k", Connection: "k-1", Timeout: time.Second, SentAt: runStart,
+				EndedAt: after(time.Second / 2), Outcome: Served, Answers: 1})
+			r.addFetch(Fetch{ID: "b", Engine: "e0", At: after(51 * time.Millisecond)})
+			r.addExecution(Execution{ID: "b", Engine: "e0", BeganAt: after(52 * time.Millisecond)})
+		}, ""},
 		"slow start": {func(r *Records) {
 			r.addChange(Change{Engine: "e0", State: "ready", Start: runStart, At: runStart})
 			for i := range int(slowStartLimit(0)) + 10 {
