--- a/internal/soak/controller.go
+++ b/internal/soak/controller.go
@@ -170,10 +170,14 @@
 	if err := os.WriteFile(c.steeringFile(), []byte(text), 0o600); err != nil {
 		return err
 	}
+	from := time.Now()
 	time.Sleep(t.Length / 2)
 	if t.Kind == faultClockStep {
 		return nil
 	}
+	if t.Kind == faultAcceptFails {
+		defer func() { c.records.addDeaf(c.index, Interval{From: from, To: time.Now()}) }()
+	}
 	return os.WriteFile(c.steeringFile(), nil, 0o600)
 }
 
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -75,6 +75,7 @@
 	executions []Execution
 	changes    []Change
 	pauses     map[int][]Interval // of controllers' processes
+	deaf       map[int][]Interval // times in which controllers could not accept connections
 	kills      map[int][]time.Time
 	stops      map[int][]time.Time // SIGTERM
 	failures   []string            // processes that did what they must not
@@ -82,7 +83,12 @@
 }
 
 func newRecords() *Records {
-	return &Records{pauses: map[int][]Interval{}, kills: map[int][]time.Time{}, stops: map[int][]time.Time{}}
+	return &Records{
+		pauses: map[int][]Interval{},
+		deaf:   map[int][]Interval{},
+		kills:  map[int][]time.Time{},
+		stops:  map[int][]time.Time{},
+	}
 }
 
 func (r *Records) addCall(c *Call) {
@@ -115,6 +121,12 @@
 	r.pauses[controller] = append(r.pauses[controller], pause)
 }
 
+func (r *Records) addDeaf(controller int, deaf Interval) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.deaf[controller] = append(r.deaf[controller], deaf)
+}
+
 func (r *Records) addKill(controller int, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -100,6 +100,14 @@
 			r.calls[0].EndedAt = after(2 * time.Second)
 			r.addPause(0, Interval{after(0), after(1900 * time.Millisecond)})
 		}, ""},
+		"late by accepts that failed": {func(r *Records) {
+			r.calls[0].EndedAt = after(2 * time.Second)
+			r.addDeaf(0, Interval{after(-time.Second), after(1900 * time.Millisecond)})
+		}, ""},
+		"too much time while accepts failed": {func(r *Records) {
+			r.fetches[0].Given = 2 * time.Second
+			r.addDeaf(0, Interval{after(-time.Second), after(time.Second)})
+		}, "deadline"},
 		"ran twice":       {func(r *Records) { r.addExecution(r.executions[0]) }, "duplicate"},
 		"refused and ran": {func(r *Records) { r.calls[0].Outcome = Refused }, "duplicate"},
 		"client was gone": {func(r *Records) {
