--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -45,8 +45,9 @@
 )
 
 var (
-	controllerFaults = []string{faultTerm, faultTermPause, faultKill, faultPause, faultMove, faultFeedDown, faultFeedSilent,
-		faultFeedSlow}
+	controllerFaults = []string{
+		faultTerm, faultTermPause, faultKill, faultPause, faultMove, faultFeedDown, faultFeedSilent, faultFeedSlow,
+	}
 	engineFaults = []string{faultDrain, faultRestart, faultVanish, faultHang, faultReset, faultSlow}
 )
 
