The least time left for a send is decided in the module, too

Cause: review: send_gate.go decided by itself that under a millisecond is no time to send for; decisions on jobs stand in the policy files. Change: SendFacts.TimeLeft, minTimeLeft in choice/permission.go; the gateway hands over what it sees. No other behaviour.

--- a/choice/permission.go
+++ b/choice/permission.go
@@ -70,11 +70,15 @@
 	return c.orderRefusal(j, e) == Permitted
 }
 
+// minTimeLeft is the least time for which an engine is asked: it is told whole milliseconds.
+const minTimeLeft = ms
+
 // SendFacts are what the caller knows of an ordered attempt as its first byte would go out.
 type SendFacts struct {
 	Job             JobID
 	Seq             AttemptSeq
 	ClientConnected bool  // its connection shows no end
+	TimeLeft        Nanos // until its client gives up, or the attempt's own limit; the engine is told so
 	SameAddress     bool  // the engine is listed where the connection goes
 	MaxAge          Nanos // of the order; later the engine may have been drained without our knowing
 }
@@ -85,7 +89,7 @@
 func (c *Controller) SendRefusal(now Nanos, facts SendFacts) Refusal {
 	j := c.jobs[facts.Job]
 	switch {
-	case j == nil, j.finished, now >= j.expiresAt:
+	case j == nil, j.finished, now >= j.expiresAt, facts.TimeLeft < minTimeLeft:
 		return JobOver
 	case j.attempt == nil, j.attempt.seq != facts.Seq, j.attempt.cancelRequested:
 		return AttemptOver
--- a/choice/permission_test.go
+++ b/choice/permission_test.go
@@ -17,7 +17,8 @@
 	engines := s.enginesOf(p.job)
 	require(t, len(engines) == 1, "the job is at %d engines", len(engines))
 	p.engine = engines[0]
-	p.facts = SendFacts{Job: p.job, Seq: 0, ClientConnected: true, SameAddress: true, MaxAge: second / 4}
+	p.facts = SendFacts{Job: p.job, Seq: 0, ClientConnected: true, SameAddress: true, MaxAge: second / 4,
+		TimeLeft: second}
 	return p
 }
 
@@ -42,7 +43,9 @@
 			p.facts.MaxAge = 10 * second
 			p.now += 250*ms + 1
 		}, OrderTooOld},
-		"the job expired": {func(p *permissionStage) { p.now += 20 * second }, JobOver},
+		"a millisecond is left": {func(p *permissionStage) { p.facts.TimeLeft = ms }, Permitted},
+		"less is left":          {func(p *permissionStage) { p.facts.TimeLeft = ms - 1 }, JobOver},
+		"the job expired":       {func(p *permissionStage) { p.now += 20 * second }, JobOver},
 		"the client left": {func(p *permissionStage) {
 			p.handle(Event{Kind: ClientDisconnected, Job: p.job})
 		}, JobOver},
--- a/internal/gateway/send_gate.go
+++ b/internal/gateway/send_gate.go
@@ -9,9 +9,6 @@
 	"swiftreel/internal/counters"
 )
 
-// minTimeGiven is the least time for which an engine is asked.
-const minTimeGiven = time.Millisecond
-
 // sendGate asks the decision module about an ordered attempt in the moment in which its first byte would go out. It
 // does not change and is safe for concurrent use: connections call it, not the goroutine of the job.
 type sendGate struct {
@@ -25,31 +22,32 @@
 // Permit implements backend.Gate.
 func (s sendGate) Permit() backend.Permission {
 	connected := s.job.Client.Connected()
-	refusal, unavailableSince := s.ask(connected)
 	now := time.Now()
 	left := s.deadline.Sub(now)
-	if refusal == choice.Permitted && left < minTimeGiven {
-		refusal = choice.JobOver
-	}
+	refusal, unavailableSince := s.ask(connected, left)
 	if refusal != choice.Permitted {
 		counters.Increment("send_refused_" + refusal.String())
-		s.gateway.trace.job(s.job.id, "call", string(s.job.ID), "attempt", s.attempt.sequence, "engine", s.attempt.engine,
-			"send_refused", refusal)
+		s.trace("send_refused", refusal)
 		return backend.Permission{}
 	}
 	given := left.Truncate(time.Millisecond)
-	s.gateway.trace.job(s.job.id, "call", string(s.job.ID), "attempt", s.attempt.sequence, "engine", s.attempt.engine,
-		"sent_with", given)
-	broken := s.gateway.audit.Dispatched(audit.Dispatch{Job: s.job.id, At: now, Given: given, UnavailableSince: unavailableSince})
-	s.gateway.reportViolations(s.job, s.attempt.engine, broken)
+	s.trace("sent_with", given)
+	dispatch := audit.Dispatch{Job: s.job.id, At: now, Given: given, UnavailableSince: unavailableSince}
+	s.gateway.reportViolations(s.job, s.attempt.engine, s.gateway.audit.Dispatched(dispatch))
 	return backend.Permission{Granted: true, TimeoutMS: given.Milliseconds()}
 }
 
+// trace logs what became of the attempt, where that is wanted.
+func (s sendGate) trace(what string, value any) {
+	s.gateway.trace.job(s.job.id, "call", string(s.job.ID), "attempt", s.attempt.sequence, "engine", s.attempt.engine,
+		what, value)
+}
+
 // Withdraw implements backend.Gate.
 func (s sendGate) Withdraw() { s.gateway.audit.Withdrawn(s.job.id) }
 
 // ask asks the module, and says since when the engine is listed as one that takes nothing; zero: it takes jobs.
-func (s sendGate) ask(clientConnected bool) (refusal choice.Refusal, unavailableSince time.Time) {
+func (s sendGate) ask(clientConnected bool, left time.Duration) (refusal choice.Refusal, unavailableSince time.Time) {
 	g := s.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -60,6 +58,7 @@
 		Job:             s.job.id,
 		Seq:             s.attempt.sequence,
 		ClientConnected: clientConnected,
+		TimeLeft:        choice.Nanos(left),
 		SameAddress:     sameAddress,
 		MaxAge:          choice.Nanos(g.settings.dialTimeout),
 	})
