A member that wakes up reads at once: TestItemsAreLinearizable no longer finds by chance

It takes a stale read in the one step in which a member wakes up, which the recorder drew at 3 in 30. Change: the recorder always reads as a member that was not active a step before. Both halves of the test are stricter: the 30 histories with the lease have these reads, too. No bound was changed.

--- a/internal/leader/history_test.go
+++ b/internal/leader/history_test.go
@@ -25,7 +25,8 @@
 type historyRecorder struct {
 	simulation *simulation
 	operations []porcupine.Operation
-	open       map[string]int // writes of unknown outcome, by value
+	open       map[string]int   // writes of unknown outcome, by value
+	activeAt   map[uint64]int64 // when a member was last seen active, by ID
 	written    int
 }
 
@@ -45,7 +46,14 @@
 	h.operations[i].Return = h.simulation.now*1000 + 500
 }
 
+// onActive reads and writes at random, and always reads as a member that was not active a step before: one that wakes up
+// after a stall may act on what it knew.
 func (h *historyRecorder) onActive(id uint64, m *simulatedMember) {
+	wasActive := h.activeAt[id] == h.simulation.now-simulationStep
+	h.activeAt[id] = h.simulation.now
+	if !wasActive {
+		h.read(m)
+	}
 	switch h.simulation.random.IntN(30) {
 	case 0:
 		h.write(id, m)
@@ -89,7 +97,7 @@
 	s := newSimulation(t, seed, 3)
 	inject(s)
 	s.start()
-	history := &historyRecorder{simulation: s, open: map[string]int{}}
+	history := &historyRecorder{simulation: s, open: map[string]int{}, activeAt: map[uint64]int64{}}
 	s.onResult = history.onResult
 	s.onActive = history.onActive
 	for s.now < 20e9 {
