--- a/internal/leader/store.go
+++ b/internal/leader/store.go
@@ -28,7 +28,11 @@
 )
 
 // Store is a member's persistent state in a file that one process has open. Every change is synced before it returns.
-type Store struct{ db *bbolt.DB }
+// It is not safe for concurrent use.
+type Store struct {
+	db          *bbolt.DB
+	beforeWrite func() error // an error fails the write
+}
 
 // OpenStore opens a member's file, or creates it.
 func OpenStore(path string) (*Store, error) {
@@ -47,7 +51,7 @@
 		_ = db.Close() // the first error is the cause
 		return nil, fmt.Errorf("prepare store %s: %w", path, err)
 	}
-	return &Store{db}, nil
+	return &Store{db: db, beforeWrite: failpoint.BeforeWrite}, nil
 }
 
 // Close closes the file.
@@ -101,7 +105,7 @@
 	if out.HardState == nil && out.Snapshot == nil && len(out.Entries) == 0 {
 		return nil
 	}
-	if err := failpoint.BeforeWrite(); err != nil {
+	if err := s.beforeWrite(); err != nil {
 		return err
 	}
 	return s.db.Update(func(tx *bbolt.Tx) error { return saveOutput(tx, out) })
