--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -29,6 +30,7 @@
 	filledBuffer    bool   // the last read did: there may be more
 	readSincePassOn int    // bytes, since calls were last passed on
 	pendingCalls    []pendingCall
+	unusableSize    int // bytes of the message that ended the input; 0: where it ends is not known
 
 	isMidMessage atomic.Bool // part of a message is in the buffer, or being read into it
 	rate         messageRate
@@ -78,8 +80,13 @@
 // what lies behind them may revoke them.
 func (c *conn) readCalls() error {
 	for {
-		if err := c.fill(); err != nil {
-			return err
+		err := c.fill()
+		if errors.Is(err, errSilent) && c.hasOpenCalls() {
+			c.extendMessageDeadline()
+			continue
+		}
+		if err != nil {
+			return c.passOnCallsBefore(err)
 		}
 		if err := c.handleMessages(c.earliestSendTime()); err != nil {
 			return c.passOnCallsBefore(err)
--- a/internal/client/handle.go
+++ b/internal/client/handle.go
@@ -26,6 +26,7 @@
 		}
 		c.rate.countMessage()
 		if err := c.handle(c.buffer[c.start:c.start+size], sendTime); err != nil {
+			c.unusableSize = size
 			return err
 		}
 		c.start += size
--- a/internal/client/read.go
+++ b/internal/client/read.go
@@ -5,13 +5,15 @@
 	"io"
 	"os"
 	"time"
+
+	"swiftreel/internal/counters"
 )
 
 const (
 	firstBufferSize       = 8 << 10               // bytes
 	maxReadAhead          = 64 << 10              // bytes read before any call in them is passed on
 	firstByteWithin       = 2 * time.Second       // of the accept, or the connection is closed
-	completeMessageWithin = 2 * time.Second       // of its first byte, or the connection is closed
+	completeMessageWithin = 2 * time.Second       // of its first byte, or it is closed, once no call is open on it
 	finalReadWithin       = 20 * time.Millisecond // after a deadline, for what arrived while the process was stalled
 )
 
@@ -50,6 +52,14 @@
 	return err
 }
 
+// extendMessageDeadline gives a message that takes long more time. It is called while calls are open on the connection:
+// their revocations may stand behind it.
+func (c *conn) extendMessageDeadline() {
+	counters.Increment("partial_messages_awaited")
+	c.isFinalRead = false
+	c.setDeadline(time.Now().Add(completeMessageWithin))
+}
+
 // makeBufferSpace makes sure that there is free space at the end of the buffer.
 func (c *conn) makeBufferSpace() error {
 	switch {
