A connection that is given up is reset: what it did not send is not delivered later

Cause: Pool.remove and writeLocked closed sockets in the usual way, after which the system goes on to deliver what was written. An engine that takes no bytes (hangs, or is cut off) and comes back later so gets the fetch of a job that was given up long before, whose client may have gone or which runs elsewhere by then. Change: only a connection that is idle, not suspect and has no abort under way is closed in order; any other is closed with a linger time of 0, which drops what lies unsent and shows the engine a reset. Both ends give up what is open on it either way.

--- a/internal/engine/placement.go
+++ b/internal/engine/placement.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"net"
 	"slices"
 	"time"
 
@@ -171,6 +172,7 @@
 		return
 	}
 	counters.Increment(string(why))
+	discard := target.mayHoldUnsent()
 	target.isRemoved = true
 	p.connCount--
 	// A new slice: callers range over the old one.
@@ -182,6 +184,23 @@
 		p.conns[target.engine.Name] = remaining
 	}
 	if target.socket != nil {
-		_ = target.socket.Close() // does not wait; what was written and not read is lost with it anyway
+		closeSocket(target.socket, discard)
 	}
 }
+
+// mayHoldUnsent reports whether something that was written, and matters no more, may not have left this machine: the
+// engine took no bytes, or the way to it was cut. The lock is held.
+func (c *conn) mayHoldUnsent() bool {
+	return !c.isIdle() || c.isSuspect || len(c.pendingAborts) > 0
+}
+
+// closeSocket closes a socket and does not wait. Without discard the system goes on to deliver what was written; with
+// it that is dropped, and the engine sees a reset: it must not begin later what was given up.
+func closeSocket(socket net.Conn, discard bool) {
+	if discard {
+		if lingering, ok := socket.(interface{ SetLinger(seconds int) error }); ok {
+			_ = lingering.SetLinger(0) // an error leaves the close as it was
+		}
+	}
+	_ = socket.Close() // what was written and not read is lost with it anyway
+}
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -123,7 +123,7 @@
 	_ = c.socket.SetWriteDeadline(time.Now().Add(writeTimeout)) // an error shows at the write
 	n, err := c.socket.Write(message)
 	if err != nil {
-		_ = c.socket.Close() // it is of no further use
+		closeSocket(c.socket, true) // it is of no further use
 	}
 	return n, err
 }
