A voter whose disk failed goes on once it works again

Cause: Node.halt silenced a member for good at the first failed write or sync. Safe, but ENOSPC or EIO of a moment at a majority of voters, as where one log fills all machines, left the fleet without a leader until somebody restarted supervisors: no plans, no shares, no changes. Change: once in a lease a halted node opens its file again, proves by a write that the disk works, and goes on as a process does that starts on this file: it votes for nobody within a lease, and what it had not stored it has not sent. Store holds its path and may be without an open file. TestTheBodiesOfRepliesStay keeps its node halted by a time set far ahead, as it would be tried again otherwise; its golden file is the same.

--- a/internal/leader/core_test.go
+++ b/internal/leader/core_test.go
@@ -13,6 +13,17 @@
 var worlds = flag.Int("worlds", 120, "simulations with faults that are run")
 
 func TestOneLeaderAtATime(t *testing.T) {
+	runWorlds(t, func(*simulation) {})
+}
+
+// Writes fail now and then, before or after they have reached the disk, and the member goes on from what it finds there.
+func TestOneLeaderAtATimeWhereWritesFail(t *testing.T) {
+	runWorlds(t, func(s *simulation) { s.diskFaults = true })
+}
+
+// runWorlds runs simulations with faults, and those that are injected.
+func runWorlds(t *testing.T, inject func(*simulation)) {
+	t.Helper()
 	var acts atomic.Int64
 	var wait sync.WaitGroup
 	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
@@ -20,7 +31,7 @@
 		slots <- struct{}{}
 		wait.Go(func() {
 			defer func() { <-slots }()
-			acts.Add(int64(runWithFaults(t, seed)))
+			acts.Add(int64(runWithFaults(t, seed, inject)))
 		})
 	}
 	wait.Wait()
@@ -32,15 +43,17 @@
 
 // runWithFaults runs a simulation with faults, and then without: a leader must act again. It returns how often one
 // acted during the faults.
-func runWithFaults(t *testing.T, seed uint64) int {
+func runWithFaults(t *testing.T, seed uint64, inject func(*simulation)) int {
 	t.Helper()
 	s := newSimulation(t, seed, 3+2*int(seed%2))
+	inject(s)
 	if violation := s.run(30e9); violation != "" {
 		t.Errorf("seed %d: %s", seed, violation)
 		return 0
 	}
 	acts := s.acts
 	clear(s.cut)
+	s.diskFaults = false
 	for _, m := range s.members {
 		m.stalledUntil = 0
 		m.downUntil = 0
--- a/internal/leader/handlers_test.go
+++ b/internal/leader/handlers_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
@@ -104,6 +105,7 @@
 	tell("agreed after that", m.get("/v1/owner/agreed", http.StatusOK))
 	m.node.mu.Lock()
 	m.node.storeError = errors.New("no space left")
+	m.node.resumeAt = math.MaxInt64 // its disk stays so
 	m.node.mu.Unlock()
 	tell("its disk failed", m.get("/v1/owner", http.StatusOK))
 	golden.Check(t, "bodies.txt", got.Bytes())
--- a/internal/leader/history_test.go
+++ b/internal/leader/history_test.go
@@ -46,8 +46,8 @@
 	h.operations[i].Return = h.simulation.now*1000 + 500
 }
 
-// onActive reads and writes at random, and always reads as a member that was not active a step before: one that wakes up
-// after a stall may act on what it knew.
+// onActive reads and writes at random, and always reads as a member that was not active a step before: one that wakes
+// up after a stall may act on what it knew.
 func (h *historyRecorder) onActive(id uint64, m *simulatedMember) {
 	wasActive := h.activeAt[id] == h.simulation.now-simulationStep
 	h.activeAt[id] = h.simulation.now
--- a/internal/leader/node.go
+++ b/internal/leader/node.go
@@ -31,7 +31,8 @@
 
 	mu              sync.Mutex
 	core            *Core // nil: not a member of any fleet yet
-	storeError      error // the store failed: the node sends nothing any more
+	storeError      error // the store failed: the node sends nothing until it works again; nil: it works
+	resumeAt        int64 // when the store is tried again
 	stalledTicks    int64
 	lastTick        int64
 	lastCommandID   uint64
@@ -99,6 +100,7 @@
 			return
 		case <-ticker.C:
 			n.countStall(n.now())
+			n.resumeIfDue()
 			n.update(func(c *Core) Output { return c.Tick(n.now()) })
 		}
 	}
@@ -145,6 +147,7 @@
 // which promises nothing. The caller holds the lock.
 func (n *Node) halt(cause error) {
 	n.storeError = cause
+	n.resumeAt = n.now() + n.timing.Lease
 	slog.Error("leader_member_halted", "reason", cause)
 	out, _ := n.core.TransferLeadership("")
 	for _, message := range out.Messages {
@@ -154,6 +157,27 @@
 	}
 }
 
+// resumeIfDue tries the store of a halted node once in a lease. Once it works the node goes on as a process does that
+// starts on this file: what it had not stored it has not promised either.
+func (n *Node) resumeIfDue() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.storeError == nil || n.now() < n.resumeAt {
+		return
+	}
+	n.resumeAt = n.now() + n.timing.Lease
+	err := n.store.Reopen()
+	if err == nil {
+		err = n.loadCore()
+	}
+	if err != nil {
+		n.storeError = err
+		return
+	}
+	n.storeError = nil
+	slog.Warn("leader_member_resumed", "name", n.name)
+}
+
 // deliver hands a result to the caller of Propose. The caller holds the lock.
 func (n *Node) deliver(result Result) {
 	if outcome := n.pending[result.CommandID]; outcome != nil {
--- a/internal/leader/simulation_test.go
+++ b/internal/leader/simulation_test.go
@@ -18,6 +18,7 @@
 	maxDelayMS     = 30
 	maxLateMS      = 3000 // spans several terms
 	maxDuplicateMS = 500
+	diskFaultOneIn = 2000
 )
 
 // simulatedMember is a member with its store and its clock.
@@ -52,6 +53,7 @@
 	timing  Timing
 
 	lossPercent int
+	diskFaults  bool // one in diskFaultOneIn writes fails, and its process goes on from what is stored
 	drop        func(*raftpb.Message) bool
 	ignoreLease bool // a defect
 	reuseIDs    bool // a defect: a member that has lost its store returns under its old ID
@@ -116,8 +118,13 @@
 	m.nextTick = s.local(m)
 }
 
-// carryOut persists an output, and then delivers its results and messages.
+// carryOut persists an output, and then delivers its results and messages. Where the disk fails the member halts and
+// goes on later from what is stored, which may have the output or not.
 func (s *simulation) carryOut(id uint64, out Output) {
+	if s.diskFaults && s.random.IntN(diskFaultOneIn) == 0 {
+		s.halt(id, out)
+		return
+	}
 	s.members[id].persist(out)
 	for _, result := range out.Results {
 		if s.onResult != nil {
@@ -129,6 +136,16 @@
 	}
 }
 
+// halt has the write of an output fail.
+func (s *simulation) halt(id uint64, out Output) {
+	m := s.members[id]
+	if s.random.IntN(2) == 0 {
+		m.persist(out) // the error came after the write
+	}
+	m.core = nil
+	m.downUntil = s.now + s.timing.Lease
+}
+
 func (m *simulatedMember) persist(out Output) {
 	persistent := &m.persistent
 	if out.HardState != nil {
@@ -198,11 +215,16 @@
 			m.nextTick = s.local(m) + s.timing.Tick // missed ticks are not made up for
 			s.carryOut(id, m.core.Tick(s.local(m)))
 		}
+		if m.core == nil { // its disk has failed
+			continue
+		}
 		if term := s.activeTerm(m); term != 0 {
 			s.act(id, m, term, active)
-			active = m.core.name
+			active = nameOf(id)
+		}
+		if m.core != nil {
+			s.checkApplied(m.core)
 		}
-		s.checkApplied(m.core)
 	}
 }
 
--- a/internal/leader/store.go
+++ b/internal/leader/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"time"
 
@@ -30,15 +31,27 @@
 // Store is a member's persistent state in a file that one process has open. Every change is synced before it returns.
 // It is not safe for concurrent use.
 type Store struct {
-	db          *bbolt.DB
+	path        string
+	db          *bbolt.DB    // nil: the file could not be opened again
 	beforeWrite func() error // an error fails the write
 }
 
+// errStoreNotOpen is the error of a store whose file could not be opened again.
+var errStoreNotOpen = errors.New("the store's file is not open")
+
 // OpenStore opens a member's file, or creates it.
 func OpenStore(path string) (*Store, error) {
-	db, err := bbolt.Open(path, storeFileMode, &bbolt.Options{Timeout: storeLockTimeout})
+	s := &Store{path: path, beforeWrite: failpoint.BeforeWrite}
+	if err := s.open(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Store) open() error {
+	db, err := bbolt.Open(s.path, storeFileMode, &bbolt.Options{Timeout: storeLockTimeout})
 	if err != nil {
-		return nil, fmt.Errorf("open store %s: %w", path, err)
+		return fmt.Errorf("open store %s: %w", s.path, err)
 	}
 	err = db.Update(func(tx *bbolt.Tx) error {
 		if _, err := tx.CreateBucketIfNotExists(metaBucket); err != nil {
@@ -49,13 +62,37 @@
 	})
 	if err != nil {
 		_ = db.Close() // the first error is the cause
-		return nil, fmt.Errorf("prepare store %s: %w", path, err)
+		return fmt.Errorf("prepare store %s: %w", s.path, err)
 	}
-	return &Store{db: db, beforeWrite: failpoint.BeforeWrite}, nil
+	s.db = db
+	return nil
+}
+
+// Reopen opens the file again after a failed write, whose outcome is what the file then holds, and shows by a write
+// of its own that the disk works. After an error it may be called again.
+func (s *Store) Reopen() error {
+	if err := s.Close(); err != nil {
+		return err
+	}
+	if err := s.open(); err != nil {
+		return err
+	}
+	state, err := s.Load()
+	if err != nil {
+		return err
+	}
+	return s.Save(Output{HardState: state.HardState})
 }
 
 // Close closes the file.
-func (s *Store) Close() error { return s.db.Close() }
+func (s *Store) Close() error {
+	if s.db == nil {
+		return nil
+	}
+	db := s.db
+	s.db = nil
+	return db.Close()
+}
 
 // Load reads the persistent state. Its MemberID is 0 if the store was never initialized.
 func (s *Store) Load() (PersistentState, error) {
@@ -85,6 +122,9 @@
 
 // Initialize writes the state with which a member starts, in place of everything stored before.
 func (s *Store) Initialize(state PersistentState) error {
+	if s.db == nil {
+		return errStoreNotOpen
+	}
 	return s.db.Update(func(tx *bbolt.Tx) error {
 		if err := tx.DeleteBucket(entriesBucket); err != nil {
 			return err
@@ -105,6 +145,9 @@
 	if out.HardState == nil && out.Snapshot == nil && len(out.Entries) == 0 {
 		return nil
 	}
+	if s.db == nil {
+		return errStoreNotOpen
+	}
 	if err := s.beforeWrite(); err != nil {
 		return err
 	}
