An answer that makes no sense ends its attempt as reset: it may still run

Cause: failMalformed ended an attempt as failed, at once, also where no result had come (an unknown word, a page before the data, a flood of notes). The attempt may then still run until the engine sees our close; failed says that it is over. Change: such an answer closes the connection and ends what is open there as reset, after the cancel delay, as other cuts by us do. A result that cannot be used still ends as failed: the engine has run it.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -42,6 +42,7 @@
 	lastReceived  time.Time
 	connectedAt   time.Time // zero until dialled
 	dialTime      time.Duration
+	isCutOff      bool // an answer made no sense: nothing more is read. Used by the reader only
 
 	writeMu sync.Mutex // held while a message is written
 }
@@ -111,7 +112,7 @@
 
 // readAnswers reads answers until the connection ends or is of no further use.
 func (c *conn) readAnswers(reader *answerReader) {
-	for {
+	for !c.isCutOff {
 		a, err := reader.next()
 		if errors.Is(err, errMalformed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			c.pool.noteMalformed(c, err)
--- a/internal/engine/dispatch.go
+++ b/internal/engine/dispatch.go
@@ -95,7 +95,20 @@
 	}
 }
 
-// failMalformed ends a dispatch whose answer cannot be used: it may have run. A connection that carried such an
+// cutOff closes the connection of a dispatch for which an answer came that makes no sense: it may go on running, until
+// the engine sees the close. So it ends as reset, with all that is open there, and not before the cancel delay. Only
+// the connection's reader calls it.
+func (d *Dispatch) cutOff(reason string) {
+	p := d.pool
+	d.conn.isCutOff = true
+	p.mu.Lock()
+	d.conn.isCutByUs = true
+	p.remove(d.conn, closedMalformed)
+	p.mu.Unlock()
+	p.noteUnusable(d.conn, reason)
+}
+
+// failMalformed ends a dispatch whose result came and cannot be used: it has run. A connection that carried such an
 // answer is of no further use for others either.
 func (d *Dispatch) failMalformed(reason string) {
 	p := d.pool
@@ -109,8 +122,7 @@
 	}
 	p.mu.Unlock()
 	if wasOpen {
-		name := d.conn.engine.Name
-		p.malformed.CountAndWarn("answers_malformed", "answer_malformed", "engine", name, "reason", reason)
+		p.noteUnusable(d.conn, reason)
 		d.notifyEnd(backend.Reply{Outcome: backend.Failed})
 	}
 }
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -151,3 +151,8 @@
 func (p *Pool) noteMalformed(c *conn, reason error) {
 	p.malformed.CountAndWarn("engine_lines_malformed", "engine_malformed", "engine", c.engine.Name, "reason", reason)
 }
+
+// noteUnusable notes an answer in the form of the protocol that cannot be used.
+func (p *Pool) noteUnusable(c *conn, reason string) {
+	p.malformed.CountAndWarn("answers_malformed", "answer_malformed", "engine", c.engine.Name, "reason", reason)
+}
--- a/internal/engine/result.go
+++ b/internal/engine/result.go
@@ -35,7 +35,7 @@
 	case kind == answerFailed:
 		d.end(backend.Reply{Outcome: backend.Failed, Load: load})
 	default:
-		d.failMalformed(kind)
+		d.cutOff(kind)
 	}
 }
 
@@ -56,7 +56,7 @@
 func (d *Dispatch) receiveNote(a answer) {
 	d.noteCount++
 	if time.Duration(d.noteCount-noteBurst)*minNoteInterval > time.Since(d.orderedAt) {
-		d.failMalformed("news_flood")
+		d.cutOff("news_flood")
 		return
 	}
 	note, hasNote := a.field("note")
--- a/internal/leader/core_test.go
+++ b/internal/leader/core_test.go
@@ -16,7 +16,7 @@
 	runWorlds(t, func(*simulation) {})
 }
 
-// Writes fail now and then, before or after they have reached the disk, and the member goes on from what it finds there.
+// Writes fail now and then, before or after they have reached the disk, and the member goes on from what is stored.
 func TestOneLeaderAtATimeWhereWritesFail(t *testing.T) {
 	runWorlds(t, func(s *simulation) { s.diskFaults = true })
 }
