--- a/choice/admission_test.go
+++ b/choice/admission_test.go
@@ -70,6 +70,21 @@
 	require(t, s.jobs[long].ended && s.jobs[long].endedBy == Throttle, "one that comes later: %+v", s.jobs[long])
 }
 
+// The failure: jobs that were out at engines which hung when a controller was told to stop were killed with it, as
+// their own time went on for longer. They are answered in time, and what is out for them is canceled.
+func TestJobThatIsOutAtTheEndOfAShutdownIsAnswered(t *testing.T) {
+	s := newStage(t, plainSettings(), 1)
+	repeatable := s.arriveAs(Event{Type: 0, TimeLeft: 20 * second, Cost: ms, CostKnown: true})
+	once := s.arriveAs(Event{Type: 2, TimeLeft: 20 * second, Cost: ms, CostKnown: true})
+	s.handle(Event{Kind: Stopping, TimeLeft: 3 * second})
+	s.pass(2900 * ms)
+	require(t, !s.jobs[once].ended, "answered long before the end: %+v", s.jobs[once])
+	s.pass(100 * ms)
+	for id, want := range map[JobID]ActionKind{repeatable: Throttle, once: CancelPermanently} {
+		require(t, s.jobs[id].ended && s.jobs[id].endedBy == want, "job %d: %+v", id, s.jobs[id])
+	}
+}
+
 // The failure: waiting for a key's turn counted as overload, and other types were throttled for it.
 func TestWaitForOrderingKeyIsNoOverload(t *testing.T) {
 	s := newStage(t, plainSettings(), 3)
