--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -14,7 +14,7 @@
 const (
 	killDelayMax = 3 * time.Second
 	killGrace    = 700 * time.Millisecond
-	stopMargin   = 300 * time.Millisecond
+	stopMargin   = 150 * time.Millisecond
 )
 
 // Defaults of settings that are absent.
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -43,7 +43,7 @@
 		"writes_tables":                       {r.needsTableGroup(1), true},
 		"neither":                             {r.needsTableGroup(2), false},
 		"domain.size_mb":                      {r.maxMemoryMB, 32000.0},
-		"killed after the longest give_up_ns": {r.stopTimeout, 3*time.Second + 400*time.Millisecond},
+		"killed after the longest give_up_ns": {r.stopTimeout, 3*time.Second + 550*time.Millisecond},
 		"telemetry":                           {r.reportsLoad, true},
 	} {
 		if c[0] != c[1] {
@@ -67,7 +67,7 @@
 		"step_ns":                    {r.step, time.Duration(0)},
 		"invariants.answer_slack_ns": {r.answerSlack, 50 * time.Millisecond},
 		"domain.size_mb":             {r.maxMemoryMB, math.Inf(1)},
-		"killed after give_up_ns":    {r.stopTimeout, time.Second + 400*time.Millisecond},
+		"killed after give_up_ns":    {r.stopTimeout, time.Second + 550*time.Millisecond},
 		"telemetry.via off":          {r.reportsLoad, false},
 	} {
 		if c[0] != c[1] {
