A SIGHUP that comes before a controller catches signals no longer ends it

Cause: a new configuration is told to all by SIGHUP while some are being restarted. Between exec and the first line of main the signal has its default action, and the process ends (signal: hangup). make proof-upgrade had shown it under load; a supervisor sends SIGHUP to controllers that it has just started. Go's runtime leaves an ignored SIGHUP alone until signal.Notify, which is the first thing that serve does, before it reads the files: nothing is missed. TestControllersDoNotEndByAnEarlyHangup fails without the line in supervise (one run), and passes.

--- a/internal/command/fleet/supervise.go
+++ b/internal/command/fleet/supervise.go
@@ -79,6 +79,9 @@
 	if !found {
 		return command.BadInput(fmt.Errorf("%s: /fleet/members: no %q", o.operatorFile, o.name))
 	}
+	// Controllers inherit it: one that has just been started may be told to reload before it catches signals, and must
+	// not end by that. It reads the files after it has begun to catch them.
+	signal.Ignore(syscall.SIGHUP)
 	supervised, err := o.newSupervisor(fleet)
 	if err != nil {
 		return command.Failure(command.ExitFailed, err)
--- a/internal/coordinator/process_faults_test.go
+++ b/internal/coordinator/process_faults_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"slices"
@@ -158,3 +159,28 @@
 	}
 	stopAndCheckRules(t, w, l)
 }
+
+// A supervisor tells a controller to reload that it has just started: the controller inherits that SIGHUP is ignored,
+// until it catches it.
+func TestControllersDoNotEndByAnEarlyHangup(t *testing.T) {
+	t.Parallel()
+	w, err := testcluster.Config{Program: currentProgram, Seed: 12, Controllers: 1, Engines: 1}.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", w.Members[0].Supervisor.Pid()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var ignored uint64
+	for line := range strings.Lines(string(status)) {
+		_, _ = fmt.Sscanf(line, "SigIgn: %x", &ignored) // one line has it
+	}
+	if ignored&(1<<(uint(syscall.SIGHUP)-1)) == 0 {
+		t.Errorf("a supervisor ignores the signals %x", ignored)
+	}
+	if err := w.Stop(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -70,6 +70,9 @@
 	}
 }
 
+// Pid returns the process's number.
+func (p *Process) Pid() int { return p.command.Process.Pid }
+
 // Log returns what it and what it started have logged so far.
 func (p *Process) Log() string {
 	p.mu.Lock()
