Calls that lay unread in a start, or behind a client's own flood, count from their sending

Cause: Serve dated connections that were queued before it from its own start, not from the opening of the address; files that are tried again for up to 2 s lie between. And what lay unread while a client that sends too much was read more slowly counted from its reading, up to 50 ms late each time. Both give an engine more time than the client has left. Change: Serve is told since when the address is open; a slowed reader dates what it finds unread from before its pause (conn.unreadSince, formerly queuedSince).

--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"strings"
 	"syscall"
+	"time"
 
 	"swiftreel/internal/command"
 	"swiftreel/internal/config"
@@ -59,11 +60,12 @@
 // run serves on a listener until a stop signal has come and no answer is owed. At each reload signal both files are
 // read again.
 func run(file config.File, listener net.Listener, options command.ServeOptions, stop, reload <-chan os.Signal) error {
+	listeningSince := time.Now()
 	files, err := readFiles(file, options.Operator, file.Settings)
 	if err != nil {
 		return err
 	}
-	s, err := newServer(files, listener, options)
+	s, err := newServer(files, listener, listeningSince, options)
 	if err != nil {
 		return err
 	}
--- a/cmd/swiftreel/server.go
+++ b/cmd/swiftreel/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"swiftreel/internal/change"
 	"swiftreel/internal/client"
@@ -17,19 +18,20 @@
 // server is a controller: the gateway with all that feeds it. Its parts are made by newServer, run from start on and
 // end with stop, in the reverse order of their dependencies.
 type server struct {
-	files     files // as at the start, and until it
-	listener  net.Listener
-	gateway   *gateway.Gateway
-	clients   *client.Server
-	sparql    *sparqlServer
-	stats     *statsServer
-	plans     *planFollower
-	discovery *discovery.Watcher
-	reloader  *reloader
+	files          files // as at the start, and until it
+	listener       net.Listener
+	listeningSince time.Time
+	gateway        *gateway.Gateway
+	clients        *client.Server
+	sparql         *sparqlServer
+	stats          *statsServer
+	plans          *planFollower
+	discovery      *discovery.Watcher
+	reloader       *reloader
 }
 
-// newServer makes a server. It owns the listener from start on.
-func newServer(files files, listener net.Listener, options command.ServeOptions) (*server, error) {
+// newServer makes a server. It owns the listener, which is open since the time given, from start on.
+func newServer(files files, listener net.Listener, since time.Time, options command.ServeOptions) (*server, error) {
 	sparql, err := newSPARQLServer(files.operator.SPARQL, files.config.Limits)
 	if err != nil {
 		return nil, err
@@ -52,7 +54,8 @@
 		gate.Close()
 		return nil, err
 	}
-	s := &server{files: files, listener: listener, gateway: gate, clients: clients, sparql: sparql, stats: stats}
+	s := &server{files: files, listener: listener, listeningSince: since, gateway: gate, clients: clients,
+		sparql: sparql, stats: stats}
 	s.restoreState()
 	s.plans = &planFollower{gateway: gate}
 	s.plans.follow(files.operator.Plan)
@@ -77,7 +80,7 @@
 // start begins to serve. It does not wait.
 func (s *server) start(reload <-chan os.Signal) {
 	go s.reloader.run(reload)
-	go func() { _ = s.clients.Serve(s.listener) }() // ends without an error once the listener is closed
+	go func() { _ = s.clients.Serve(s.listener, s.listeningSince) }() // ends without an error once the listener is closed
 	s.sparql.start()
 	debug.FreeOSMemory() // what the libraries of the command line allocated when they were set up
 	s.gateway.Start()
--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -17,9 +17,9 @@
 	socket     *net.TCPConn
 	acceptedAt time.Time
 
-	// queuedSince is when it may have come: what was first read on it may have been sent then, while accepts failed or
-	// there was no room. Its reader clears it.
-	queuedSince time.Time
+	// unreadSince is when what is read next may have been sent, if that is earlier than it seems: while accepts failed or
+	// there was no room, or since reading was slowed down. It belongs to the reader; zero: it is read as it comes.
+	unreadSince time.Time
 
 	// Used by the reader only.
 	buffer          []byte // nil while nothing can be read
@@ -70,12 +70,24 @@
 			return
 		}
 		c.prepareNextRead()
-		if c.rate.delayReading(time.Now()) && socketstate.PeerClosed(c.socket) {
+		if c.slowDown() && socketstate.PeerClosed(c.socket) {
 			return
 		}
 	}
 }
 
+// slowDown delays the next read if the client sends too much, and reports whether it did.
+func (c *conn) slowDown() bool {
+	now := time.Now()
+	if !c.rate.delayReading(now) {
+		return false
+	}
+	if c.hasBufferedInput() { // which may have come at any time since
+		c.unreadSince = now
+	}
+	return true
+}
+
 // readCalls reads what has arrived, up to a bound, and passes the calls in it on. Calls are passed on late because
 // what lies behind them may revoke them.
 func (c *conn) readCalls() error {
@@ -101,10 +113,10 @@
 // earliestSendTime is the earliest time at which what was just read may have been sent.
 func (c *conn) earliestSendTime() time.Time {
 	earliest := c.server.stalls.earliestSendTime(time.Now())
-	if !c.queuedSince.IsZero() && c.queuedSince.Before(earliest) {
-		earliest = c.queuedSince
+	if !c.unreadSince.IsZero() && c.unreadSince.Before(earliest) {
+		earliest = c.unreadSince
 	}
-	c.queuedSince = time.Time{}
+	c.unreadSince = time.Time{}
 	return earliest
 }
 
--- a/internal/client/crossing_harness_test.go
+++ b/internal/client/crossing_harness_test.go
@@ -81,7 +81,7 @@
 		l.Close()
 		s.server.Close()
 	})
-	go func() { _ = s.server.Serve(s.door) }() // an error shows as a client that is not served
+	go func() { _ = s.server.Serve(s.door, time.Now()) }() // an error shows as a client that is not served
 	return s
 }
 
--- a/internal/client/eviction_test.go
+++ b/internal/client/eviction_test.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	go func() { _ = f.Serve(l) }() // an error shows as a client that is not served
+	go func() { _ = f.Serve(l, time.Now()) }() // an error shows as a client that is not served
 	t.Cleanup(func() {
 		l.Close()
 		f.Close()
--- a/internal/client/golden_test.go
+++ b/internal/client/golden_test.go
@@ -121,7 +121,7 @@
 		t.Fatal(err)
 	}
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
+	go func() { served <- server.Serve(listener, time.Now()) }()
 	nc, err := net.Dial("tcp4", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/client/input_end_test.go
+++ b/internal/client/input_end_test.go
@@ -218,7 +218,7 @@
 	server := NewServer(jobs, budget)
 	defer server.Close()
 	defer listener.Close()
-	go func() { _ = server.Serve(failing) }() // an error shows as a call that is not taken
+	go func() { _ = server.Serve(failing, time.Now()) }() // an error shows as a call that is not taken
 	conn, err := net.Dial("tcp4", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -243,6 +243,79 @@
 	s.until("answers stay owed", func() bool { return server.OwedAnswers() == 0 })
 }
 
+// A call comes while the program still starts, after its address is open: it counts from its sending.
+func TestACallSentBeforeTheStartIsOverCountsFromItsSending(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	openSince := time.Now()
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.Write(callOf(1, "SELECT 1 FROM a_1.b"))
+	sentAt := time.Now()
+	time.Sleep(time.Millisecond) // the clock goes on past that moment, however coarse it is
+	budget := new(limits.Budget)
+	budget.ClientConns.Store(6)
+	budget.MessageBytes.SetCapacity(1 << 20)
+	jobs := &recordingSubmitter{requests: make(chan gateway.Request, 1)}
+	server := NewServer(jobs, budget)
+	defer server.Close()
+	defer listener.Close()
+	go func() { _ = server.Serve(listener, openSince) }() // an error shows as a call that is not taken
+	call := jobs.nextRequest(t)
+	if call.ArrivedAt.After(sentAt) {
+		t.Errorf("it counts from %v after its sending", call.ArrivedAt.Sub(sentAt))
+	}
+	call.Client.Throttled(0)
+}
+
+// A client that sends too much is read more slowly: what lies unread meanwhile counts from the time before, what comes
+// later does not.
+func TestACallThatIsReadSlowlyCountsFromItsSending(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	sending, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sending.Close()
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	for _, isUnread := range []bool{true, false} {
+		c := &conn{socket: accepted.(*net.TCPConn)}
+		c.rate.updatedAt = time.Now()
+		c.rate.spent.Store(10 * maxMessageRate)
+		if isUnread {
+			sending.Write(callOf(1, "SELECT 1 FROM a_1.b"))
+			(&testServer{t: t}).until("it has not come", c.hasBufferedInput)
+		}
+		before := time.Now()
+		if !c.slowDown() {
+			t.Fatal("it is not slowed")
+		}
+		isDatedBefore := !c.unreadSince.Before(before) && time.Since(c.unreadSince) >= maxReadDelay
+		if isDatedBefore != isUnread || c.unreadSince.IsZero() == isUnread {
+			t.Errorf("unread: %v, it counts from %v, slowed at %v", isUnread, c.unreadSince, before)
+		}
+		if isUnread {
+			if _, err := accepted.Read(make([]byte, firstBufferSize)); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
+
 // midMessageCount counts the connections of which part of a message was read.
 func (f *Server) midMessageCount() (count int) {
 	f.mu.Lock()
--- a/internal/client/server.go
+++ b/internal/client/server.go
@@ -66,14 +66,15 @@
 	return s
 }
 
-// Serve accepts connections until the listener is closed. It is called once.
-func (s *Server) Serve(listener net.Listener) error {
+// Serve accepts connections until the listener is closed. It is called once. Clients may have connected, and sent
+// calls, since the time given.
+func (s *Server) Serve(listener net.Listener, since time.Time) error {
 	s.mu.Lock()
 	s.listener, _ = listener.(syscall.Conn)
 	s.mu.Unlock()
 	s.stalls.reset(time.Now())
 	go s.stalls.run(s.done)
-	queuedSince := time.Now()
+	queuedSince := since
 	for {
 		wasQueued := s.isQueued()
 		accepted, err := listener.Accept()
@@ -112,7 +113,7 @@
 // start serves a connection, or closes it if the server is closed.
 func (s *Server) start(socket *net.TCPConn, queuedSince time.Time) {
 	now := time.Now()
-	c := &conn{server: s, socket: socket, acceptedAt: now, queuedSince: queuedSince, lastUsed: now,
+	c := &conn{server: s, socket: socket, acceptedAt: now, unreadSince: queuedSince, lastUsed: now,
 		open: map[uint32]*call{}}
 	s.mu.Lock()
 	defer s.mu.Unlock()
