A supervised controller has the time that its supervisor leaves it to end

The module's figure was that of the protocol page for all. Change: a supervisor tells its controllers the time in their environment (SWIFTREEL_DRAIN_MS); one of an earlier version does not, its default holds then. gateway.Options.KilledAfter. Tests: TestAKeyWaitsForThePredecessor has a job of 6 s instead of 4 s: it fails with the change of cmd and gateway taken out (cancelled for good), and passes. Parsing and figures: TestTheTimeToDrainIsToldByTheSupervisor, TestTheTimeOfAShutdownIsTheSupervisors.

--- a/cmd/swiftreel/server.go
+++ b/cmd/swiftreel/server.go
@@ -44,6 +44,8 @@
 		Budget:    budget,
 		Protocols: sparql.protocols(),
 		Trace:     options.Trace,
+
+		KilledAfter: files.operator.DrainTimeout(os.Getenv),
 	})
 	sparql.attach(gate)
 	clients := client.NewServer(gate, budget)
--- a/internal/coordinator/process_successor_test.go
+++ b/internal/coordinator/process_successor_test.go
@@ -26,7 +26,7 @@
 	}
 	t.Cleanup(w.Close)
 	m := w.Members[0]
-	w.Faults.SetWorkDuration(4 * time.Second)
+	w.Faults.SetWorkDuration(6 * time.Second) // longer than a controller has to end that is not supervised
 	began := func(job string) (n int) {
 		for _, e := range w.Events.Entries() {
 			if e.Job == job && e.Event == rulecheck.Began {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,8 @@
 	Budget    *limits.Budget
 	Protocols map[backend.Protocol]backend.Factory
 	Trace     bool // log every event and action of the module
+	// KilledAfter is when the process may be killed after Stop; 0: as the protocol page says.
+	KilledAfter time.Duration
 }
 
 // New starts the decision module. Jobs are admitted from the first call of Submit on; Start says that they are welcome.
@@ -70,6 +72,9 @@
 		jobs:      map[choice.JobID]*job{},
 		openCalls: map[string]struct{}{},
 	}
+	if options.KilledAfter > 0 {
+		g.settings.stopTimeout = max(0, options.KilledAfter-stopMargin)
+	}
 	g.audit = audit.NewLedger(g.settings.drainGrace, g.settings.orderPause)
 	g.engines = backend.NewMux(options.Protocols, backend.Limits{
 		DialTimeout:    g.settings.dialTimeout,
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"swiftreel/internal/backend"
+
+	"swiftreel/choice"
 )
 
 const ruleFacts = `{"step_ns":2e8,"locality":1,"localities":["east","west"],"kinds":["std","big"],
@@ -86,3 +88,19 @@
 		t.Errorf("an unknown zone is %d, an unknown kind %d", n.zone("north"), n.kind("small"))
 	}
 }
+
+// A controller whose supervisor leaves it more time than the protocol page has it to answer what is out.
+func TestTheTimeOfAShutdownIsTheSupervisors(t *testing.T) {
+	for killedAfter, want := range map[time.Duration]time.Duration{
+		0:                          newSettings(choice.RawSettings{}).stopTimeout,
+		2 * time.Minute:            2*time.Minute - stopMargin,
+		stopMargin / 2:             0,
+		stopMargin + time.Second/2: time.Second / 2,
+	} {
+		g := New(Options{Settings: choice.RawSettings{}, Budget: testBudget(), KilledAfter: killedAfter})
+		if g.settings.stopTimeout != want {
+			t.Errorf("killed after %v: %v, want %v", killedAfter, g.settings.stopTimeout, want)
+		}
+		g.Close()
+	}
+}
--- a/internal/operator/files_test.go
+++ b/internal/operator/files_test.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
+	"time"
 
 	"swiftreel/internal/golden"
 )
@@ -105,3 +107,28 @@
 		})
 	}
 }
+
+// A supervisor tells its controllers for how long they may drain; one of an earlier version does not.
+func TestTheTimeToDrainIsToldByTheSupervisor(t *testing.T) {
+	told := func(text string) func(string) string {
+		return func(name string) string {
+			value, _ := strings.CutPrefix(text, name+"=")
+			return value
+		}
+	}
+	supervised := File{Stats: &Stats{}}
+	for name, c := range map[string]struct {
+		file File
+		text string
+		want time.Duration
+	}{
+		"not supervised":     {File{}, DrainEnvironment(time.Minute), 0},
+		"told":               {supervised, DrainEnvironment(90 * time.Second), 90 * time.Second},
+		"an earlier version": {supervised, "", defaultDrainMS * time.Millisecond},
+		"no number":          {supervised, drainVariable + "=soon", defaultDrainMS * time.Millisecond},
+	} {
+		if got := c.file.DrainTimeout(told(c.text)); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"slices"
+	"strconv"
+	"time"
 )
 
 // Fleet is the controllers that changes go through in stages. Supervisors and coordinators read it; a controller does
@@ -51,6 +53,28 @@
 	defaultSolveTimeoutMS = 1000
 )
 
+// drainVariable is the environment variable by which a supervisor tells a controller after how many milliseconds it
+// kills it once it has sent SIGTERM. A job that is out then may go on until shortly before.
+const drainVariable = "SWIFTREEL_DRAIN_MS"
+
+// DrainEnvironment is what a supervisor adds to a controller's environment.
+func DrainEnvironment(timeout time.Duration) string {
+	return fmt.Sprint(drainVariable, "=", timeout.Milliseconds())
+}
+
+// DrainTimeout returns for how long a controller may drain after SIGTERM before it is killed; 0: nobody but the
+// protocol page says. Supervisors of earlier versions say nothing, and had this default.
+func (f File) DrainTimeout(getenv func(string) string) time.Duration {
+	if f.Stats == nil { // it is not supervised
+		return 0
+	}
+	milliseconds, err := strconv.ParseUint(getenv(drainVariable), 10, 32)
+	if err != nil || milliseconds == 0 {
+		return defaultDrainMS * time.Millisecond
+	}
+	return time.Duration(milliseconds) * time.Millisecond
+}
+
 // minIntervalDivisor is how many times the default of Planning.MinIntervalMS fits into the interval.
 const minIntervalDivisor = 10
 
--- a/internal/supervisor/lifecycle.go
+++ b/internal/supervisor/lifecycle.go
@@ -8,6 +8,7 @@
 
 	"swiftreel/internal/assignment"
 	"swiftreel/internal/change"
+	"swiftreel/internal/operator"
 )
 
 // startController starts a controller as ordered: as the current one, or as the next one if there is a current one.
@@ -25,7 +26,8 @@
 	if !s.writeOperatorFile(c, order, assigned, hasPredecessor) {
 		return
 	}
-	environment := append(slices.Clone(s.options.Environment), operatorFileVariable+"="+c.operatorFile)
+	environment := append(slices.Clone(s.options.Environment), operatorFileVariable+"="+c.operatorFile,
+		operator.DrainEnvironment(s.options.DrainTimeout))
 	err := c.start(environment, s.options.LogOutput)
 	s.mu.Lock()
 	defer s.mu.Unlock()
