The retry budget is checked at run time, too

Cause: internal/audit held what was sent against rules 1, 2, 3 and 5; rule 7 was checked by nothing but the module that keeps it. Change: the ledger counts admitted jobs and further dispatches over the window of the settings, a second less strictly than the rule (it sees sends, the rule counts orders), and follows new settings. Its figures come as audit.Bounds. Measured: tests of audit and gateway pass; TestRetriesBeyondTheirBudgetAreFound, TestWithdrawnRetriesAndANewBudget.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -2,8 +2,8 @@
 // their first byte goes out, ends, answers, leaves - and knows nothing of how the decision module came to it, so that a
 // mistake there, or between an order and its send, shows.
 //
-// A Ledger holds one small record a job that is open, and one a key whose jobs run in order. It does no I/O and reads
-// no clock.
+// A Ledger holds one small record a job that is open, one a key whose jobs run in order, and the times of jobs and
+// repeats in the window of the retry budget. It does no I/O and reads no clock.
 package audit
 
 import (
@@ -38,6 +38,7 @@
 	DispatchedToUnavailable   Violation = "rule_3_dispatched_to_an_unavailable_engine"
 	DispatchedOutOfOrder      Violation = "rule_5_dispatched_beside_or_after_a_later_job_of_its_key"
 	DispatchedWhileKeyPauses  Violation = "rule_5_dispatched_while_its_key_pauses"
+	RetriedBeyondBudget       Violation = "rule_7_dispatched_again_beyond_the_retry_budget"
 	DispatchedForUnknownJob   Violation = "rule_1_dispatched_for_an_unknown_job"
 	EndedWithoutDispatch      Violation = "rule_1_ended_without_dispatch"
 )
@@ -60,13 +61,20 @@
 
 // Ledger records what was sent, for whom, and what became of it. It is safe for concurrent use.
 type Ledger struct {
-	drainGrace time.Duration
-	orderPause time.Duration
+	bounds Bounds
 
 	mu       sync.Mutex
 	jobs     map[choice.JobID]*record
 	keys     map[choice.Key]*keyRecord
 	admitted int
+	retries  retries
+}
+
+// Bounds are the figures of the rules.
+type Bounds struct {
+	DrainGrace time.Duration // for dispatches to an engine that takes nothing any more; 0: not checked
+	OrderPause time.Duration // of a key after an outcome that is unsure
+	Retries    RetryBudget
 }
 
 // record is what is known of an open job.
@@ -74,6 +82,7 @@
 	Job
 	arrival    int // among the jobs of its key
 	isOut      bool
+	dispatches int
 	mayHaveRun bool
 	isAnswered bool
 	leftAt     time.Time // zero: the client is there
@@ -87,16 +96,23 @@
 	pausedUntil    time.Time
 }
 
-// NewLedger returns an empty ledger. A grace of 0 is not checked.
-func NewLedger(drainGrace, orderPause time.Duration) *Ledger {
+// NewLedger returns an empty ledger.
+func NewLedger(bounds Bounds) *Ledger {
 	return &Ledger{
-		drainGrace: drainGrace,
-		orderPause: orderPause,
-		jobs:       map[choice.JobID]*record{},
-		keys:       map[choice.Key]*keyRecord{},
+		bounds:  bounds,
+		jobs:    map[choice.JobID]*record{},
+		keys:    map[choice.Key]*keyRecord{},
+		retries: retries{budget: bounds.Retries},
 	}
 }
 
+// SetRetryBudget changes the budget. What was dispatched before does not count towards the new one.
+func (l *Ledger) SetRetryBudget(budget RetryBudget) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retries = retries{budget: budget, admitted: l.retries.admitted}
+}
+
 // Admitted records a job that was admitted.
 func (l *Ledger) Admitted(job Job, now time.Time) {
 	l.mu.Lock()
@@ -107,6 +123,7 @@
 		l.key(job.Key).add(admitted)
 	}
 	l.admitted++
+	l.retries.admit(now)
 	if l.admitted%sweepEvery == 0 {
 		maps.DeleteFunc(l.keys, func(_ choice.Key, k *keyRecord) bool {
 			return len(k.open) == 0 && now.After(k.pausedUntil)
@@ -128,14 +145,18 @@
 	broken.add(!r.leftAt.IsZero() && d.At.Sub(r.leftAt) > leaveSlack, DispatchedAfterClientLeft)
 	broken.add(d.Given > r.Deadline.Sub(d.At)+deadlineSlack, GivenTooMuchTime)
 	broken.add(r.RunOnce && r.mayHaveRun, RepeatedAfterEffect)
-	isPastGrace := !d.UnavailableSince.IsZero() && d.At.Sub(d.UnavailableSince) > l.drainGrace
-	broken.add(l.drainGrace > 0 && isPastGrace, DispatchedToUnavailable)
+	isPastGrace := !d.UnavailableSince.IsZero() && d.At.Sub(d.UnavailableSince) > l.bounds.DrainGrace
+	broken.add(l.bounds.DrainGrace > 0 && isPastGrace, DispatchedToUnavailable)
 	if r.Key != 0 {
 		key := l.key(r.Key)
 		broken.add(key.isAnotherOut(r) || r.arrival < key.lastDispatched, DispatchedOutOfOrder)
 		broken.add(d.At.Before(key.pausedUntil), DispatchedWhileKeyPauses)
 		key.lastDispatched = max(key.lastDispatched, r.arrival)
 	}
+	if r.dispatches > 0 {
+		broken.add(l.retries.dispatched(d.At), RetriedBeyondBudget)
+	}
+	r.dispatches++
 	r.isOut = true
 	return broken.list
 }
@@ -144,8 +165,14 @@
 func (l *Ledger) Withdrawn(id choice.JobID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r := l.jobs[id]; r != nil {
-		r.isOut = false
+	r := l.jobs[id]
+	if r == nil {
+		return
+	}
+	r.isOut = false
+	r.dispatches--
+	if r.dispatches > 0 {
+		l.retries.further.removeLast()
 	}
 }
 
@@ -199,7 +226,7 @@
 	r.mayHaveRun = r.mayHaveRun || wasOut
 	isUnsure := result == choice.TimedOut || result == choice.Reset || result == choice.Canceled
 	if r.Key != 0 && isUnsure && wasOut {
-		l.key(r.Key).pausedUntil = now.Add(l.orderPause)
+		l.key(r.Key).pausedUntil = now.Add(l.bounds.OrderPause)
 	}
 	if !wasOut && result == choice.Done {
 		return []Violation{EndedWithoutDispatch}
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -23,7 +23,7 @@
 
 // newTestLedger has two jobs of one key, with 10 s left each.
 func newTestLedger(runOnce bool) *Ledger {
-	l := NewLedger(drainGrace, orderPause)
+	l := NewLedger(Bounds{DrainGrace: drainGrace, OrderPause: orderPause})
 	for _, id := range []choice.JobID{job, later} {
 		l.Admitted(Job{ID: id, Deadline: at(10 * time.Second), RunOnce: runOnce, Key: key}, start)
 	}
--- a/internal/gateway/audit.go
+++ b/internal/gateway/audit.go
@@ -18,6 +18,11 @@
 	g.audit.Admitted(admitted, time.Now())
 }
 
+// auditBounds are the figures of the rules that the ledger checks.
+func (s settings) auditBounds() audit.Bounds {
+	return audit.Bounds{DrainGrace: s.drainGrace, OrderPause: s.orderPause, Retries: s.retries}
+}
+
 // reportViolations counts broken rules under their names and logs them; builds with the tag debug panic.
 func (g *Gateway) reportViolations(j *job, engine choice.EngineID, broken []audit.Violation) {
 	for _, violation := range broken {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,7 +75,7 @@
 	if options.KilledAfter > 0 {
 		g.settings.stopTimeout = max(0, options.KilledAfter-stopMargin)
 	}
-	g.audit = audit.NewLedger(g.settings.drainGrace, g.settings.orderPause)
+	g.audit = audit.NewLedger(g.settings.auditBounds())
 	g.engines = backend.NewMux(options.Protocols, backend.Limits{
 		DialTimeout:    g.settings.dialTimeout,
 		IdleTimeout:    g.settings.idleTimeout,
@@ -121,6 +121,7 @@
 // stay. What the gateway itself reads of the settings (names, time limits, fields of load reports) stays as it was at
 // the start.
 func (g *Gateway) Reconfigure(newSettings choice.RawSettings) {
+	g.audit.SetRetryBudget(retryBudget(settingsMap(newSettings).object("invariants")))
 	g.notify(choice.Event{Kind: choice.Reconfigured, Settings: choice.ParseSettings(newSettings)})
 	slog.Info("settings_reconfigured")
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"swiftreel/choice"
+	"swiftreel/internal/audit"
 	"swiftreel/internal/backend"
 )
 
@@ -39,6 +40,7 @@
 	answerSlack    time.Duration // how late an answer may be
 	drainGrace     time.Duration // in which an engine that drains may still be sent to; 0: no bound
 	orderPause     time.Duration // of an order key after an outcome that is unsure
+	retries        audit.RetryBudget
 	stopTimeout    time.Duration // after SIGTERM the process is not killed before
 	streamsPerConn int
 	maxJobs        int
@@ -102,6 +104,7 @@
 		maxMemoryMB:    maxMemoryMB(root.object("domain").list("size_mb")),
 		types:          newTypeSettings(root),
 	}
+	s.retries = retryBudget(rules)
 	s.stopTimeout = stopTimeout(s.types)
 	telemetry := root.object("telemetry")
 	for _, value := range telemetry.list("fields") {
@@ -112,6 +115,18 @@
 	return s
 }
 
+// retryBudget returns the budget of retries; without a ratio there is no bound.
+func retryBudget(rules settingsMap) audit.RetryBudget {
+	if _, isBounded := rules["further_ratio"].(float64); !isBounded {
+		return audit.RetryBudget{}
+	}
+	return audit.RetryBudget{
+		Window: rules.duration("extra_window_ns", 0),
+		Free:   rules.number("budget_free", 0),
+		Ratio:  rules.number("further_ratio", 0),
+	}
+}
+
 func newTypeSettings(root settingsMap) []typeSettings {
 	domain := root.object("domain")
 	threads := domain.list("class_threads")
