A message without memory is skipped: calls behind it are taken, its connection goes on

Cause: where other clients had used the memory for long messages, one more ended its connection. What its client had sent behind it was dropped unread: those calls have no answer, though nothing was wrong with them or their client. Change: where it is known where such a message ends, it is refused as harmless to repeat, what is missing of it is dropped as it comes, and the connection goes on. valueSize is split so that the size is known while the end of the last part is missing.

--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -31,6 +31,7 @@
 	readSincePassOn int    // bytes, since calls were last passed on
 	pendingCalls    []pendingCall
 	unusableSize    int // bytes of the message that ended the input; 0: where it ends is not known
+	skippedBytes    int // still to come of a message for which there was no memory
 
 	isMidMessage atomic.Bool // part of a message is in the buffer, or being read into it
 	rate         messageRate
--- a/internal/client/msgpack.go
+++ b/internal/client/msgpack.go
@@ -121,9 +121,21 @@
 
 // valueSize returns the size in bytes of the first value, with all that it holds.
 func valueSize(b []byte) (int, error) {
+	size, err := declaredSize(b)
+	if err == nil && size > len(b) {
+		return 0, ErrIncomplete
+	}
+	return size, err
+}
+
+// declaredSize returns the size of the first value also where only the end of its last part is missing.
+func declaredSize(b []byte) (int, error) {
 	walk := valueWalk{remaining: [maxDepth]uint64{1}}
 	offset := 0
 	for walk.next() {
+		if offset > len(b) {
+			return 0, ErrIncomplete
+		}
 		head, err := decodeHead(b[offset:])
 		if err != nil {
 			return 0, err
@@ -133,9 +145,6 @@
 			return 0, errNotMsgpack
 		}
 		offset += head.size + int(body)
-		if offset > len(b) {
-			return 0, ErrIncomplete
-		}
 		if err := walk.open(head); err != nil {
 			return 0, err
 		}
--- a/internal/client/read.go
+++ b/internal/client/read.go
@@ -41,6 +41,7 @@
 	c.end += n
 	c.readSincePassOn += n
 	c.filledBuffer = n == free
+	c.dropSkipped()
 	switch {
 	case n > 0:
 		return nil
@@ -76,7 +77,7 @@
 	case len(c.buffer) >= maxFrame:
 		return errNotMsgpack
 	case !c.server.limits.ReadBytes.Reserve(len(c.buffer)):
-		return errNoMemory
+		return c.skipMessage()
 	default:
 		larger := make([]byte, 2*len(c.buffer))
 		copy(larger, c.buffer)
@@ -85,6 +86,29 @@
 	return nil
 }
 
+// skipMessage refuses a message for which no memory is left: other clients have used it. What is missing of it is
+// dropped as it comes, and what comes behind it is read as ever. Where it ends has to be known for that.
+func (c *conn) skipMessage() error {
+	text := c.buffer[c.start:c.end]
+	size, err := declaredSize(text)
+	id, hasID := requestID(text)
+	if err != nil || !hasID || c.isIDOpen(id) {
+		return errNoMemory
+	}
+	counters.Increment("messages_without_memory")
+	c.skippedBytes = size - len(text)
+	c.start = 0
+	c.end = 0
+	return c.refuse(id, errorThrottled, "", "")
+}
+
+// dropSkipped drops what has come of a message that is skipped. Nothing else is in the buffer before it.
+func (c *conn) dropSkipped() {
+	dropped := min(c.skippedBytes, c.end-c.start)
+	c.skippedBytes -= dropped
+	c.start += dropped
+}
+
 // waitReadable waits until something can be read, and needs no buffer for that: clients may keep connections for
 // good.
 func (c *conn) waitReadable() error {
@@ -120,7 +144,7 @@
 // prepareNextRead sets the deadline for what comes next, none while no message has begun, and releases an empty
 // buffer.
 func (c *conn) prepareNextRead() {
-	isEmpty := c.start == c.end
+	isEmpty := c.start == c.end && c.skippedBytes == 0
 	c.isMidMessage.Store(!isEmpty)
 	switch {
 	case c.isBegun: // it has its deadline
