Soak: rule 4 binds, retries are counted by process, calls are revoked behind unusable messages

Cause: the table of mutants said that the soak does not see rule 4 taken out: an engine that warms up bore more than it was ever sent. Change: a window of 0.8 instead of 2.0 times the capacity; the judge counts repeats from the start of the process that ran; clients also revoke behind a message that is MessagePack and nothing of the protocol. Tests: two cases of TestTheJudgeFindsEachBrokenInvariant (retries of one process, of two).

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -218,15 +218,25 @@
 	return true
 }
 
-// badInput sends calls, and behind them what cannot be read. The calls are owed their answers.
+// unusableMessage is MessagePack, and no message of the protocol.
+var unusableMessage = []byte{0x91, 0x01}
+
+// badInput sends calls, and behind them what cannot be read. The calls are owed their answers, unless they are revoked
+// behind it.
 func (c *loadClient) badInput() bool {
 	if !c.send(2) {
 		return false
 	}
 	bad := append([]byte{0xc1}, make([]byte, badInputBytes)...)
-	if c.random.IntN(2) == 0 {
+	switch c.random.IntN(3) {
+	case 0:
 		next := c.nextCall()
 		bad = next.bytes[:len(next.bytes)/2]
+	case 1:
+		_, _ = c.conn.Write(unusableMessage) // an error shows at the next write
+		c.revokeAll()
+		time.Sleep(restTime) // until then it has not left
+		return false
 	}
 	if _, err := c.conn.Write(bad); err != nil {
 		c.noteBroken()
--- a/internal/soak/controller.go
+++ b/internal/soak/controller.go
@@ -62,6 +62,7 @@
 		return err
 	}
 	env := append([]string{"ROUTER_CONFIG=" + c.configFile, "FAULT_SYSCALLS=" + c.steeringFile()}, c.env...)
+	c.records.addStart(c.index, time.Now())
 	process, err := testcluster.StartProcess(c.program, env)
 	if err != nil {
 		return err
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -69,26 +69,28 @@
 
 // Records are all that was recorded in a run. They are safe for concurrent use.
 type Records struct {
-	mu         sync.Mutex
-	calls      []*Call
-	fetches    []Fetch
-	executions []Execution
-	changes    []Change
-	pauses     map[int][]Interval // of controllers' processes
-	deaf       map[int][]Interval // times in which controllers could not accept connections
-	kills      map[int][]time.Time
-	stops      map[int][]time.Time // SIGTERM
-	stopKills  int                 // processes that were killed as they had not ended after SIGTERM
-	failures   []string            // processes that did what they must not
-	stalls     []Interval          // of the recording process itself: times recorded then are late
+	mu            sync.Mutex
+	calls         []*Call
+	fetches       []Fetch
+	executions    []Execution
+	changes       []Change
+	pauses        map[int][]Interval // of controllers' processes
+	deaf          map[int][]Interval // times in which controllers could not accept connections
+	kills         map[int][]time.Time
+	stops         map[int][]time.Time // SIGTERM
+	processStarts map[int][]time.Time // of controllers' processes, in order
+	stopKills     int                 // processes that were killed as they had not ended after SIGTERM
+	failures      []string            // processes that did what they must not
+	stalls        []Interval          // of the recording process itself: times recorded then are late
 }
 
 func newRecords() *Records {
 	return &Records{
-		pauses: map[int][]Interval{},
-		deaf:   map[int][]Interval{},
-		kills:  map[int][]time.Time{},
-		stops:  map[int][]time.Time{},
+		pauses:        map[int][]Interval{},
+		deaf:          map[int][]Interval{},
+		kills:         map[int][]time.Time{},
+		stops:         map[int][]time.Time{},
+		processStarts: map[int][]time.Time{},
 	}
 }
 
@@ -134,6 +136,12 @@
 	r.kills[controller] = append(r.kills[controller], at)
 }
 
+func (r *Records) addStart(controller int, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.processStarts[controller] = append(r.processStarts[controller], at)
+}
+
 func (r *Records) addStop(controller int, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -10,7 +10,7 @@
 	drainGrace     = 250 * time.Millisecond
 	orderPause     = 50 * time.Millisecond
 	startCapacity  = 0.4 // part of its capacity that an engine starts with
-	fallMultiple   = 2.0 // of its capacity, that may be dispatched in a window
+	fallMultiple   = 0.8 // of its capacity, that may be dispatched in a window
 	warmUpTime     = 6 * time.Second
 	fallWindow     = time.Second
 	engineCores    = 2
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -161,6 +161,21 @@
 				r.addFetch(r.fetches[0])
 			}
 		}, "retries"},
+		"retries of two processes": {func(r *Records) {
+			for range freeRetries {
+				r.addFetch(r.fetches[0])
+			}
+			r.addStart(0, after(20*time.Millisecond))
+			for range freeRetries {
+				r.addFetch(Fetch{ID: "a", Engine: "e0", At: after(30 * time.Millisecond), Given: 900 * time.Millisecond})
+			}
+		}, ""},
+		"retries of one process": {func(r *Records) {
+			r.addStart(0, after(-time.Second))
+			for range freeRetries + 2 {
+				r.addFetch(r.fetches[0])
+			}
+		}, "retries"},
 		"process": {func(r *Records) { r.addFailure("crashed") }, "process"},
 	} {
 		r := goodRecords()
