--- a/choice/slow_start_fleet_test.go
+++ b/choice/slow_start_fleet_test.go
@@ -16,6 +16,7 @@
 				"restarted meanwhile":     {uneven: true, restarts: (n + 1) / 2, listDelay: second},
 				"told by no list":         {uneven: true, unlisted: true},
 				"clocks apart":            {uneven: true, skew: 100 * ms, listDelay: second},
+				"wall clocks hours apart": {uneven: true, wallApart: 7200 * second, listDelay: second},
 			} {
 				d.controllers, d.multiple = n, multiple
 				t.Run(fmt.Sprintf("%d controllers, times %.1f, %s", n, multiple, name), func(t *testing.T) {
--- a/choice/slow_start_scenario_test.go
+++ b/choice/slow_start_scenario_test.go
@@ -42,6 +42,7 @@
 	unlisted    bool  // no list has it: each finds out by itself
 	restarts    int   // controllers that restart during the slow start
 	skew        Nanos // of the controllers' clocks
+	wallApart   Nanos // of their wall clocks alone, by which they take turns
 	multiple    float64
 }
 
@@ -119,6 +120,7 @@
 	jobs       map[JobID]*scenarioJob
 	lastJob    JobID
 	skew       Nanos
+	wallOffset Nanos
 	rate       float64 // of jobs, beside the others'
 	listedAt   Nanos   // it is told of the started engine
 	restartsAt Nanos
@@ -175,6 +177,9 @@
 	o := &scenarioController{rate: 1, restartsAt: math.MaxInt64}
 	o.listedAt = scenarioStartAt + Nanos(run.random.Float64()*float64(run.listDelay))
 	o.skew = Nanos((run.random.Float64() - 0.5) * float64(run.skew))
+	if run.wallApart > 0 { // other scenarios draw as before
+		o.wallOffset = Nanos((run.random.Float64() - 0.5) * float64(run.wallApart))
+	}
 	if run.uneven && i%4 == 0 {
 		o.rate = 9
 	}
@@ -199,6 +204,9 @@
 	}
 	run.handle(i, Event{Kind: Started, Seed: uint64(run.seed)*1000 + uint64(i), Settings: ParseSettings(run.settings(i))})
 	run.handle(i, Event{Kind: EnginesListed, List: CachedList, Engines: run.entries(run.now >= o.listedAt)})
+	if o.wallOffset != 0 {
+		run.handle(i, Event{Kind: ClockStepped, ClockOffset: o.wallOffset})
+	}
 }
 
 func (run *scenarioRun) handle(i int, ev Event) {
--- a/internal/soak/controller.go
+++ b/internal/soak/controller.go
@@ -118,9 +118,9 @@
 }
 
 const (
-	// killedAfter is when a controller that has not ended may be killed after SIGTERM, as the protocol page states it.
-	// What it owes by then, it owes its clients.
-	killedAfter = 3700 * time.Millisecond
+	// killedAfter is when a controller that has not ended is killed after SIGTERM: 3.7 s as the protocol page states it,
+	// and a margin for busy machines. What it owes by then, it owes its clients.
+	killedAfter = 4 * time.Second
 	// exitWithin is how long a controller that is not killed may take to end.
 	exitWithin = 8 * time.Second
 )
