A request with the id of an open call gets no answer of its own, whenever that is answered

Cause: seen beside 4 busy loops, 1 of 2 runs of TestOpenCallsAreAnsweredAfterInputEnds: id 1 was answered twice. answerUnreadable asked whether the id was open only as it wrote its answer; where the open call was answered between the reading of the second message and that, both went out. Change: the error says that the id was in use as the message was read, and is not answered. Measured: TestAnIDThatWasUsedTwiceHasOneAnswer holds the bad order; it fails without the look at the error, and passes.

--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -17,9 +17,9 @@
 	socket     *net.TCPConn
 	acceptedAt time.Time
 
-	// unreadSince is when what is read next may have been sent, if that is earlier than it seems: while accepts failed or
+	// bufferedSince is when what is read next may have been sent, if that is earlier than it seems: while accepts failed or
 	// there was no room, or since reading was slowed down. It belongs to the reader; zero: it is read as it comes.
-	unreadSince time.Time
+	bufferedSince time.Time
 
 	// Used by the reader only.
 	buffer          []byte // nil while nothing can be read
@@ -84,7 +84,7 @@
 		return false
 	}
 	if c.hasBufferedInput() { // which may have come at any time since
-		c.unreadSince = now
+		c.bufferedSince = now
 	}
 	return true
 }
@@ -114,10 +114,10 @@
 // earliestSendTime is the earliest time at which what was just read may have been sent.
 func (c *conn) earliestSendTime() time.Time {
 	earliest := c.server.stalls.earliestSendTime(time.Now())
-	if !c.unreadSince.IsZero() && c.unreadSince.Before(earliest) {
-		earliest = c.unreadSince
+	if !c.bufferedSince.IsZero() && c.bufferedSince.Before(earliest) {
+		earliest = c.bufferedSince
 	}
-	c.unreadSince = time.Time{}
+	c.bufferedSince = time.Time{}
 	return earliest
 }
 
--- a/internal/client/handle.go
+++ b/internal/client/handle.go
@@ -81,12 +81,21 @@
 		counters.Increment("calls_crossed")
 		return nil
 	case callIDInUse:
-		return fmt.Errorf("id %d is still open and was used again", received.id)
+		return &idInUseError{id: received.id}
 	default:
 		return c.refuse(received.id, errorThrottled, "", "")
 	}
 }
 
+// idInUseError ends the input: a request has the id of a call that was open as it was read. It gets no answer of its
+// own, also where that call is answered a moment later: two answers of one id would be none.
+type idInUseError struct{ id uint32 }
+
+// Error implements error.
+func (e *idInUseError) Error() string {
+	return fmt.Sprintf("id %d is still open and was used again", e.id)
+}
+
 // openResult says whether a call was opened, or why not.
 type openResult uint8
 
--- a/internal/client/input_end.go
+++ b/internal/client/input_end.go
@@ -58,6 +58,10 @@
 // answerUnreadable answers the message that ended the input, if it is a request whose id can be read. An id that is
 // still open gets the answer of its open call alone.
 func (c *conn) answerUnreadable(reason error) {
+	var inUse *idInUseError
+	if errors.As(reason, &inUse) {
+		return
+	}
 	id, hasID := requestID(c.buffer[c.start:c.end])
 	if !hasID || c.isIDOpen(id) {
 		return
--- a/internal/client/input_end_test.go
+++ b/internal/client/input_end_test.go
@@ -46,6 +46,28 @@
 	}
 }
 
+// A request has the id of a call that is open as it is read, and that is answered before the connection gets to say so:
+// the id has one answer.
+func TestAnIDThatWasUsedTwiceHasOneAnswer(t *testing.T) {
+	s := newTestServer(t, 6)
+	c := &conn{server: s.server, open: map[uint32]*call{}}
+	opened := &call{conn: c, id: 1}
+	if c.openCall(opened) != callOpened {
+		t.Fatal("not opened")
+	}
+	c.buffer = callOf(1, "SELECT 2")
+	c.end = len(c.buffer)
+	reason := c.handleMessages(time.Now())
+	if reason == nil || !c.settle(opened, 0) {
+		t.Fatalf("%v", reason)
+	}
+	s.server.owedAnswers.Add(-1)
+	c.answerUnreadable(reason)
+	if len(c.replies) > 0 || c.isWritingReplies {
+		t.Errorf("a second answer: %q", c.replies)
+	}
+}
+
 // callWithLongFields is a call of which a first buffer does not tell where it ends.
 func callWithLongFields(id uint32) []byte {
 	fields := []string{"call", fmt.Sprintf("%016x", id), "ttl", "20000"}
@@ -358,9 +380,9 @@
 		if !c.slowDown() {
 			t.Fatal("it is not slowed")
 		}
-		isDatedBefore := !c.unreadSince.Before(before) && time.Since(c.unreadSince) >= maxReadDelay
-		if isDatedBefore != isUnread || c.unreadSince.IsZero() == isUnread {
-			t.Errorf("unread: %v, it counts from %v, slowed at %v", isUnread, c.unreadSince, before)
+		isDatedBefore := !c.bufferedSince.Before(before) && time.Since(c.bufferedSince) >= maxReadDelay
+		if isDatedBefore != isUnread || c.bufferedSince.IsZero() == isUnread {
+			t.Errorf("unread: %v, it counts from %v, slowed at %v", isUnread, c.bufferedSince, before)
 		}
 		if isUnread {
 			if _, err := accepted.Read(make([]byte, firstBufferSize)); err != nil {
--- a/internal/client/server.go
+++ b/internal/client/server.go
@@ -113,7 +113,7 @@
 // start serves a connection, or closes it if the server is closed.
 func (s *Server) start(socket *net.TCPConn, queuedSince time.Time) {
 	now := time.Now()
-	c := &conn{server: s, socket: socket, acceptedAt: now, unreadSince: queuedSince, lastUsed: now,
+	c := &conn{server: s, socket: socket, acceptedAt: now, bufferedSince: queuedSince, lastUsed: now,
 		open: map[uint32]*call{}}
 	s.mu.Lock()
 	defer s.mu.Unlock()
