--- a/choice/permission.go
+++ b/choice/permission.go
@@ -41,15 +41,11 @@
 
 // orderRefusal decides whether a job's next attempt may be ordered at an engine now; no order bypasses it.
 func (c *Controller) orderRefusal(j *job, e *engine) Refusal {
-	switch t := j.jobType; {
-	case j.finished, c.now >= j.expiresAt:
-		return JobOver
-	case j.attempt != nil:
-		return AttemptOver
-	case j.attemptCount >= c.settings.maxAttempts:
-		return AttemptsUsedUp
-	case j.mayHaveRun && !c.repeatAllowed(j, e):
-		return RepeatUnsafe
+	if refusal := c.attemptRefusal(j, e); refusal != Permitted {
+		return refusal
+	}
+	t := j.jobType
+	switch {
 	case e.State != Ready: // with no use of the grace
 		return EngineUnavailable
 	case c.inSlowStart(e) && !c.slowStartAllows(j, e):
@@ -65,6 +61,21 @@
 	return Permitted
 }
 
+// attemptRefusal decides whether a job may have another attempt, before it matters what the engine is like.
+func (c *Controller) attemptRefusal(j *job, e *engine) Refusal {
+	switch {
+	case j.finished, c.now >= j.expiresAt:
+		return JobOver
+	case j.attempt != nil:
+		return AttemptOver
+	case j.attemptCount >= c.settings.maxAttempts:
+		return AttemptsUsedUp
+	case j.mayHaveRun && !c.repeatAllowed(j, e):
+		return RepeatUnsafe
+	}
+	return Permitted
+}
+
 // dispatchAllowed reports whether a job's next attempt may be ordered at an engine now.
 func (c *Controller) dispatchAllowed(j *job, e *engine) bool {
 	return c.orderRefusal(j, e) == Permitted
--- a/internal/command/fleet/supervise.go
+++ b/internal/command/fleet/supervise.go
@@ -100,13 +100,7 @@
 		}
 		defer node.Close()
 	}
-	server := &http.Server{
-		Handler:        mux,
-		ReadTimeout:    readTimeout,
-		WriteTimeout:   writeTimeout,
-		IdleTimeout:    idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes,
-	}
+	server := newServer(mux)
 	go func() { _ = server.Serve(listener) }() // it ends as the server is closed below
 	defer server.Close()
 	slog.Info("supervising", "name", o.name, "address", listener.Addr(), "spec", supervised.Status().Spec.Digest())
@@ -116,6 +110,17 @@
 	return nil
 }
 
+// newServer returns the HTTP server of a supervisor, with its bounds.
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:        handler,
+		ReadTimeout:    readTimeout,
+		WriteTimeout:   writeTimeout,
+		IdleTimeout:    idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
 func (o superviseOptions) newSupervisor(fleet *operator.Fleet) (*supervisor.Supervisor, error) {
 	program := fleet.Program
 	if program == "" {
--- a/internal/gateway/clock.go
+++ b/internal/gateway/clock.go
@@ -57,14 +57,14 @@
 	if difference := time.Duration(offset - c.offset); difference.Abs() < minClockStep {
 		return false
 	}
-	c.forgetSteps(now)
+	c.removeOldSteps(now)
 	c.steps = append(c.steps, clockStep{seenAt: now, offsetBefore: c.offset})
 	c.offset = offset
 	return true
 }
 
-// forgetSteps drops steps that no time of day can be from before of, and the oldest beyond maxClockSteps-1.
-func (c *clock) forgetSteps(now choice.Nanos) {
+// removeOldSteps drops steps that no time of day can be from before of, and the oldest beyond maxClockSteps-1.
+func (c *clock) removeOldSteps(now choice.Nanos) {
 	for len(c.steps) > 0 && (now-c.steps[0].seenAt > choice.Nanos(stepMemory) || len(c.steps) >= maxClockSteps) {
 		c.steps = c.steps[1:]
 	}
@@ -74,7 +74,7 @@
 // the time of day may be from before the step: of the moments that it may mean, the latest that has passed counts. One
 // that lies in the future by all of them means now.
 func (c *clock) pastTime(unix, now choice.Nanos) choice.Nanos {
-	c.forgetSteps(now)
+	c.removeOldSteps(now)
 	latest, found := unix-c.offset, unix-c.offset <= now
 	for _, step := range c.steps {
 		moment := unix - step.offsetBefore
--- a/internal/gateway/send_gate.go
+++ b/internal/gateway/send_gate.go
@@ -24,7 +24,7 @@
 	connected := s.job.Client.Connected()
 	now := time.Now()
 	left := s.deadline.Sub(now)
-	refusal, unavailableSince := s.ask(connected, left)
+	refusal, unavailableSince := s.refusal(connected, left)
 	if refusal != choice.Permitted {
 		counters.Increment("send_refused_" + refusal.String())
 		s.trace("send_refused", refusal)
@@ -46,8 +46,8 @@
 // Withdraw implements backend.Gate.
 func (s sendGate) Withdraw() { s.gateway.audit.Withdrawn(s.job.id) }
 
-// ask asks the module, and says since when the engine is listed as one that takes nothing; zero: it takes jobs.
-func (s sendGate) ask(clientConnected bool, left time.Duration) (refusal choice.Refusal, unavailableSince time.Time) {
+// refusal asks the module, and says since when the engine is listed as one that takes nothing; zero: it takes jobs.
+func (s sendGate) refusal(clientConnected bool, left time.Duration) (refusal choice.Refusal, unavailableSince time.Time) {
 	g := s.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/leader/store.go
+++ b/internal/leader/store.go
@@ -32,7 +32,7 @@
 // It is not safe for concurrent use.
 type Store struct {
 	path        string
-	db          *bbolt.DB    // nil: the file could not be opened again
+	database    *bbolt.DB    // nil: the file could not be opened again
 	beforeWrite func() error // an error fails the write
 }
 
@@ -64,7 +64,7 @@
 		_ = db.Close() // the first error is the cause
 		return fmt.Errorf("prepare store %s: %w", s.path, err)
 	}
-	s.db = db
+	s.database = db
 	return nil
 }
 
@@ -86,18 +86,18 @@
 
 // Close closes the file.
 func (s *Store) Close() error {
-	if s.db == nil {
+	if s.database == nil {
 		return nil
 	}
-	db := s.db
-	s.db = nil
+	db := s.database
+	s.database = nil
 	return db.Close()
 }
 
 // Load reads the persistent state. Its MemberID is 0 if the store was never initialized.
 func (s *Store) Load() (PersistentState, error) {
 	state := PersistentState{HardState: &raftpb.HardState{}, Snapshot: &raftpb.Snapshot{}}
-	err := s.db.View(func(tx *bbolt.Tx) error {
+	err := s.database.View(func(tx *bbolt.Tx) error {
 		meta := tx.Bucket(metaBucket)
 		if id := meta.Get(memberIDKey); len(id) == memberIDBytes {
 			state.MemberID = binary.BigEndian.Uint64(id)
@@ -122,10 +122,10 @@
 
 // Initialize writes the state with which a member starts, in place of everything stored before.
 func (s *Store) Initialize(state PersistentState) error {
-	if s.db == nil {
+	if s.database == nil {
 		return errStoreNotOpen
 	}
-	return s.db.Update(func(tx *bbolt.Tx) error {
+	return s.database.Update(func(tx *bbolt.Tx) error {
 		if err := tx.DeleteBucket(entriesBucket); err != nil {
 			return err
 		}
@@ -145,13 +145,13 @@
 	if out.HardState == nil && out.Snapshot == nil && len(out.Entries) == 0 {
 		return nil
 	}
-	if s.db == nil {
+	if s.database == nil {
 		return errStoreNotOpen
 	}
 	if err := s.beforeWrite(); err != nil {
 		return err
 	}
-	return s.db.Update(func(tx *bbolt.Tx) error { return saveOutput(tx, out) })
+	return s.database.Update(func(tx *bbolt.Tx) error { return saveOutput(tx, out) })
 }
 
 func saveOutput(tx *bbolt.Tx, out Output) error {
--- a/internal/proof/soak/main.go
+++ b/internal/proof/soak/main.go
@@ -36,26 +36,43 @@
 	os.Exit(1)
 }
 
-func runSeeds() error {
-	first := flag.Uint64("seed", 1, "the first seed")
-	seeds := flag.Int("seeds", 3, "how many seeds to play")
-	length := flag.Duration("length", 30*time.Second, "of each run")
-	controllers := flag.Int("controllers", 12, "processes")
-	engines := flag.Int("engines", 12, "processes")
-	clients := flag.Int("clients", 6, "of each controller")
-	program := flag.String("program", "", "a built controller; empty: build this tree's")
-	tags := flag.String("tags", "", "build tags of the controllers; fault: system calls fail and clocks step, too")
-	logs := flag.String("logs", "", "folder for the controllers' logs")
+// options are the flags.
+type options struct {
+	firstSeed uint64
+	seeds     int
+	program   string
+	tags      string
+	run       soak.Config // of each seed
+}
+
+func parseFlags() options {
+	var o options
+	flag.Uint64Var(&o.firstSeed, "seed", 1, "the first seed")
+	flag.IntVar(&o.seeds, "seeds", 3, "how many seeds to play")
+	flag.DurationVar(&o.run.Length, "length", 30*time.Second, "of each run")
+	flag.IntVar(&o.run.Controllers, "controllers", 12, "processes")
+	flag.IntVar(&o.run.Engines, "engines", 12, "processes")
+	flag.IntVar(&o.run.Clients, "clients", 6, "of each controller")
+	flag.StringVar(&o.program, "program", "", "a built controller; empty: build this tree's")
+	flag.StringVar(&o.tags, "tags", "", "build tags of the controllers; fault: system calls fail and clocks step, too")
+	flag.StringVar(&o.run.LogFolder, "logs", "", "folder for the controllers' logs")
 	env := flag.String("env", "", "more of the controllers' environment, NAME=VALUE separated by spaces")
 	flag.Parse()
-	if *program == "" {
+	o.run.Env = strings.Fields(*env)
+	o.run.InjectErrors = o.tags != ""
+	return o
+}
+
+func runSeeds() error {
+	o := parseFlags()
+	if o.program == "" {
 		folder, err := os.MkdirTemp("", "soak-build")
 		if err != nil {
 			return err
 		}
 		defer func() { _ = os.RemoveAll(folder) }() // a temporary folder: what is left is the system's to remove
-		*program = filepath.Join(folder, "swiftreel")
-		if err := buildProgram(*program, *tags); err != nil {
+		o.program = filepath.Join(folder, "swiftreel")
+		if err := buildProgram(o.program, o.tags); err != nil {
 			return err
 		}
 	}
@@ -64,10 +81,11 @@
 		return err
 	}
 	failed := 0
-	for i := range *seeds {
-		config := soak.Config{Program: *program, EngineProgram: []string{self, "engine"}, Seed: *first + uint64(i),
-			Controllers: *controllers, Engines: *engines, Clients: *clients, Length: *length, LogFolder: *logs,
-			Env: strings.Fields(*env), InjectErrors: *tags != ""}
+	for i := range o.seeds {
+		config := o.run
+		config.Program = o.program
+		config.EngineProgram = []string{self, "engine"}
+		config.Seed = o.firstSeed + uint64(i)
 		report, err := soak.Run(config)
 		if err != nil {
 			return err
@@ -76,7 +94,7 @@
 			failed++
 		}
 	}
-	fmt.Printf("%d of %d seeds without a finding\n", *seeds-failed, *seeds)
+	fmt.Printf("%d of %d seeds without a finding\n", o.seeds-failed, o.seeds)
 	if failed > 0 {
 		return fmt.Errorf("%d seeds with findings", failed)
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -8,15 +8,15 @@
 	"time"
 )
 
-// Slack of the judge over what the terms allow, for records that are taken a moment late on a busy machine.
+// Slack of the judge over what the terms allow, for records that are admitted a moment late on a busy machine.
 const (
-	answerSlack   = 500 * time.Millisecond // as the terms have it: up to then an answer only earns nothing
-	recordSlack   = 60 * time.Millisecond
-	leaveTerm     = 100 * time.Millisecond
-	deadlineTerm  = 150 * time.Millisecond
-	toldWithin    = 7 * time.Second        // whether it arrived or not
-	stopRequests  = 700 * time.Millisecond // after SIGTERM; later a request may be lost with the process
-	resumeAllowed = 300 * time.Millisecond // after a pause, for what lay unread
+	answerSlack    = 500 * time.Millisecond // as the terms have it: up to then an answer only earns nothing
+	recordSlack    = 60 * time.Millisecond
+	leaveTerm      = 100 * time.Millisecond
+	deadlineTerm   = 150 * time.Millisecond
+	notifiedWithin = 7 * time.Second        // whether it arrived or not
+	stopRequests   = 700 * time.Millisecond // after SIGTERM; later a request may be lost with the process
+	resumeAllowed  = 300 * time.Millisecond // after a pause, for what lay unread
 )
 
 // Finding is a broken invariant.
@@ -28,8 +28,8 @@
 // String returns the finding as one line.
 func (f Finding) String() string { return f.Rule + ": " + f.Text }
 
-// judge holds the records of a run against the invariants.
-type judge struct {
+// checker holds the records of a run against the invariants.
+type checker struct {
 	*Records
 	calls    map[string]*Call
 	fetched  map[string][]Fetch
@@ -37,73 +37,73 @@
 	found    []Finding
 }
 
-// Judge returns every broken invariant. Nothing may be recorded any more.
-func Judge(records *Records) []Finding {
-	j := &judge{Records: records, calls: map[string]*Call{}, fetched: map[string][]Fetch{},
+// Check returns every broken invariant. Nothing may be recorded any more.
+func Check(records *Records) []Finding {
+	c := &checker{Records: records, calls: map[string]*Call{}, fetched: map[string][]Fetch{},
 		executed: map[string][]Execution{}}
 	for _, call := range records.calls {
-		j.calls[call.ID] = call
+		c.calls[call.ID] = call
 	}
 	for _, fetch := range records.fetches {
-		j.fetched[fetch.ID] = append(j.fetched[fetch.ID], fetch)
+		c.fetched[fetch.ID] = append(c.fetched[fetch.ID], fetch)
 	}
 	for _, execution := range records.executions {
-		j.executed[execution.ID] = append(j.executed[execution.ID], execution)
+		c.executed[execution.ID] = append(c.executed[execution.ID], execution)
 	}
 	for _, text := range records.failures {
-		j.report("process", "%s", text)
+		c.report("process", "%s", text)
 	}
 	for _, call := range records.calls {
-		j.checkAnswer(call)
-		j.checkEffect(call)
-		for _, fetch := range j.fetched[call.ID] {
-			j.checkFetch(call, fetch)
+		c.checkAnswer(call)
+		c.checkEffect(call)
+		for _, fetch := range c.fetched[call.ID] {
+			c.checkFetch(call, fetch)
 		}
 	}
-	j.checkOrder()
-	j.checkSlowStart()
-	j.checkRetries()
-	return j.found
+	c.checkOrder()
+	c.checkSlowStart()
+	c.checkRetries()
+	return c.found
 }
 
-func (j *judge) report(rule, format string, values ...any) {
-	j.found = append(j.found, Finding{Rule: rule, Text: fmt.Sprintf(format, values...)})
+func (c *checker) report(rule, format string, values ...any) {
+	c.found = append(c.found, Finding{Rule: rule, Text: fmt.Sprintf(format, values...)})
 }
 
 // checkAnswer: a call has one final answer in time, unless its client has left or its controller was killed.
-func (j *judge) checkAnswer(call *Call) {
+func (c *checker) checkAnswer(call *Call) {
 	if call.Answers > 1 {
-		j.report("answer", "call %s has %d answers", call.ID, call.Answers)
+		c.report("answer", "call %s has %d answers", call.ID, call.Answers)
 	}
 	switch call.Outcome {
 	case Left, Crossed:
 		return
 	case Unreadable:
-		j.report("answer", "call %s has an answer that cannot be read", call.ID)
+		c.report("answer", "call %s has an answer that cannot be read", call.ID)
 		return
 	case Broken, Unanswered:
-		if !j.excused(call) {
-			j.report("lost", "call %s (%s) on %s sent %s is %s after %v", call.ID, call.Type, call.Connection,
+		if !c.excused(call) {
+			c.report("lost", "call %s (%s) on %s sent %s is %s after %v", call.ID, call.Type, call.Connection,
 				clock(call.SentAt), cmp.Or(string(call.Outcome), "unanswered"), call.EndedAt.Sub(call.SentAt))
 		}
 		return
 	}
-	if late := call.EndedAt.Sub(j.dueAt(call)); late > answerSlack+recordSlack && !j.excused(call) {
-		j.report("late", "call %s (%s) sent %s is answered %s %v after its time", call.ID, call.Type,
+	if late := call.EndedAt.Sub(c.dueAt(call)); late > answerSlack+recordSlack && !c.excused(call) {
+		c.report("late", "call %s (%s) sent %s is answered %s %v after its time", call.ID, call.Type,
 			clock(call.SentAt), call.Outcome, late)
 	}
-	if call.Outcome == Served && !slices.ContainsFunc(j.executed[call.ID], func(e Execution) bool { return !e.Refused }) {
-		j.report("answer", "call %s is served and no engine ran it", call.ID)
+	if call.Outcome == Served && !slices.ContainsFunc(c.executed[call.ID], func(e Execution) bool { return !e.Refused }) {
+		c.report("answer", "call %s is served and no engine ran it", call.ID)
 	}
 }
 
 // excused reports whether the process that a call was sent to was killed before it was answered, or was about to be
 // stopped when it was sent.
-func (j *judge) excused(call *Call) bool {
-	killed := slices.ContainsFunc(j.kills[call.Controller], func(at time.Time) bool {
+func (c *checker) excused(call *Call) bool {
+	killed := slices.ContainsFunc(c.kills[call.Controller], func(at time.Time) bool {
 		return !at.Before(call.ConnectedAt) && at.Before(call.EndedAt.Add(time.Second))
 	})
-	stopped := slices.ContainsFunc(j.stops[call.Controller], func(at time.Time) bool {
+	stopped := slices.ContainsFunc(c.stops[call.Controller], func(at time.Time) bool {
 		since := call.SentAt.Sub(at)
 		return since > stopRequests && since < exitWithin
 	})
@@ -111,9 +111,9 @@
 }
 
 // dueAt is when a call's answer is due: its timeout, later where its controller was paused or could accept nothing.
-func (j *judge) dueAt(call *Call) time.Time {
+func (c *checker) dueAt(call *Call) time.Time {
 	due := call.SentAt.Add(call.Timeout)
-	for _, pause := range slices.Concat(j.pauses[call.Controller], j.deaf[call.Controller]) {
+	for _, pause := range slices.Concat(c.pauses[call.Controller], c.acceptOutages[call.Controller]) {
 		if pause.To.After(call.SentAt) && pause.From.Before(due.Add(answerSlack)) && pause.To.Add(resumeAllowed).After(due) {
 			due = pause.To.Add(resumeAllowed)
 		}
@@ -122,86 +122,86 @@
 }
 
 // checkEffect: what runs once runs once, and is not refused once it has run.
-func (j *judge) checkEffect(call *Call) {
+func (c *checker) checkEffect(call *Call) {
 	if call.Type != typeImport {
 		return
 	}
 	ran := 0
-	for _, execution := range j.executed[call.ID] {
+	for _, execution := range c.executed[call.ID] {
 		if !execution.Refused {
 			ran++
 		}
 	}
 	if ran > 1 {
-		j.report("duplicate", "call %s ran %d times", call.ID, ran)
+		c.report("duplicate", "call %s ran %d times", call.ID, ran)
 	}
 	if ran > 0 && call.Outcome == Refused {
-		j.report("duplicate", "call %s is refused and ran", call.ID)
+		c.report("duplicate", "call %s is refused and ran", call.ID)
 	}
 }
 
 // checkFetch holds one dispatch against the client's leave, its deadline, its placement and the state of its engine.
-func (j *judge) checkFetch(call *Call, fetch Fetch) {
+func (c *checker) checkFetch(call *Call, fetch Fetch) {
 	if call.Type == typeLocal && !isOfAllowedKind(fetch.Engine) {
-		j.report("placement", "call %s reaches %s", call.ID, fetch.Engine)
+		c.report("placement", "call %s reaches %s", call.ID, fetch.Engine)
 	}
-	if j.wasStalled(fetch.At) {
+	if c.wasStalled(fetch.At) {
 		return // it may have come long before it was recorded
 	}
 	if call.Outcome == Left && fetch.At.Sub(call.EndedAt) > leaveTerm+recordSlack {
-		j.report("gone", "call %s reaches %s %v after its client left", call.ID, fetch.Engine, fetch.At.Sub(call.EndedAt))
+		c.report("gone", "call %s reaches %s %v after its client left", call.ID, fetch.Engine, fetch.At.Sub(call.EndedAt))
 	}
 	left := call.SentAt.Add(call.Timeout).Sub(fetch.At)
-	if fetch.Given > left+deadlineTerm+recordSlack && !j.wasPaused(call) {
-		j.report("deadline", "call %s gives %s %v of %v", call.ID, fetch.Engine, fetch.Given, left)
+	if fetch.Given > left+deadlineTerm+recordSlack && !c.wasPaused(call) {
+		c.report("deadline", "call %s gives %s %v of %v", call.ID, fetch.Engine, fetch.Given, left)
 	}
-	if since, unavailable := j.unavailableFor(call.Controller, fetch); unavailable && since > drainGrace+recordSlack {
-		j.report("drain", "call %s reaches %s %v after it was listed as not ready", call.ID, fetch.Engine, since)
+	if since, unavailable := c.unavailableFor(call.Controller, fetch); unavailable && since > drainGrace+recordSlack {
+		c.report("drain", "call %s reaches %s %v after it was listed as not ready", call.ID, fetch.Engine, since)
 	}
 }
 
 // wasStalled reports whether the recording process got no CPU at a time.
-func (j *judge) wasStalled(at time.Time) bool {
-	return slices.ContainsFunc(j.stalls, func(stall Interval) bool {
+func (c *checker) wasStalled(at time.Time) bool {
+	return slices.ContainsFunc(c.stalls, func(stall Interval) bool {
 		return !at.Before(stall.From) && at.Before(stall.To)
 	})
 }
 
 // wasPaused reports whether a call's controller was paused between its sending and its end: it cannot know then how
 // long the call lay unread.
-func (j *judge) wasPaused(call *Call) bool {
-	return slices.ContainsFunc(j.pauses[call.Controller], func(pause Interval) bool {
+func (c *checker) wasPaused(call *Call) bool {
+	return slices.ContainsFunc(c.pauses[call.Controller], func(pause Interval) bool {
 		return pause.To.After(call.SentAt) && pause.From.Before(call.EndedAt)
 	})
 }
 
 // unavailableFor returns since when a controller was told that an engine takes nothing, if that was the last it was
-// told. What its feed held back counts as told toldWithin later.
-func (j *judge) unavailableFor(controller int, fetch Fetch) (since time.Duration, unavailable bool) {
+// notifiedAt. What its feed held back counts as told notifiedWithin later.
+func (c *checker) unavailableFor(controller int, fetch Fetch) (since time.Duration, unavailable bool) {
 	state := "ready"
 	var changedAt time.Time
-	for _, change := range j.changes {
-		told := change.At
+	for _, change := range c.changes {
+		notifiedAt := change.At
 		if change.Controller != controller {
-			told = told.Add(toldWithin)
+			notifiedAt = notifiedAt.Add(notifiedWithin)
 		}
-		if change.Engine != fetch.Engine || told.After(fetch.At) || told.Before(changedAt) {
+		if change.Engine != fetch.Engine || notifiedAt.After(fetch.At) || notifiedAt.Before(changedAt) {
 			continue
 		}
-		if change.Controller != controller && !j.isLatest(change, controller) {
+		if change.Controller != controller && !c.isLatest(change, controller) {
 			continue
 		}
 		if state == "ready" || change.State == "ready" {
-			changedAt = told
+			changedAt = notifiedAt
 		}
 		state = change.State
 	}
 	return fetch.At.Sub(changedAt), state != "ready"
 }
 
-// isLatest reports whether a controller was never told a change that another was told.
-func (j *judge) isLatest(change Change, controller int) bool {
-	return !slices.ContainsFunc(j.changes, func(own Change) bool {
+// isLatest reports whether a controller was never told a change that another was notifiedAt.
+func (c *checker) isLatest(change Change, controller int) bool {
+	return !slices.ContainsFunc(c.changes, func(own Change) bool {
 		return own.Controller == controller && own.Engine == change.Engine && own.State == change.State &&
 			own.Start.Equal(change.Start)
 	})
@@ -209,14 +209,14 @@
 
 // checkOrder: jobs of one key run one after the other, in the order in which their client sent them over a connection.
 // What counts is when a dispatch came to the engine: one that was given up there may still begin later.
-func (j *judge) checkOrder() {
+func (c *checker) checkOrder() {
 	previous := map[string]*Call{} // by key: one client has a key
-	for _, call := range j.Records.calls {
-		if call.Key == "" || len(j.fetched[call.ID]) == 0 {
+	for _, call := range c.Records.calls {
+		if call.Key == "" || len(c.fetched[call.ID]) == 0 {
 			continue
 		}
 		if before := previous[call.Key]; before != nil && before.Connection == call.Connection {
-			j.checkPair(before, call)
+			c.checkPair(before, call)
 		}
 		previous[call.Key] = call
 	}
@@ -227,40 +227,40 @@
 
 // checkPair holds two calls of a key against each other that follow one another: the earlier one runs for its time, or
 // its key rests after it.
-func (j *judge) checkPair(earlier, later *Call) {
-	first := slices.MinFunc(j.fetched[later.ID], byTime)
-	for _, fetch := range j.fetched[earlier.ID] {
-		if !j.wasBegun(fetch) || j.wasStalled(fetch.At) || j.wasStalled(first.At) {
+func (c *checker) checkPair(earlier, later *Call) {
+	first := slices.MinFunc(c.fetched[later.ID], byTime)
+	for _, fetch := range c.fetched[earlier.ID] {
+		if !c.wasBegun(fetch) || c.wasStalled(fetch.At) || c.wasStalled(first.At) {
 			continue
 		}
 		if between := first.At.Sub(fetch.At); between < min(workTime[typeImport], orderPause)-orderSlack {
-			j.report("order", "call %s of key %s reaches %s %v after call %s, sent before it, reached %s", later.ID, later.Key,
+			c.report("order", "call %s of key %s reaches %s %v after call %s, sent before it, reached %s", later.ID, later.Key,
 				first.Engine, between, earlier.ID, fetch.Engine)
 		}
 	}
 }
 
 // wasBegun reports whether an engine began a dispatch.
-func (j *judge) wasBegun(fetch Fetch) bool {
-	return slices.ContainsFunc(j.executed[fetch.ID], func(e Execution) bool {
+func (c *checker) wasBegun(fetch Fetch) bool {
+	return slices.ContainsFunc(c.executed[fetch.ID], func(e Execution) bool {
 		return !e.Refused && e.Engine == fetch.Engine && e.Incarnation == fetch.Incarnation
 	})
 }
 
 // checkSlowStart: in any window an engine that warms up gets no more calls than it withstands from all controllers that
 // were told of its start.
-func (j *judge) checkSlowStart() {
-	for engine, starts := range j.starts() {
+func (c *checker) checkSlowStart() {
+	for engine, starts := range c.starts() {
 		for _, start := range starts {
-			j.checkWindows(engine, start)
+			c.checkWindows(engine, start)
 		}
 	}
 }
 
-// starts are the times at which engines started as the feed told.
-func (j *judge) starts() map[string][]time.Time {
+// starts are the times at which engines started as the feed notifiedAt.
+func (c *checker) starts() map[string][]time.Time {
 	starts := map[string][]time.Time{}
-	for _, change := range j.changes {
+	for _, change := range c.changes {
 		if !change.Start.IsZero() && !slices.Contains(starts[change.Engine], change.Start) {
 			starts[change.Engine] = append(starts[change.Engine], change.Start)
 		}
@@ -268,9 +268,9 @@
 	return starts
 }
 
-func (j *judge) checkWindows(engine string, start time.Time) {
+func (c *checker) checkWindows(engine string, start time.Time) {
 	var arrivals []time.Time
-	for _, fetch := range j.fetches {
+	for _, fetch := range c.fetches {
 		if since := fetch.At.Sub(start); fetch.Engine == engine && since >= 0 && since < warmUpTime {
 			arrivals = append(arrivals, fetch.At)
 		}
@@ -284,7 +284,7 @@
 			}
 		}
 		if limit := slowStartLimit(first.Sub(start)); float64(count) > limit {
-			j.report("failback", "engine %s gets %d calls in a window %v after its start, it withstands %.0f", engine, count,
+			c.report("failback", "engine %s gets %d calls in a window %v after its start, it withstands %.0f", engine, count,
 				first.Sub(start), limit)
 			return
 		}
@@ -309,28 +309,28 @@
 
 // checkRetries: a controller's dispatches beyond a call's first keep to their budget. Each of its processes counts from
 // its start.
-func (j *judge) checkRetries() {
-	type controllerCalls struct{ taken, further []time.Time }
+func (c *checker) checkRetries() {
+	type controllerCalls struct{ admitted, further []time.Time }
 	all := map[int]*controllerCalls{}
-	for _, call := range j.Records.calls {
+	for _, call := range c.Records.calls {
 		of := all[call.Controller]
 		if of == nil {
 			of = &controllerCalls{}
 			all[call.Controller] = of
 		}
-		of.taken = append(of.taken, call.SentAt)
-		for _, fetch := range slices.SortedFunc(slices.Values(j.fetched[call.ID]), byTime)[min(1, len(j.fetched[call.ID])):] {
+		of.admitted = append(of.admitted, call.SentAt)
+		for _, fetch := range slices.SortedFunc(slices.Values(c.fetched[call.ID]), byTime)[min(1, len(c.fetched[call.ID])):] {
 			of.further = append(of.further, fetch.At)
 		}
 	}
 	for controller, of := range all {
 		slices.SortFunc(of.further, time.Time.Compare)
 		for _, at := range of.further {
-			sinceStart := at.Sub(j.lastStart(controller, at))
+			sinceStart := at.Sub(c.lastStart(controller, at))
 			further := within(of.further, at, min(sinceStart, retryWindow-retrySlack))
-			taken := within(of.taken, at, min(sinceStart, retryWindow+retrySlack))
-			if float64(further) > freeRetries+retryRatio*float64(taken) {
-				j.report("retries", "controller %d has sent %d further dispatches for %d calls at %s", controller, further, taken,
+			admitted := within(of.admitted, at, min(sinceStart, retryWindow+retrySlack))
+			if float64(further) > freeRetries+retryRatio*float64(admitted) {
+				c.report("retries", "controller %d has sent %d further dispatches for %d calls at %s", controller, further, admitted,
 					clock(at))
 				break
 			}
@@ -339,8 +339,8 @@
 }
 
 // lastStart is when the process of a controller started that ran at a time.
-func (j *judge) lastStart(controller int, at time.Time) (last time.Time) {
-	for _, start := range j.processStarts[controller] {
+func (c *checker) lastStart(controller int, at time.Time) (last time.Time) {
+	for _, start := range c.processStarts[controller] {
 		if start.Before(at) {
 			last = start
 		}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"swiftreel/internal/client"
+	"swiftreel/internal/fake"
 )
 
 const (
@@ -19,11 +20,10 @@
 	longOneIn     = 4                // imports
 	connectDelay  = 20 * time.Millisecond
 	thinkTime     = 60 * time.Millisecond // mean, between two turns of a client
-	restTime      = 700 * time.Millisecond
+	idleTime      = 700 * time.Millisecond
 	pieceInterval = 40 * time.Millisecond
 	statement     = "SELECT 1 FROM a_1.b"
 	badInputBytes = 64 << 10 // more than a controller reads of what it cannot use
-	clientRead    = 4 << 10
 
 	// crossingTime is how shortly before the end of a resting connection a call may be sent that its client sends again.
 	crossingTime = 50 * time.Millisecond
@@ -35,7 +35,7 @@
 	partPieces   = 10 // a call in pieces
 	partLeave    = 12 // the client leaves early
 	partBadInput = 6  // input that cannot be read, behind calls that are open
-	partRest     = 4  // the connection rests, and is used again
+	partIdle     = 4  // the connection rests, and is used again
 )
 
 // loadClient is one client: it connects again and again, and takes turns on each connection. It belongs to one
@@ -48,11 +48,10 @@
 	isStopped  func() bool
 	lastCall   *atomic.Uint64
 
-	conn     net.Conn
+	conn     *fake.Client
 	connName string
 	since    time.Time // of the connection
 	conns    int
-	received []byte
 	lastID   uint32
 	open     map[uint32]*Call
 }
@@ -65,12 +64,12 @@
 			continue
 		}
 		c.use()
-		_ = c.conn.Close() // it may have ended
+		_ = c.conn.Conn.Close() // it may have ended
 	}
 }
 
 func (c *loadClient) connect() bool {
-	conn, err := dial(c.controller.address)
+	conn, err := fake.Dial(c.controller.address)
 	if err != nil {
 		return false
 	}
@@ -78,7 +77,6 @@
 	c.conn = conn
 	c.since = time.Now()
 	c.connName = fmt.Sprintf("%s-%d", c.name, c.conns)
-	c.received = nil
 	c.lastID = 0
 	c.open = map[uint32]*Call{}
 	return true
@@ -104,7 +102,7 @@
 		{partPieces, func() bool { return c.sendPieces(c.nextCall()) && c.readAll() }},
 		{partLeave, c.leave},
 		{partBadInput, c.badInput},
-		{partRest, func() bool { time.Sleep(restTime); return c.send(1) && c.readAll() }},
+		{partIdle, func() bool { time.Sleep(idleTime); return c.send(1) && c.readAll() }},
 	} {
 		if draw -= kind.part; draw < 0 {
 			return kind.take()
@@ -156,14 +154,14 @@
 		requests = append(requests, next)
 		text = append(text, next.bytes...)
 	}
-	if _, err := c.conn.Write(text); err != nil {
+	if _, err := c.conn.Conn.Write(text); err != nil {
 		return false // whether it went out whole is not known: the client sends it again
 	}
-	c.noteSent(requests...)
+	c.recordCalls(requests...)
 	return true
 }
 
-func (c *loadClient) noteSent(requests ...request) {
+func (c *loadClient) recordCalls(requests ...request) {
 	now := time.Now()
 	for _, r := range requests {
 		r.call.SentAt = now
@@ -178,11 +176,11 @@
 		if i > 0 {
 			time.Sleep(time.Duration(c.random.Int64N(int64(pieceInterval))))
 		}
-		if _, err := c.conn.Write(r.bytes[i*len(r.bytes)/3 : (i+1)*len(r.bytes)/3]); err != nil {
+		if _, err := c.conn.Conn.Write(r.bytes[i*len(r.bytes)/3 : (i+1)*len(r.bytes)/3]); err != nil {
 			return false
 		}
 	}
-	c.noteSent(r)
+	c.recordCalls(r)
 	return true
 }
 
@@ -195,10 +193,10 @@
 	switch c.random.IntN(3) {
 	case 0:
 		c.endOpen(Left)
-		_ = c.conn.Close() // it may have ended
+		_ = c.conn.Conn.Close() // it may have ended
 	case 1:
 		c.endOpen(Left)
-		reset(c.conn)
+		reset(c.conn.Conn)
 	default:
 		return c.revokeAll()
 	}
@@ -210,7 +208,7 @@
 	for id := range c.open {
 		text = client.AppendRevoke(text, id)
 	}
-	if _, err := c.conn.Write(text); err != nil {
+	if _, err := c.conn.Conn.Write(text); err != nil {
 		c.endOpen(Left) // it has gone in any case
 		return false
 	}
@@ -233,12 +231,12 @@
 		next := c.nextCall()
 		bad = next.bytes[:len(next.bytes)/2]
 	case 1:
-		_, _ = c.conn.Write(unusableMessage) // an error shows at the next write
+		_, _ = c.conn.Conn.Write(unusableMessage) // an error shows at the next write
 		c.revokeAll()
-		time.Sleep(restTime) // until then it has not left
+		time.Sleep(idleTime) // until then it has not left
 		return false
 	}
-	if _, err := c.conn.Write(bad); err != nil {
+	if _, err := c.conn.Conn.Write(bad); err != nil {
 		c.noteBroken()
 		return false
 	}
@@ -249,7 +247,7 @@
 // readAll reads until no call is open, and reports whether the connection goes on.
 func (c *loadClient) readAll() bool {
 	for len(c.open) > 0 {
-		answer, err := c.read()
+		answer, err := c.conn.Read(readTimeout)
 		switch {
 		case err == nil:
 			c.noteAnswer(answer)
@@ -272,28 +270,6 @@
 	return errors.Is(err, io.EOF) || errors.As(err, &networkError)
 }
 
-// read reads one answer.
-func (c *loadClient) read() (client.Answer, error) {
-	if err := c.conn.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
-		return client.Answer{}, err
-	}
-	for {
-		answer, size, err := client.ParseAnswer(c.received)
-		if err == nil {
-			c.received = c.received[size:]
-		}
-		if !errors.Is(err, client.ErrIncomplete) {
-			return answer, err
-		}
-		more := make([]byte, clientRead)
-		n, err := c.conn.Read(more)
-		if err != nil {
-			return answer, err
-		}
-		c.received = append(c.received, more[:n]...)
-	}
-}
-
 // noteAnswer records an answer. One to a call that the client has left, or to a message that could not be read, is none
 // that it waits for.
 func (c *loadClient) noteAnswer(answer client.Answer) {
--- a/internal/soak/controller.go
+++ b/internal/soak/controller.go
@@ -189,7 +189,7 @@
 		return nil
 	}
 	if t.Kind == faultAcceptFails {
-		defer func() { c.records.addDeaf(c.index, Interval{From: from, To: time.Now()}) }()
+		defer func() { c.records.addAcceptOutage(c.index, Interval{From: from, To: time.Now()}) }()
 	}
 	return os.WriteFile(c.steeringFile(), nil, 0o600)
 }
@@ -233,6 +233,6 @@
 
 // lastLines is the end of a log.
 func lastLines(log string) string {
-	const kept = 600
-	return log[max(0, len(log)-kept):]
+	const retained = 600
+	return log[max(0, len(log)-retained):]
 }
--- a/internal/soak/feed.go
+++ b/internal/soak/feed.go
@@ -95,13 +95,13 @@
 	defer f.mu.Unlock()
 	for i, event := range f.events {
 		lines = append(lines, event.line)
-		f.recordTold(controller, i)
+		f.recordNotified(controller, i)
 	}
 	return lines
 }
 
-// recordTold records that a controller was told an event, by its index. The lock is held.
-func (f *Feed) recordTold(controller, index int) {
+// recordNotified records that a controller was told an event, by its index. The lock is held.
+func (f *Feed) recordNotified(controller, index int) {
 	for _, e := range f.events[index].entries {
 		f.records.addChange(Change{Engine: e.name, Controller: controller, State: e.state, Start: e.start, At: time.Now()})
 	}
@@ -170,7 +170,7 @@
 		index := e.conns[conn]
 		e.conns[conn]++
 		e.write(conn, e.feed.events[index].line)
-		e.feed.recordTold(e.controller, index)
+		e.feed.recordNotified(e.controller, index)
 	}
 }
 
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -128,7 +128,7 @@
 
 // serve forwards one connection until either end closes it.
 func (p *Proxy) serve(controller net.Conn) {
-	defer p.forget(controller)
+	defer p.remove(controller)
 	p.mu.Lock()
 	p.conns[controller] = struct{}{}
 	target, incarnation := p.target, p.incarnation
@@ -141,7 +141,7 @@
 	p.mu.Lock()
 	p.conns[engineConn] = struct{}{}
 	p.mu.Unlock()
-	defer p.forget(engineConn)
+	defer p.remove(engineConn)
 	go func() {
 		p.forwardAnswers(controller, engineConn)
 		reset(controller)
@@ -149,7 +149,7 @@
 	p.forwardCommands(engineConn, controller, incarnation)
 }
 
-func (p *Proxy) forget(conn net.Conn) {
+func (p *Proxy) remove(conn net.Conn) {
 	_ = conn.Close() // it may be closed already
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -75,7 +75,7 @@
 	executions    []Execution
 	changes       []Change
 	pauses        map[int][]Interval // of controllers' processes
-	deaf          map[int][]Interval // times in which controllers could not accept connections
+	acceptOutages map[int][]Interval // times in which controllers could not accept connections
 	kills         map[int][]time.Time
 	stops         map[int][]time.Time // SIGTERM
 	processStarts map[int][]time.Time // of controllers' processes, in order
@@ -87,7 +87,7 @@
 func newRecords() *Records {
 	return &Records{
 		pauses:        map[int][]Interval{},
-		deaf:          map[int][]Interval{},
+		acceptOutages: map[int][]Interval{},
 		kills:         map[int][]time.Time{},
 		stops:         map[int][]time.Time{},
 		processStarts: map[int][]time.Time{},
@@ -124,10 +124,10 @@
 	r.pauses[controller] = append(r.pauses[controller], pause)
 }
 
-func (r *Records) addDeaf(controller int, deaf Interval) {
+func (r *Records) addAcceptOutage(controller int, outage Interval) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.deaf[controller] = append(r.deaf[controller], deaf)
+	r.acceptOutages[controller] = append(r.acceptOutages[controller], outage)
 }
 
 func (r *Records) addKill(controller int, at time.Time) {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -77,7 +77,7 @@
 	r.end()
 	r.stopped.Store(true)
 	clients.Wait()
-	report := Report{Faults: faults, Findings: Judge(r.records), Outcomes: map[Outcome]int{},
+	report := Report{Faults: faults, Findings: Check(r.records), Outcomes: map[Outcome]int{},
 		Fetches: len(r.records.fetches), Stalls: len(r.records.stalls), Kills: r.records.stopKills}
 	for _, call := range r.records.calls {
 		report.Outcomes[call.Outcome]++
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -46,7 +46,7 @@
 	}
 }
 
-// runStart is when the calls of judge tests are sent.
+// runStart is when the calls of tests of the check are sent.
 var runStart = time.Unix(5000, 0)
 
 func after(d time.Duration) time.Time { return runStart.Add(d) }
@@ -64,7 +64,7 @@
 }
 
 // Each broken invariant is found under its rule, and a run that keeps them gives none.
-func TestTheJudgeFindsEachBrokenInvariant(t *testing.T) {
+func TestEachBrokenInvariantIsFound(t *testing.T) {
 	for name, c := range map[string]struct {
 		spoil func(r *Records)
 		rule  string // empty: nothing is broken
@@ -102,11 +102,11 @@
 		}, ""},
 		"late by accepts that failed": {func(r *Records) {
 			r.calls[0].EndedAt = after(2 * time.Second)
-			r.addDeaf(0, Interval{after(-time.Second), after(1900 * time.Millisecond)})
+			r.addAcceptOutage(0, Interval{after(-time.Second), after(1900 * time.Millisecond)})
 		}, ""},
 		"too much time while accepts failed": {func(r *Records) {
 			r.fetches[0].Given = 2 * time.Second
-			r.addDeaf(0, Interval{after(-time.Second), after(time.Second)})
+			r.addAcceptOutage(0, Interval{after(-time.Second), after(time.Second)})
 		}, "deadline"},
 		"ran twice":       {func(r *Records) { r.addExecution(r.executions[0]) }, "duplicate"},
 		"refused and ran": {func(r *Records) { r.calls[0].Outcome = Refused }, "duplicate"},
@@ -130,7 +130,7 @@
 			r.addChange(Change{Engine: "e0", State: "draining", At: after(-drainGrace / 2)})
 		}, ""},
 		"another was told that it drains": {func(r *Records) {
-			r.addChange(Change{Engine: "e0", Controller: 1, State: "draining", At: after(-toldWithin - time.Second)})
+			r.addChange(Change{Engine: "e0", Controller: 1, State: "draining", At: after(-notifiedWithin - time.Second)})
 		}, "drain"},
 		"order": {func(r *Records) {
 			r.calls = append([]*Call{{ID: "b", Type: typeImport, Key: "k", Connection: "k-1", Timeout: time.Second,
@@ -181,7 +181,7 @@
 		r := goodRecords()
 		c.spoil(r)
 		rules := map[string]bool{}
-		for _, finding := range Judge(r) {
+		for _, finding := range Check(r) {
 			rules[finding.Rule] = true
 		}
 		if c.rule == "" && len(rules) > 0 || c.rule != "" && (len(rules) != 1 || !rules[c.rule]) {
