--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -17,8 +17,8 @@
 	socket     *net.TCPConn
 	acceptedAt time.Time
 
-	// bufferedSince is when what is read next may have been sent, if that is earlier than it seems: while accepts failed or
-	// there was no room, or since reading was slowed down. It belongs to the reader; zero: it is read as it comes.
+	// bufferedSince is when what is read next may have been sent, if that is earlier than it seems: while accepts failed
+	// or there was no room, or since reading was slowed down. It belongs to the reader; zero: it is read as it comes.
 	bufferedSince time.Time
 
 	// Used by the reader only.
--- a/internal/gateway/send_gate.go
+++ b/internal/gateway/send_gate.go
@@ -47,7 +47,7 @@
 func (s sendGate) Withdraw() { s.gateway.audit.Withdrawn(s.job.id) }
 
 // refusal asks the module, and says since when the engine is listed as one that takes nothing; zero: it takes jobs.
-func (s sendGate) refusal(clientConnected bool, left time.Duration) (refusal choice.Refusal, unavailableSince time.Time) {
+func (s sendGate) refusal(connected bool, left time.Duration) (refusal choice.Refusal, unavailableSince time.Time) {
 	g := s.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -57,7 +57,7 @@
 	refusal = g.module.SendRefusal(now, choice.SendFacts{
 		Job:             s.job.id,
 		Seq:             s.attempt.sequence,
-		ClientConnected: clientConnected,
+		ClientConnected: connected,
 		TimeLeft:        choice.Nanos(left),
 		SameAddress:     sameAddress,
 		MaxAge:          choice.Nanos(g.settings.dialTimeout),
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -330,7 +330,7 @@
 			further := within(of.further, at, min(sinceStart, retryWindow-retrySlack))
 			admitted := within(of.admitted, at, min(sinceStart, retryWindow+retrySlack))
 			if float64(further) > freeRetries+retryRatio*float64(admitted) {
-				c.report("retries", "controller %d has sent %d further dispatches for %d calls at %s", controller, further, admitted,
+				c.report("retries", "controller %d sends %d further dispatches for %d calls at %s", controller, further, admitted,
 					clock(at))
 				break
 			}
