--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -89,8 +89,8 @@
 		return
 	}
 	if late := call.EndedAt.Sub(c.dueAt(call)); late > answerSlack+recordSlack && !c.excused(call) {
-		c.report("late", "call %s (%s) sent %s is answered %s %v after its time", call.ID, call.Type,
-			clock(call.SentAt), call.Outcome, late)
+		c.report("late", "call %s (%s) on %s sent %s is answered %s %v after its time, %d stalls here meanwhile", call.ID,
+			call.Type, call.Connection, clock(call.SentAt), call.Outcome, late, c.stallsBetween(call.SentAt, call.EndedAt))
 	}
 	if call.Outcome == Served && !slices.ContainsFunc(c.executed[call.ID], func(e Execution) bool { return !e.Refused }) {
 		c.report("answer", "call %s is served and no engine ran it", call.ID)
@@ -153,7 +153,8 @@
 	}
 	left := call.SentAt.Add(call.Timeout).Sub(fetch.At)
 	if fetch.Given > left+deadlineTerm+recordSlack && !c.wasPaused(call) {
-		c.report("deadline", "call %s gives %s %v of %v", call.ID, fetch.Engine, fetch.Given, left)
+		c.report("deadline", "call %s on %s gives %s %v of %v, %d stalls here meanwhile", call.ID, call.Connection,
+			fetch.Engine, fetch.Given, left, c.stallsBetween(call.SentAt, fetch.At))
 	}
 	if since, unavailable := c.unavailableFor(call.Controller, fetch); unavailable && since > drainGrace+recordSlack {
 		c.report("drain", "call %s reaches %s %v after it was listed as not ready", call.ID, fetch.Engine, since)
@@ -167,6 +168,16 @@
 	})
 }
 
+// stallsBetween counts the times between two at which the recording process got no CPU.
+func (c *checker) stallsBetween(from, to time.Time) (count int) {
+	for _, stall := range c.stalls {
+		if stall.To.After(from) && stall.From.Before(to) {
+			count++
+		}
+	}
+	return count
+}
+
 // wasPaused reports whether a call's controller was paused between its sending and its end: it cannot know then how
 // long the call lay unread.
 func (c *checker) wasPaused(call *Call) bool {
