Soak: engines are ended before what they did is checked

Cause: go test -race: engines that had hung through the end of a run were let go on before the check, and recorded executions while it read the records (check.go:50, record.go:112). Change: they are killed once all controllers have ended. What they had not begun by then, nobody waits for.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -321,7 +321,7 @@
 	}
 	ending.Wait()
 	for _, e := range r.engines {
-		e.pause(false)
+		e.kill() // those that hang would begin what lies unread, for nobody
 	}
 }
 
