A known red test: after a stall a call may be sent on a list from before it

Controller 0 was stopped from 10.85 s for 2.27 s (SIGTERM and SIGSTOP); the drain was told at 12.63 s, the call was sent as it woke up. What is told counts as told though it is unread; a process that wakes up may read a call before its feed. The soak's finding names connection and time.

--- a/choice/permission_test.go
+++ b/choice/permission_test.go
@@ -114,3 +114,18 @@
 		})
 	}
 }
+
+// The process stood still for a second, in which a call came and the list said that the engine drains. The call is read
+// first: it must not go out before what the list said can have been read.
+func TestNothingIsSentOnAListFromBeforeAStall(t *testing.T) {
+	s := newStage(t, plainSettings(), 1)
+	s.pass(second)
+	s.now += second // no timer has fired
+	job := s.arrive(0, 0, 1)
+	if len(s.enginesOf(job)) == 0 {
+		return // it was not even ordered
+	}
+	refusal := s.c.SendRefusal(s.now, SendFacts{Job: job, ClientConnected: true, SameAddress: true, MaxAge: second / 4,
+		TimeLeft: second})
+	require(t, refusal != Permitted, "it is sent, a second after the list was last looked at")
+}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -157,7 +157,8 @@
 			fetch.Engine, fetch.Given, left, c.stallsBetween(call.SentAt, fetch.At))
 	}
 	if since, unavailable := c.unavailableFor(call.Controller, fetch); unavailable && since > drainGrace+recordSlack {
-		c.report("drain", "call %s reaches %s %v after it was listed as not ready", call.ID, fetch.Engine, since)
+		c.report("drain", "call %s on %s reaches %s at %s, %v after it was listed as not ready", call.ID, call.Connection,
+			fetch.Engine, clock(fetch.At), since)
 	}
 }
 
