A node closes its store under its lock

Cause: go test -race ./internal/leader, 2 of 2 runs: since a store may be opened again, Close writes Store.database (store.go:93) while a request of another member saves (store.go:148); the save might find it gone between its look and its use. Change: Node.Close holds the lock.

--- a/internal/leader/node.go
+++ b/internal/leader/node.go
@@ -83,6 +83,8 @@
 func (n *Node) Close() {
 	close(n.closed)
 	n.senders.Wait()
+	n.mu.Lock() // requests of other members may still be under way
+	defer n.mu.Unlock()
 	if err := n.store.Close(); err != nil {
 		slog.Warn("leader_store_not_closed", "reason", err)
 	}
