leader: each member is made to write in the test of failing disks

Cause: TestAFleetGoesOnAfterItsDisksFailedForAMoment waits until all three members notice that their disks fail. Once two are halted the third may stay raft's PreCandidate (a trace of two stuck runs: StatePreCandidate, term 2, no leader): it promises nothing and writes nothing, so it never notices. No fault of the product. Change: the test has each member store its promises once more; what it asserts is as before, and holds for each of the three.

--- a/internal/leader/disk_fault_test.go
+++ b/internal/leader/disk_fault_test.go
@@ -48,8 +48,17 @@
 
 func (n *Node) isHalted() bool { return n.Status().Halted != "" }
 
+// writeAgain has a member store what it has promised once more, whether or not it has something new to store.
+func (n *Node) writeAgain() {
+	n.update(func(c *Core) Output {
+		return Output{HardState: c.rawNode.BasicStatus().HardState}
+	})
+}
+
 // The disks of all voters fail for a moment: the fleet has a leader again once they work, without a restart, and what
-// was agreed before is still there.
+// was agreed before is still there. Each member is made to write: once two are halted the third may stay a candidate
+// that asks in vain for votes ahead of its election (raft's PreCandidate), which promises nothing and writes nothing, so
+// that it would never notice. A trace showed just that in each run that waited for it in vain.
 func TestAFleetGoesOnAfterItsDisksFailedForAMoment(t *testing.T) {
 	for name, fault := range map[string]syscall.Errno{"full": syscall.ENOSPC, "error": syscall.EIO} {
 		t.Run(name, func(t *testing.T) {
@@ -61,6 +70,7 @@
 			_ = leader.Propose(leader.ActiveTerm(), "lost", []byte("amid")) // its outcome is not known
 			await(t, "all members notice", func() bool {
 				for _, node := range f.nodes {
+					node.writeAgain()
 					if !node.isHalted() {
 						return false
 					}
