Soak: clients go on until the kill at 3.7 s, signals in series, crowds, placed pairs

Cause: the soak ended its clients 0.4 s after SIGTERM, killed every other controller at 4 s, excused every call from 0.7 s after SIGTERM on, dropped the second fault at one controller or engine, and counted a call for the retry budget only once its write had returned. Change: calls are sent on open connections until those are closed or the process is killed, 3.7 s after SIGTERM, each controller; SIGHUP and SIGTERM come in series, also during a start; idle clients fill the descriptors; each group of faults has two kinds placed at one controller or engine, the second 0 to 1 s into the first, and the soak prints which pairs were played. No call is excused by its time after SIGTERM. Calls written at once may cross a close only where the controller's log names that connection idle, and none that crossed may have been sent on. A call counts for the retry budget from when its write began; as answers, deadlines and leaves count from its end, that stamp is for the budget alone, and more lenient by one write. Processes of a soak die with it (death signal). Faults and their plays, aspects, stand in files of their own.

--- a/internal/client/server.go
+++ b/internal/client/server.go
@@ -142,9 +142,9 @@
 // RefuseCalls throttles all calls that are read from now on. Those taken before are still owed their answer.
 func (s *Server) RefuseCalls() { s.isRefusing.Store(true) }
 
-// HasPendingInput reports whether bytes of clients lie unread or were read in part, a connection waits to be
-// accepted or served, or a small answer to be written. A client can bring that about without end, so a caller must not
-// wait for it without a limit.
+// HasPendingInput reports whether bytes of clients lie unread or were read in part, a connection waits to be accepted
+// or served, or a small answer to be written. A client can bring that about without end, so a caller must not wait
+// for it without a limit.
 func (s *Server) HasPendingInput() bool {
 	if s.pendingReplies.Load() > 0 || s.isAdmitting.Load() {
 		return true
@@ -169,8 +169,8 @@
 func (s *Server) Close() { s.CloseWithin(closeTimeout) }
 
 // CloseWithin ends all connections and waits for their readers. Each is half-closed first, so that an answer that was
-// just written reaches a client which has sent more; that is not taken. A call that was read since its caller has looked
-// is answered before, for as long as the limit.
+// just written reaches a client which has sent more; that is not taken. A call that was read since its caller has
+// looked is answered before, for as long as the limit.
 func (s *Server) CloseWithin(limit time.Duration) {
 	s.RefuseCalls()
 	s.mu.Lock()
--- a/internal/leader/disk_fault_test.go
+++ b/internal/leader/disk_fault_test.go
@@ -57,8 +57,8 @@
 
 // The disks of all voters fail for a moment: the fleet has a leader again once they work, without a restart, and what
 // was agreed before is still there. Each member is made to write: once two are halted the third may stay a candidate
-// that asks in vain for votes ahead of its election (raft's PreCandidate), which promises nothing and writes nothing, so
-// that it would never notice. A trace showed just that in each run that waited for it in vain.
+// that asks in vain for votes ahead of its election (raft's PreCandidate), which promises nothing and writes nothing,
+// so that it would never notice. A trace showed just that in each run that waited for it in vain.
 func TestAFleetGoesOnAfterItsDisksFailedForAMoment(t *testing.T) {
 	for name, fault := range map[string]syscall.Errno{"full": syscall.ENOSPC, "error": syscall.EIO} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/proof/soak/main.go
+++ b/internal/proof/soak/main.go
@@ -6,9 +6,11 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -81,6 +83,7 @@
 		return err
 	}
 	failed := 0
+	played, found := map[string]int{}, map[string]int{}
 	for i := range o.seeds {
 		config := o.run
 		config.Program = o.program
@@ -93,7 +96,14 @@
 		if !printReport(config.Seed, report) {
 			failed++
 		}
+		for pair, count := range report.Pairs {
+			played[pair] += count
+			if len(report.Findings) > 0 {
+				found[pair] += count
+			}
+		}
 	}
+	printPairs(played, found)
 	fmt.Printf("%d of %d seeds without a finding\n", o.seeds-failed, o.seeds)
 	if failed > 0 {
 		return fmt.Errorf("%d seeds with findings", failed)
@@ -136,3 +146,20 @@
 	}
 	return false
 }
+
+// printPairs prints how many of the placed pairs of faults were played, how often each, and those of seeds with
+// findings.
+func printPairs(played, found map[string]int) {
+	total := 0
+	for _, count := range played {
+		total += count
+	}
+	fmt.Printf("%d pairs of faults placed, %d different\n", total, len(played))
+	for _, pair := range slices.Sorted(maps.Keys(played)) {
+		fmt.Printf("  pair %-50s %3d", pair, played[pair])
+		if found[pair] > 0 {
+			fmt.Printf(", %d of them in seeds with findings", found[pair])
+		}
+		fmt.Println()
+	}
+}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -15,7 +15,6 @@
 	leaveTerm      = 100 * time.Millisecond
 	deadlineTerm   = 150 * time.Millisecond
 	notifiedWithin = 7 * time.Second        // whether it arrived or not
-	stopRequests   = 700 * time.Millisecond // after SIGTERM; later a request may be lost with the process
 	resumeAllowed  = 300 * time.Millisecond // after a pause, for what lay unread
 )
 
@@ -76,13 +75,16 @@
 		c.report("answer", "call %s has %d answers", call.ID, call.Answers)
 	}
 	switch call.Outcome {
-	case Left, Crossed:
+	case Left:
+		return
+	case Crossed:
+		c.checkCrossed(call)
 		return
 	case Unreadable:
 		c.report("answer", "call %s has an answer that cannot be read", call.ID)
 		return
 	case Broken, Unanswered:
-		if !c.excused(call) {
+		if !c.excused(call) && !c.shutByCrowd(call) {
 			c.report("lost", "call %s (%s) on %s sent %s is %s after %v", call.ID, call.Type, call.Connection,
 				clock(call.SentAt), cmp.Or(string(call.Outcome), "unanswered"), call.EndedAt.Sub(call.SentAt))
 		}
@@ -97,17 +99,34 @@
 	}
 }
 
-// excused reports whether the process that a call was sent to was killed before it was answered, or was about to be
-// stopped when it was sent.
+// checkCrossed: calls that crossed the close of a connection were not taken. A single call on a resting connection is
+// sent again by its client; for several the controller has to say that nothing was open or unread as it closed.
+func (c *checker) checkCrossed(call *Call) {
+	switch {
+	case c.excused(call):
+	case len(c.fetched[call.ID]) > 0:
+		c.report("lost", "call %s (%s) on %s sent %s crossed a close and was sent on", call.ID, call.Type, call.Connection,
+			clock(call.SentAt))
+	case call.SentWith > 1 && !c.idleCloses[call.Controller][call.LocalAddress] && !c.shutByCrowd(call):
+		c.report("lost", "call %s (%s) on %s sent %s with %d crossed a close that its controller does not name idle", call.ID,
+			call.Type, call.Connection, clock(call.SentAt), call.SentWith)
+	}
+}
+
+// excused reports whether the process that a call was sent to was killed, as a crash does, before it was answered.
 func (c *checker) excused(call *Call) bool {
-	killed := slices.ContainsFunc(c.kills[call.Controller], func(at time.Time) bool {
+	return slices.ContainsFunc(c.kills[call.Controller], func(at time.Time) bool {
 		return !at.Before(call.ConnectedAt) && at.Before(call.EndedAt.Add(time.Second))
 	})
-	stopped := slices.ContainsFunc(c.stops[call.Controller], func(at time.Time) bool {
-		since := call.SentAt.Sub(at)
-		return since > stopRequests && since < exitWithin
-	})
-	return killed || stopped
+}
+
+// shutByCrowd reports whether a call was the first on a new connection that idle clients left no room for: it may be
+// shut unread.
+func (c *checker) shutByCrowd(call *Call) bool {
+	return call.IsFirst && len(c.fetched[call.ID]) == 0 &&
+		slices.ContainsFunc(c.crowds[call.Controller], func(crowd Interval) bool {
+			return call.EndedAt.After(crowd.From) && call.ConnectedAt.Before(crowd.To)
+		})
 }
 
 // dueAt is when a call's answer is due: its timeout, later where its controller was paused or could accept nothing.
@@ -219,8 +238,8 @@
 	})
 }
 
-// checkOrder: jobs of one key run one after the other, in the order in which their client sent them over a connection.
-// What counts is when a dispatch came to the engine: one that was given up there may still begin later.
+// checkOrder: jobs of one key run one after the other, in the order in which their client sent them over a
+// connection. What counts is when a dispatch came to the engine: one that was given up there may still begin later.
 func (c *checker) checkOrder() {
 	previous := map[string]*Call{} // by key: one client has a key
 	for _, call := range c.Records.calls {
@@ -237,8 +256,8 @@
 // orderSlack is how much the distance of two dispatches may shrink on their way.
 const orderSlack = 8 * time.Millisecond
 
-// checkPair holds two calls of a key against each other that follow one another: the earlier one runs for its time, or
-// its key rests after it.
+// checkPair holds two calls of a key against each other that follow one another: the earlier one runs for its time,
+// or its key rests after it.
 func (c *checker) checkPair(earlier, later *Call) {
 	first := slices.MinFunc(c.fetched[later.ID], byTime)
 	for _, fetch := range c.fetched[earlier.ID] {
@@ -259,8 +278,8 @@
 	})
 }
 
-// checkSlowStart: in any window an engine that warms up gets no more calls than it withstands from all controllers that
-// were told of its start.
+// checkSlowStart: in any window an engine that warms up gets no more calls than it withstands from all controllers
+// that were told of its start.
 func (c *checker) checkSlowStart() {
 	for engine, starts := range c.starts() {
 		for _, start := range starts {
@@ -319,8 +338,9 @@
 // retrySlack is by how much an order may come before its dispatch reaches its engine: the budget counts orders.
 const retrySlack = time.Second
 
-// checkRetries: a controller's dispatches beyond a call's first keep to their budget. Each of its processes counts from
-// its start.
+// checkRetries: a controller's dispatches beyond a call's first keep to their budget. Each of its processes counts
+// from its start. A call counts from when its write began: a controller may have taken it, and dispatched it, before
+// the client's write has returned.
 func (c *checker) checkRetries() {
 	type controllerCalls struct{ admitted, further []time.Time }
 	all := map[int]*controllerCalls{}
@@ -330,7 +350,7 @@
 			of = &controllerCalls{}
 			all[call.Controller] = of
 		}
-		of.admitted = append(of.admitted, call.SentAt)
+		of.admitted = append(of.admitted, call.BegunAt)
 		for _, fetch := range slices.SortedFunc(slices.Values(c.fetched[call.ID]), byTime)[min(1, len(c.fetched[call.ID])):] {
 			of.further = append(of.further, fetch.At)
 		}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -12,6 +12,7 @@
 
 	"swiftreel/internal/client"
 	"swiftreel/internal/fake"
+	"swiftreel/internal/socketstate"
 )
 
 const (
@@ -25,7 +26,8 @@
 	statement     = "SELECT 1 FROM a_1.b"
 	badInputBytes = 64 << 10 // more than a controller reads of what it cannot use
 
-	// crossingTime is how shortly before the end of a resting connection a call may be sent that its client sends again.
+	// crossingTime is how shortly before the end of a resting connection a call may be sent that its client sends
+	// again.
 	crossingTime = 50 * time.Millisecond
 )
 
@@ -54,6 +56,7 @@
 	conns    int
 	lastID   uint32
 	open     map[uint32]*Call
+	hasSent  bool // on this connection
 }
 
 // run goes on until stopped.
@@ -79,9 +82,16 @@
 	c.connName = fmt.Sprintf("%s-%d", c.name, c.conns)
 	c.lastID = 0
 	c.open = map[uint32]*Call{}
+	c.hasSent = false
 	return true
 }
 
+// isClosed reports whether the controller has closed the connection: no client that looks sends on it.
+func (c *loadClient) isClosed() bool {
+	tcp, isTCP := c.conn.Conn.(*net.TCPConn)
+	return isTCP && socketstate.PeerClosed(tcp)
+}
+
 // use takes turns on the connection until it ends, or the controller is about to.
 func (c *loadClient) use() {
 	for !c.isStopped() && c.controller.acceptsRequests() {
@@ -154,33 +164,48 @@
 		requests = append(requests, next)
 		text = append(text, next.bytes...)
 	}
+	if c.isClosed() {
+		return false
+	}
+	begunAt := time.Now()
 	if _, err := c.conn.Conn.Write(text); err != nil {
 		return false // whether it went out whole is not known: the client sends it again
 	}
-	c.recordCalls(requests...)
+	c.recordCalls(begunAt, requests...)
 	return true
 }
 
-func (c *loadClient) recordCalls(requests ...request) {
+// recordCalls records calls whose last byte was just written.
+func (c *loadClient) recordCalls(begunAt time.Time, requests ...request) {
 	now := time.Now()
 	for _, r := range requests {
+		r.call.BegunAt = begunAt
 		r.call.SentAt = now
+		r.call.IsFirst = !c.hasSent
+		r.call.SentWith = len(requests)
+		r.call.LocalAddress = c.conn.Conn.LocalAddr().String()
 		c.open[r.id] = r.call
 		c.records.addCall(r.call)
 	}
+	c.hasSent = true
 }
 
 // sendPieces sends a call in three pieces.
 func (c *loadClient) sendPieces(r request) bool {
+	var begunAt time.Time // of the last piece: before it the call is not whole
 	for i := range 3 {
 		if i > 0 {
 			time.Sleep(time.Duration(c.random.Int64N(int64(pieceInterval))))
 		}
+		if c.isClosed() {
+			return false // it was not whole
+		}
+		begunAt = time.Now()
 		if _, err := c.conn.Conn.Write(r.bytes[i*len(r.bytes)/3 : (i+1)*len(r.bytes)/3]); err != nil {
 			return false
 		}
 	}
-	c.recordCalls(r)
+	c.recordCalls(begunAt, r)
 	return true
 }
 
@@ -219,8 +244,8 @@
 // unusableMessage is MessagePack, and no message of the protocol.
 var unusableMessage = []byte{0x91, 0x01}
 
-// badInput sends calls, and behind them what cannot be read. The calls are owed their answers, unless they are revoked
-// behind it.
+// badInput sends calls, and behind them what cannot be read. The calls are owed their answers, unless they are
+// revoked behind it.
 func (c *loadClient) badInput() bool {
 	if !c.send(2) {
 		return false
@@ -270,8 +295,8 @@
 	return errors.Is(err, io.EOF) || errors.As(err, &networkError)
 }
 
-// noteAnswer records an answer. One to a call that the client has left, or to a message that could not be read, is none
-// that it waits for.
+// noteAnswer records an answer. One to a call that the client has left, or to a message that could not be read, is
+// none that it waits for.
 func (c *loadClient) noteAnswer(answer client.Answer) {
 	call := c.open[answer.ID]
 	if call == nil {
@@ -293,17 +318,16 @@
 	}
 }
 
-// noteBroken records the end of the connection. A call sent alone on a resting connection just before is sent again.
+// noteBroken records the end of the connection. Calls written at once on a resting connection just before are sent
+// again; the check holds them against what the controller says of the connection.
 func (c *loadClient) noteBroken() {
-	if len(c.open) == 1 {
-		for _, call := range c.open {
-			if time.Since(call.SentAt) <= crossingTime {
-				c.endOpen(Crossed)
-				return
-			}
+	for _, call := range c.open {
+		if time.Since(call.SentAt) > crossingTime || call.SentWith < len(c.open) {
+			c.endOpen(Broken)
+			return
 		}
 	}
-	c.endOpen(Broken)
+	c.endOpen(Crossed)
 }
 
 func (c *loadClient) endOpen(outcome Outcome) {
--- a/internal/soak/engine_process.go
+++ b/internal/soak/engine_process.go
@@ -128,7 +128,8 @@
 	return ""
 }
 
-// Engine is an engine of a run: its process, which may be replaced, and the way to it. It is for one goroutine.
+// Engine is an engine of a run: its process, which may be replaced, and the way to it. It is safe for concurrent use
+// by one goroutine that replaces the process and others that pause it.
 type Engine struct {
 	name    string
 	kind    string
@@ -137,10 +138,13 @@
 	program []string // that runs EngineMain, without the figures of a incarnation
 	seed    uint64
 
+	faults      aspects
 	incarnation int
-	process     *exec.Cmd
 	reading     sync.WaitGroup // of the process's executions
-	paused      bool
+
+	mu      sync.Mutex
+	process *exec.Cmd // nil: none runs
+	paused  bool
 }
 
 // start starts a process of the engine; the one before must have ended.
@@ -149,6 +153,7 @@
 	args := append(e.program[1:len(e.program):len(e.program)], e.name, fmt.Sprint(e.incarnation), fmt.Sprint(e.seed))
 	process := exec.CommandContext(context.Background(), e.program[0], args...)
 	process.Stderr = os.Stderr
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // a soak that is killed leaves none behind
 	out, err := process.StdoutPipe()
 	if err != nil {
 		return err
@@ -156,7 +161,9 @@
 	if err := process.Start(); err != nil {
 		return err
 	}
+	e.mu.Lock()
 	e.process = process
+	e.mu.Unlock()
 	lines := bufio.NewReader(out)
 	address, err := lines.ReadString('\n')
 	if err != nil {
@@ -180,19 +187,24 @@
 
 // kill ends the process as a crash does. Its address refuses connections.
 func (e *Engine) kill() {
-	if e.process == nil {
+	e.mu.Lock()
+	process := e.process
+	e.process = nil
+	e.paused = false
+	e.mu.Unlock()
+	if process == nil {
 		return
 	}
 	e.proxy.setTarget("", e.incarnation)
-	_ = e.process.Process.Kill() // it may have ended
+	_ = process.Process.Kill() // it may have ended
 	e.reading.Wait()
-	_ = e.process.Wait() // killed
-	e.process = nil
-	e.paused = false
+	_ = process.Wait() // killed
 }
 
 // pause stops the process, or lets it go on: it hangs meanwhile.
 func (e *Engine) pause(stopped bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	if e.process == nil || e.paused == stopped {
 		return
 	}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -62,7 +62,8 @@
 
 func (p *Proxy) address() string { return p.listener.Addr().String() }
 
-// setTarget forwards later connections to a process; empty: connections are reset, as by a machine without a listener.
+// setTarget forwards later connections to a process; empty: connections are reset, as by a machine without a
+// listener.
 func (p *Proxy) setTarget(target string, incarnation int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -30,10 +30,15 @@
 	Timeout    time.Duration
 
 	ConnectedAt time.Time
+	BegunAt     time.Time // the write of its last byte began: from then on a controller may have taken it
 	SentAt      time.Time // its last byte was written
 	EndedAt     time.Time // of the outcome
 	Outcome     Outcome
 	Answers     int // that came under its id
+
+	LocalAddress string // of the client's end of its connection
+	IsFirst      bool   // nothing was sent before it on its connection
+	SentWith     int    // how many calls were written at once, with this one
 }
 
 // Fetch is a dispatch that came to an engine's address.
@@ -76,6 +81,9 @@
 	changes       []Change
 	pauses        map[int][]Interval // of controllers' processes
 	acceptOutages map[int][]Interval // times in which controllers could not accept connections
+	crowds        map[int][]Interval // times in which idle clients filled controllers' descriptors
+	idleCloses    map[int]map[string]bool
+	pairs         map[string]int // placed pairs of faults that were played, by name
 	kills         map[int][]time.Time
 	stops         map[int][]time.Time // SIGTERM
 	processStarts map[int][]time.Time // of controllers' processes, in order
@@ -88,6 +96,9 @@
 	return &Records{
 		pauses:        map[int][]Interval{},
 		acceptOutages: map[int][]Interval{},
+		crowds:        map[int][]Interval{},
+		idleCloses:    map[int]map[string]bool{},
+		pairs:         map[string]int{},
 		kills:         map[int][]time.Time{},
 		stops:         map[int][]time.Time{},
 		processStarts: map[int][]time.Time{},
@@ -118,12 +129,49 @@
 	r.changes = append(r.changes, c)
 }
 
+// beginPause records that a controller's process is paused from now on, until the returned function is called.
+func (r *Records) beginPause(controller int) (end func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	index := len(r.pauses[controller])
+	now := time.Now()
+	r.pauses[controller] = append(r.pauses[controller], Interval{From: now, To: now.Add(farAhead)})
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.pauses[controller][index].To = time.Now()
+	}
+}
+
 func (r *Records) addPause(controller int, pause Interval) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.pauses[controller] = append(r.pauses[controller], pause)
 }
 
+func (r *Records) addCrowd(controller int, crowd Interval) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crowds[controller] = append(r.crowds[controller], crowd)
+}
+
+// addIdleClose records that a controller logs that it has closed a connection, by its client's address, on which
+// nothing was open and nothing lay unread.
+func (r *Records) addIdleClose(controller int, address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.idleCloses[controller] == nil {
+		r.idleCloses[controller] = map[string]bool{}
+	}
+	r.idleCloses[controller][address] = true
+}
+
+func (r *Records) addPair(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pairs[name]++
+}
+
 func (r *Records) addAcceptOutage(controller int, outage Interval) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -154,14 +202,20 @@
 	r.stopKills++
 }
 
-// pausedSince is for how long a controller's process was paused since a time, as far as its pauses are over.
+// pausedSince is for how long a controller's process was paused since a time.
 func (r *Records) pausedSince(controller int, since time.Time) (paused time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := time.Now()
 	for _, pause := range r.pauses[controller] {
-		if pause.From.After(since) {
-			paused += pause.To.Sub(pause.From)
+		from, to := pause.From, pause.To
+		if from.Before(since) {
+			from = since
+		}
+		if to.After(now) {
+			to = now
 		}
+		paused += max(0, to.Sub(from))
 	}
 	return paused
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"swiftreel/internal/fake"
 	"swiftreel/internal/testcluster"
 )
 
@@ -35,6 +34,8 @@
 	Fetches  int
 	Stalls   int // of the recording process: what was recorded then is not judged by its time
 	Kills    int // of controllers that had not ended after SIGTERM
+
+	Pairs map[string]int // placed pairs of faults that were played, by name
 }
 
 // run is a run under way.
@@ -42,26 +43,14 @@
 	config      Config
 	records     *Records
 	feed        *Feed
-	engines     []*engineSlot
-	controllers []*controllerSlot
+	engines     []*Engine
+	controllers []*Controller
 	subnet      *testcluster.Subnet
 	folder      string
 	stopped     atomic.Bool
 	lastCall    atomic.Uint64
 }
 
-// engineSlot is an engine, which has one fault at a time.
-type engineSlot struct {
-	mu sync.Mutex
-	*Engine
-}
-
-// controllerSlot is a controller, which has one fault at a time.
-type controllerSlot struct {
-	mu sync.Mutex
-	*Controller
-}
-
 // Run plays a run and judges it. The error says that it could not be played.
 func Run(config Config) (Report, error) {
 	r := &run{config: config, records: newRecords()}
@@ -78,7 +67,7 @@
 	r.stopped.Store(true)
 	clients.Wait()
 	report := Report{Faults: faults, Findings: Check(r.records), Outcomes: map[Outcome]int{},
-		Fetches: len(r.records.fetches), Stalls: len(r.records.stalls), Kills: r.records.stopKills}
+		Fetches: len(r.records.fetches), Stalls: len(r.records.stalls), Kills: r.records.stopKills, Pairs: r.records.pairs}
 	for _, call := range r.records.calls {
 		report.Outcomes[call.Outcome]++
 	}
@@ -111,7 +100,7 @@
 		}
 		e := &Engine{name: name, kind: kind, proxy: proxy, records: r.records, program: r.config.EngineProgram,
 			seed: r.config.Seed*100 + uint64(i)}
-		r.engines = append(r.engines, &engineSlot{Engine: e})
+		r.engines = append(r.engines, e)
 		if err := e.start(); err != nil {
 			return err
 		}
@@ -150,7 +139,7 @@
 			}
 			c.entrances = append(c.entrances, entrance)
 		}
-		r.controllers = append(r.controllers, &controllerSlot{Controller: c})
+		r.controllers = append(r.controllers, c)
 		starting.Go(func() { errs[i] = c.start() })
 	}
 	starting.Wait()
@@ -165,7 +154,7 @@
 func (r *run) startClients(clients *sync.WaitGroup) {
 	for i, c := range r.controllers {
 		for k := range r.config.Clients {
-			one := &loadClient{name: fmt.Sprintf("k%02d%02d", i, k), controller: c.Controller, records: r.records,
+			one := &loadClient{name: fmt.Sprintf("k%02d%02d", i, k), controller: c, records: r.records,
 				random: rand.New(rand.NewPCG(r.config.Seed, uint64(i*100+k))), isStopped: r.stopped.Load,
 				lastCall: &r.lastCall}
 			clients.Go(one.run)
@@ -173,134 +162,6 @@
 	}
 }
 
-// play has each fault begin at its time, and waits until all are over.
-func (r *run) play(faults []Fault) {
-	started := time.Now()
-	var running sync.WaitGroup
-	for _, t := range faults {
-		time.Sleep(time.Until(started.Add(t.At)))
-		running.Go(func() { r.fault(t) })
-	}
-	time.Sleep(time.Until(started.Add(r.config.Length)))
-	running.Wait()
-}
-
-func (r *run) fault(t Fault) {
-	switch t.Kind {
-	case faultBadClient:
-		r.badClients(t)
-	case faultDrain, faultRestart, faultVanish, faultHang, faultLongHang, faultReset, faultSlow:
-		r.engineFault(t)
-	default:
-		r.controllerFault(t)
-	}
-}
-
-// badClients has clients that speak badly come for a time.
-func (r *run) badClients(t Fault) {
-	random := rand.New(rand.NewPCG(r.config.Seed, uint64(t.At)))
-	for stop := time.Now().Add(t.Length); time.Now().Before(stop); {
-		if fake.MisbehavingClient(r.controllers[t.Target].address, random) {
-			r.records.addFailure("a bad client is served")
-		}
-	}
-}
-
-// engineFault plays a fault at an engine that has none.
-func (r *run) engineFault(t Fault) {
-	e := r.engines[t.Target]
-	if !e.mu.TryLock() {
-		return
-	}
-	defer e.mu.Unlock()
-	switch t.Kind {
-	case faultDrain:
-		r.feed.add(false, e.entry("draining", time.Time{}))
-		time.Sleep(t.Length)
-		r.replace(e.Engine)
-	case faultRestart:
-		e.kill()
-		time.Sleep(t.Length / 4)
-		r.replace(e.Engine)
-	case faultHang, faultLongHang:
-		e.pause(true)
-		time.Sleep(t.Length)
-		e.pause(false)
-	case faultReset:
-		e.proxy.setMode(ProxyReset)
-		e.proxy.setMode(ProxyUp)
-	default:
-		e.proxy.setMode(map[string]ProxyMode{faultVanish: ProxySilent, faultSlow: ProxySlow}[t.Kind])
-		time.Sleep(t.Length)
-		e.proxy.setMode(ProxyUp)
-	}
-}
-
-// replace removes an engine and lists a new process of it, which is cold.
-func (r *run) replace(e *Engine) {
-	r.feed.add(false, e.entry("gone", time.Time{}))
-	e.kill()
-	started := time.Now()
-	if err := e.start(); err != nil {
-		r.records.addFailure(err.Error())
-		return
-	}
-	r.feed.add(false, e.entry("ready", started))
-}
-
-// pauseStep is how much later after SIGTERM the pause of faultTermPause begins, from one target to the next.
-const pauseStep = 40 * time.Millisecond
-
-// controllerFault plays a fault at a controller that has none, or at its feed.
-func (r *run) controllerFault(t Fault) {
-	c := r.controllers[t.Target]
-	if !c.mu.TryLock() {
-		return
-	}
-	defer c.mu.Unlock()
-	var err error
-	switch t.Kind {
-	case faultTermPause:
-		time.AfterFunc(time.Duration(t.Target)*pauseStep, func() { c.pause(t.Length) })
-		c.terminate()
-		r.saveLog(c.Controller)
-		err = c.start()
-	case faultTerm:
-		c.terminate()
-		r.saveLog(c.Controller)
-		err = c.start()
-	case faultKill:
-		c.kill()
-		r.saveLog(c.Controller)
-		err = c.start()
-	case faultPause:
-		c.pause(t.Length)
-	case faultDialFails, faultAcceptFails, faultClockStep:
-		err = c.steer(t)
-	case faultMove:
-		if err = c.move(); err == nil {
-			time.Sleep(t.Length / 10)
-			err = c.move()
-		}
-	default:
-		c.entrances[c.place].fail(t.Kind == faultFeedDown, t.Kind == faultFeedSilent, pieceOf(t.Kind))
-		time.Sleep(t.Length)
-		c.entrances[c.place].fail(false, false, 0)
-	}
-	if err != nil {
-		r.records.addFailure(err.Error())
-	}
-}
-
-// pieceOf is how many bytes the feed sends at once in a fault; 0: a whole line.
-func pieceOf(kind string) int {
-	const piece = 7
-	if kind == faultFeedSlow {
-		return piece
-	}
-	return 0
-}
-
 const (
 	hangingOneIn = 3                      // engines that hang through the end of a run
 	hangLead     = 600 * time.Millisecond // before it, for jobs to be out there
@@ -313,10 +174,10 @@
 	}
 	time.Sleep(hangLead)
 	var ending sync.WaitGroup
-	for _, c := range r.controllers {
+	for i, c := range r.controllers {
 		ending.Go(func() {
-			c.terminate()
-			r.saveLog(c.Controller)
+			c.terminate(i)
+			r.saveLog(c)
 		})
 	}
 	ending.Wait()
@@ -334,8 +195,8 @@
 // close ends what still runs, and removes the folder.
 func (r *run) close() {
 	for _, c := range r.controllers {
-		if c.process != nil {
-			c.process.Kill()
+		if process := c.current(); process != nil {
+			process.Kill()
 		}
 		for _, entrance := range c.entrances {
 			_ = entrance.listener.Close() // nothing depends on it
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,7 +23,10 @@
 	os.Exit(m.Run())
 }
 
-// A short run with few processes: what the soak plays in full (make soak).
+// shortSeeds are those of the short runs.
+var shortSeeds = []uint64{1, 2}
+
+// Short runs with few processes: what the soak plays in full (make soak).
 func TestAShortRunBreaksNoInvariant(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "swiftreel")
 	if out, err := exec.Command("go", "build", "-o", program, "swiftreel/cmd/swiftreel").CombinedOutput(); err != nil {
@@ -33,16 +36,23 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	report, err := Run(Config{Program: program, EngineProgram: []string{self, engineCommand}, Seed: 1, Controllers: 4,
-		Engines: 4, Clients: 2, Length: 8 * time.Second})
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, finding := range report.Findings {
-		t.Error(finding)
-	}
-	if report.Outcomes[Served] == 0 || len(report.Faults) < 2 {
-		t.Errorf("nothing is shown: %+v", report)
+	for _, seed := range shortSeeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			report, err := Run(Config{Program: program, EngineProgram: []string{self, engineCommand}, Seed: seed,
+				Controllers: 4, Engines: 4, Clients: 2, Length: 20 * time.Second})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, fault := range report.Faults {
+				t.Log(fault)
+			}
+			for _, finding := range report.Findings {
+				t.Error(finding)
+			}
+			if report.Outcomes[Served] == 0 || len(report.Faults) < 2 || len(report.Pairs) == 0 {
+				t.Errorf("nothing is shown: %+v", report)
+			}
+		})
 	}
 }
 
@@ -56,7 +66,7 @@
 	r := newRecords()
 	r.addChange(Change{Engine: "e0", State: "ready", At: after(-time.Minute)})
 	r.addCall(&Call{ID: "a", Type: typeImport, Key: "k", Connection: "k-1", Timeout: time.Second,
-		ConnectedAt: after(-time.Second), SentAt: runStart, EndedAt: after(100 * time.Millisecond),
+		ConnectedAt: after(-time.Second), BegunAt: runStart, SentAt: runStart, EndedAt: after(100 * time.Millisecond),
 		Outcome: Served, Answers: 1})
 	r.addFetch(Fetch{ID: "a", Engine: "e0", At: after(10 * time.Millisecond), Given: 990 * time.Millisecond})
 	r.addExecution(Execution{ID: "a", Engine: "e0", BeganAt: after(11 * time.Millisecond)})
@@ -93,7 +103,44 @@
 		}, "lost"},
 		"broken at a stop": {func(r *Records) {
 			r.calls[0].Outcome = Broken
-			r.addStop(0, after(-stopRequests/2))
+			r.addStop(0, after(-350*time.Millisecond))
+		}, "lost"},
+		"broken long after a stop": {func(r *Records) {
+			r.calls[0].Outcome = Broken
+			r.addStop(0, after(-3*time.Second))
+		}, "lost"},
+		"crossed": {func(r *Records) {
+			r.calls[0].Outcome = Crossed
+			r.fetches = nil
+		}, ""},
+		"crossed and sent on": {func(r *Records) { r.calls[0].Outcome = Crossed }, "lost"},
+		"several crossed": {func(r *Records) {
+			r.calls[0].Outcome = Crossed
+			r.calls[0].SentWith = 2
+			r.fetches = nil
+		}, "lost"},
+		"several crossed a close that is named idle": {func(r *Records) {
+			r.calls[0].Outcome = Crossed
+			r.calls[0].SentWith = 2
+			r.calls[0].LocalAddress = "127.0.0.1:4"
+			r.addIdleClose(0, "127.0.0.1:4")
+			r.fetches = nil
+		}, ""},
+		"shut unread in a crowd": {func(r *Records) {
+			r.calls[0].Outcome = Broken
+			r.calls[0].IsFirst = true
+			r.fetches = nil
+			r.addCrowd(0, Interval{after(-time.Second), after(time.Second)})
+		}, ""},
+		"shut in a crowd, and sent on": {func(r *Records) {
+			r.calls[0].Outcome = Broken
+			r.calls[0].IsFirst = true
+			r.addCrowd(0, Interval{after(-time.Second), after(time.Second)})
+		}, "lost"},
+		"shut in a crowd on a connection in use": {func(r *Records) {
+			r.calls[0].Outcome = Broken
+			r.fetches = nil
+			r.addCrowd(0, Interval{after(-time.Second), after(time.Second)})
 		}, "lost"},
 		"late": {func(r *Records) { r.calls[0].EndedAt = after(2 * time.Second) }, "late"},
 		"late by a pause": {func(r *Records) {
@@ -176,6 +223,28 @@
 				r.addFetch(r.fetches[0])
 			}
 		}, "retries"},
+		"retries for a call that is being written": {func(r *Records) {
+			r.calls[0].BegunAt = after(-20 * time.Second) // so that it earns nothing any more
+			for range freeRetries + 1 {
+				r.addFetch(r.fetches[0])
+			}
+			for i := range int(1/retryRatio) + 1 {
+				r.addCall(&Call{ID: fmt.Sprint("b", i), Connection: "k-1", Timeout: time.Second,
+					BegunAt: after(9 * time.Millisecond), SentAt: after(11 * time.Millisecond),
+					EndedAt: after(time.Second / 2), Outcome: Failed, Answers: 1})
+			}
+		}, ""},
+		"retries for calls that were written later": {func(r *Records) {
+			r.calls[0].BegunAt = after(-20 * time.Second)
+			for range freeRetries + 1 {
+				r.addFetch(r.fetches[0])
+			}
+			for i := range int(1/retryRatio) + 1 {
+				r.addCall(&Call{ID: fmt.Sprint("b", i), Connection: "k-1", Timeout: time.Second,
+					BegunAt: after(11 * time.Millisecond), SentAt: after(11 * time.Millisecond),
+					EndedAt: after(time.Second / 2), Outcome: Failed, Answers: 1})
+			}
+		}, "retries"},
 		"process": {func(r *Records) { r.addFailure("crashed") }, "process"},
 	} {
 		r := goodRecords()
@@ -206,3 +275,46 @@
 		t.Errorf("%d of %d overlap", overlapping, len(one))
 	}
 }
+
+// Every two kinds of fault are placed together by some seed, the second within a second of the first, at the same
+// controller or engine where both are about one.
+func TestEachPairOfFaultsIsPlaced(t *testing.T) {
+	const seeds = 400
+	placed := map[string]bool{}
+	for seed := range uint64(seeds) {
+		first := map[int]Fault{}
+		for _, fault := range DrawFaults(seed, time.Minute, 12, 12, true) {
+			if fault.Pair == "" {
+				continue
+			}
+			before, isSecond := first[fault.Placement]
+			if !isSecond {
+				first[fault.Placement] = fault
+				continue
+			}
+			placed[fault.Pair] = true
+			isSameSort := (engineFaultPlays[before.Kind] == nil) == (engineFaultPlays[fault.Kind] == nil)
+			if fault.At-before.At > pairWithin || isSameSort && fault.Target != before.Target {
+				t.Fatalf("seed %d: %v and %v", seed, before, fault)
+			}
+		}
+	}
+	for _, pair := range faultPairs(true) {
+		if !placed[pair.name()] {
+			t.Errorf("never placed: %s", pair.name())
+		}
+	}
+}
+
+// Each kind of fault is about one aspect, and is played.
+func TestEachKindOfFaultIsPlayed(t *testing.T) {
+	for _, pair := range faultPairs(true) {
+		kind := pair.first
+		_, hasAspect := aspectOf[kind]
+		_, isOfEngine := engineFaultPlays[kind]
+		_, isOfController := controllerFaultPlays[kind]
+		if !hasAspect || isOfEngine == isOfController {
+			t.Errorf("%s: aspect %v, at an engine %v, at a controller %v", kind, hasAspect, isOfEngine, isOfController)
+		}
+	}
+}
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -24,12 +24,12 @@
 	log strings.Builder
 }
 
-// StartProcess starts one, in a process group of its own, so that it and what it starts can be ended together. env is
-// added to the environment of this process.
+// StartProcess starts one, in a process group of its own, so that it and what it starts can be ended together. It is
+// killed with this process, however that ends. env is added to the environment of this process.
 func StartProcess(program string, env []string, args ...string) (*Process, error) {
 	p := &Process{command: exec.Command(program, args...), exited: make(chan struct{})}
 	p.command.Env = append(os.Environ(), env...)
-	p.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	p.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	from, to, err := os.Pipe()
 	if err != nil {
 		return nil, err
