Tests of stalls: a long pause with the feed lost, revocations unread; the soak's ready stamp

It counts from when the line began to be written now; drains count from the end, as before. Change: TestAfterALongPauseCallsWaitForTheFeed, TestARevocationThatLiesUnreadIsAwaited, TestHalfAMessageIsNotAwaited; two cases of the judge.

--- a/internal/acceptance/pause_test.go
+++ b/internal/acceptance/pause_test.go
@@ -84,8 +84,8 @@
 
 // A controller is stopped while jobs wait for an engine that is full. Meanwhile their clients cancel them, and the
 // engine answers what it has. When the process goes on, the engine's answers may be read first, and the jobs that are
-// taken up then were cancelled long before. The soak showed it once: a call reached its engine 1.17 s after its client
-// had revoked it, ordered 22 us before, in the moment of a SIGCONT (seed 8002 with drains placed in pauses).
+// taken up then were cancelled long before. The soak showed it once: a call reached its engine 1.17 s after its
+// client had revoked it, ordered 22 us before, in the moment of a SIGCONT (seed 8002 with drains placed in pauses).
 func TestNothingIsSentForClientsThatCancelledInAPause(t *testing.T) {
 	e := startEngine(t, time.Millisecond, true)
 	c := newController(t, 1, 0)
@@ -136,3 +136,59 @@
 		e.hold()
 	}
 }
+
+const (
+	// longPause is longer than it takes until what a feed has to tell counts as told, whether it arrived or not.
+	longPause = 8 * time.Second
+	// wakeTime is how long after a pause what is read counts as sent in the pause; the feed is followed again later.
+	wakeTime = 35 * time.Millisecond
+)
+
+// A controller is stopped for longer than it takes until what its feed has to tell counts as told. Meanwhile the
+// feed's connection ends, and an engine begins to drain. Calls that come as the process goes on wait until the feed
+// is followed again: on the list from before the pause they would go to the engine that drains.
+func TestAfterALongPauseCallsWaitForTheFeed(t *testing.T) {
+	feed, err := fake.StartDiscovery("127.0.0.1:0", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(feed.Close)
+	drains, stays := startEngine(t, time.Millisecond, false), startEngine(t, time.Millisecond, false)
+	other := endpoint("e2", stays.Address(), "ready", 0)
+	feed.AddEvent(true, "["+endpoint("e1", drains.Address(), "ready", 0)+","+other+"]")
+	c := newController(t, 1, 0)
+	c.writeConfig(feed.Address())
+	c.start()
+	until(t, "not ready", c.ready)
+	var clients []*fake.Client
+	for i := range pausedClients {
+		client := c.dial(t)
+		clients = append(clients, client)
+		sendJob(t, client, jobID(1+i), 1)
+		if _, err := client.Read(answerTimeout); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.Signal(syscall.SIGSTOP)
+	feed.DropConnections()
+	feed.AddEvent(false, "["+endpoint("e1", drains.Address(), "draining", 0)+"]")
+	time.Sleep(longPause)
+	before := len(drains.dispatches())
+	c.Signal(syscall.SIGCONT)
+	time.Sleep(wakeTime)
+	for i, client := range clients {
+		sendJob(t, client, jobID(1000+i), 1)
+	}
+	for _, client := range clients {
+		answer, err := client.Read(answerTimeout)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if answer.Error != "" {
+			t.Errorf("%s, though an engine is ready", answer.Error)
+		}
+	}
+	if sent := drains.dispatches()[before:]; len(sent) > 0 {
+		t.Errorf("%d calls reach an engine that has drained for %v", len(sent), longPause)
+	}
+}
--- /dev/null
+++ b/internal/client/await_input_test.go
@@ -0,0 +1,52 @@
+package client
+
+import (
+	"testing"
+	"time"
+)
+
+const longLimit = 20 * time.Second
+
+// The reader is held up, as by a stall: a revocation lies unread. A send waits for it, no longer than its limit, and
+// sees then that the client does not wait any more.
+func TestARevocationThatLiesUnreadIsAwaited(t *testing.T) {
+	s := newTestServer(t, 6)
+	s.jobs.blocked = make(chan struct{})
+	close(s.door.open)
+	conn := s.dial()
+	conn.Write(callOf(1, "SELECT 1 FROM a_1.b"))
+	call := s.jobs.nextRequest(t).Client
+	conn.Write(AppendRevoke(nil, 1))
+	s.until("nothing lies unread", s.server.HasPendingInput)
+	const limit = 50 * time.Millisecond
+	startedAt := time.Now()
+	call.AwaitInput(limit)
+	if waited := time.Since(startedAt); waited < limit {
+		t.Errorf("waited %v for what is not read", waited)
+	}
+	if !call.Connected() {
+		t.Error("the revocation is read, it shows nothing")
+	}
+	close(s.jobs.blocked)
+	call.AwaitInput(longLimit)
+	if call.Connected() {
+		t.Error("the client has revoked its call, and counts as waiting for it")
+	}
+}
+
+// A client that takes long over its next message holds up nothing: half of it is read.
+func TestHalfAMessageIsNotAwaited(t *testing.T) {
+	s := newTestServer(t, 6)
+	close(s.door.open)
+	conn := s.dial()
+	next := callOf(2, "SELECT 2")
+	conn.Write(append(callOf(1, "SELECT 1 FROM a_1.b"), next[:len(next)/2]...))
+	call := s.jobs.nextRequest(t).Client
+	startedAt := time.Now()
+	call.AwaitInput(longLimit)
+	if waited := time.Since(startedAt); waited > longLimit/2 {
+		t.Errorf("waited %v for a client that sends nothing", waited)
+	}
+	conn.Write(next[len(next)/2:])
+	s.jobs.nextRequest(t)
+}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -207,12 +207,16 @@
 }
 
 // unavailableFor returns since when a controller was told that an engine takes nothing, if that was the last it was
-// notifiedAt. What its feed held back counts as told notifiedWithin later.
+// notifiedAt. What its feed held back counts as told notifiedWithin later. That an engine is ready counts as told
+// from when its line began to be written: a controller may send before the write has returned.
 func (c *checker) unavailableFor(controller int, fetch Fetch) (since time.Duration, unavailable bool) {
 	state := "ready"
 	var changedAt time.Time
 	for _, change := range c.changes {
 		notifiedAt := change.At
+		if change.State == "ready" && !change.BegunAt.IsZero() {
+			notifiedAt = change.BegunAt
+		}
 		if change.Controller != controller {
 			notifiedAt = notifiedAt.Add(notifiedWithin)
 		}
--- a/internal/soak/feed.go
+++ b/internal/soak/feed.go
@@ -95,15 +95,16 @@
 	defer f.mu.Unlock()
 	for i, event := range f.events {
 		lines = append(lines, event.line)
-		f.recordNotified(controller, i)
+		f.recordNotified(controller, i, time.Now())
 	}
 	return lines
 }
 
-// recordNotified records that a controller was told an event, by its index. The lock is held.
-func (f *Feed) recordNotified(controller, index int) {
+// recordNotified records that a controller was told an event, by its index, since its writing began. The lock is held.
+func (f *Feed) recordNotified(controller, index int, begunAt time.Time) {
 	for _, e := range f.events[index].entries {
-		f.records.addChange(Change{Engine: e.name, Controller: controller, State: e.state, Start: e.start, At: time.Now()})
+		f.records.addChange(Change{Engine: e.name, Controller: controller, State: e.state, Start: e.start,
+			BegunAt: begunAt, At: time.Now()})
 	}
 }
 
@@ -169,8 +170,9 @@
 	for !e.isSilent && !e.isDown && e.conns[conn] < len(e.feed.events) {
 		index := e.conns[conn]
 		e.conns[conn]++
+		begunAt := time.Now()
 		e.write(conn, e.feed.events[index].line)
-		e.feed.recordNotified(e.controller, index)
+		e.feed.recordNotified(e.controller, index, begunAt)
 	}
 }
 
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -66,7 +66,8 @@
 	Controller int
 	State      string
 	Start      time.Time // of the engine; zero: long ago
-	At         time.Time // it was written to the controller's feed, or to its configuration
+	BegunAt    time.Time // it began to be written to the controller's feed, or to its configuration
+	At         time.Time // it was written
 }
 
 // Interval is a time in which something held.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -176,6 +176,14 @@
 		"drained a moment ago": {func(r *Records) {
 			r.addChange(Change{Engine: "e0", State: "draining", At: after(-drainGrace / 2)})
 		}, ""},
+		"told that it is ready again, as the line is still being written": {func(r *Records) {
+			r.addChange(Change{Engine: "e0", State: "draining", At: after(-time.Second)})
+			r.addChange(Change{Engine: "e0", State: "ready", BegunAt: after(9 * time.Millisecond), At: after(time.Second)})
+		}, ""},
+		"told later that it is ready again": {func(r *Records) {
+			r.addChange(Change{Engine: "e0", State: "draining", At: after(-time.Second)})
+			r.addChange(Change{Engine: "e0", State: "ready", BegunAt: after(11 * time.Millisecond), At: after(time.Second)})
+		}, "drain"},
 		"another was told that it drains": {func(r *Records) {
 			r.addChange(Change{Engine: "e0", Controller: 1, State: "draining", At: after(-notifiedWithin - time.Second)})
 		}, "drain"},
