The end of a process does not wait for clients that do not look

Cause: the close waited up to 300 ms for a client to close its half too. Change: CloseWithin closes what lingers once its limit is over, 30 ms after the half-close at least.

--- a/internal/client/await_input_test.go
+++ b/internal/client/await_input_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"swiftreel/internal/counters"
 )
 
 const longLimit = 20 * time.Second
@@ -50,3 +52,19 @@
 	conn.Write(next[len(next)/2:])
 	s.jobs.nextRequest(t)
 }
+
+// A client that does not look does not hold up the end of the process: its connection is half-closed, and closed once
+// the time for that is over.
+func TestTheEndDoesNotWaitForClientsThatDoNotLook(t *testing.T) {
+	s := newTestServer(t, 6)
+	close(s.door.open)
+	conn := s.dial()
+	conn.Write(AppendHeartbeat(nil, 1))
+	s.until("the heartbeat is not read", func() bool { return s.server.idleNow() == 1 })
+	before := counters.Value("client_conns_closed_lingering")
+	s.server.CloseWithin(lingerTime / 6)
+	if counters.Value("client_conns_closed_lingering") == before {
+		t.Error("it was waited for the client")
+	}
+	s.server.done = make(chan struct{}) // it is closed once more with the test
+}
--- a/internal/client/server.go
+++ b/internal/client/server.go
@@ -177,15 +177,35 @@
 	s.isClosed = true
 	s.capacityFreed.Broadcast()
 	s.mu.Unlock()
-	for stop := time.Now().Add(limit); !s.CloseIdle() && time.Now().Before(stop); {
+	stop := time.Now().Add(limit)
+	for !s.CloseIdle() && time.Now().Before(stop) {
 		time.Sleep(closePoll)
 	}
 	close(s.done)
 	s.closeAll()
+	late := time.AfterFunc(max(minLinger, time.Until(stop)), s.endLingering)
+	defer late.Stop()
 	s.reading.Wait()
 }
 
-const closePoll = 2 * time.Millisecond
+// endLingering closes connections that are half-closed, and whose clients have not closed them yet: nothing is owed
+// on them, and the process is about to be killed.
+func (s *Server) endLingering() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		counters.Increment("client_conns_closed_lingering")
+		_ = c.socket.Close() // its reader ends
+	}
+	for _, c := range s.lingering {
+		_ = c.socket.Close() // likewise
+	}
+}
+
+const (
+	closePoll = 2 * time.Millisecond
+	minLinger = 30 * time.Millisecond // of connections that were half-closed last
+)
 
 // CloseIdle half-closes connections on which nothing is owed and nothing has come, and reports whether those are all.
 // Their clients send no more on them, which leaves less to cross the end of the process.
