What the feed sent during a stall is read though the deadline of the read has passed

Cause, from the controller's log: discovery_lost with an i/o timeout and process_stalled for 2.1 s in the same millisecond, the call 81 ms later. The watcher waits 2.5 s for the feed; a process that is stopped meanwhile finds the deadline passed as it goes on, though the line lies unread, and drops it with the connection. Until the next one the list counted as current, as the feed was out of reach. Change: after the deadline the socket is looked at once more before the feed is given up; clients' and engines' readers did so already. Beside it, found by reading: a send that waits for its client's input does not hold up those queued behind it for the same dial, nor waits for what will never be read as messages.

--- a/internal/client/await_input_test.go
+++ b/internal/client/await_input_test.go
@@ -53,6 +53,30 @@
 	s.jobs.nextRequest(t)
 }
 
+// What a client sends behind a message that cannot be used holds up nothing either, whether it is read or not.
+func TestWhatIsNoMessageIsNotAwaited(t *testing.T) {
+	for name, input := range map[string][]byte{
+		"messages can be told apart": {codeFixArray | 1, typeAnswer},
+		"they cannot":                append([]byte{0xc1}, make([]byte, 4*firstBufferSize)...),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestServer(t, 6)
+			close(s.door.open)
+			conn := s.dial()
+			conn.Write(callOf(1, "SELECT 1 FROM a_1.b"))
+			call := s.jobs.nextRequest(t).Client
+			before := unreadableInputs()
+			conn.Write(input)
+			s.until("the input is not found unreadable", func() bool { return unreadableInputs() > before })
+			startedAt := time.Now()
+			call.AwaitInput(longLimit)
+			if waited := time.Since(startedAt); waited > longLimit/2 {
+				t.Errorf("waited %v", waited)
+			}
+		})
+	}
+}
+
 // A client that does not look does not hold up the end of the process: its connection is half-closed, and closed once
 // the time for that is over.
 func TestTheEndDoesNotWaitForClientsThatDoNotLook(t *testing.T) {
--- a/internal/client/buffered.go
+++ b/internal/client/buffered.go
@@ -57,5 +57,8 @@
 	return !isInputEnded && c.hasBufferedInput()
 }
 
-// isInputRead reports whether all that the client has sent was read and acted on, but for the beginning of a message.
-func (c *conn) isInputRead() bool { return c.isWaiting.Load() && !c.hasBufferedInput() }
+// isInputRead reports whether all that the client has sent was read and acted on, but for the beginning of a message
+// and for what never will be.
+func (c *conn) isInputRead() bool {
+	return c.isInputLost.Load() || c.isWaiting.Load() && !c.hasBufferedInput()
+}
--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -35,6 +35,7 @@
 
 	isMidMessage atomic.Bool // part of a message is in the buffer, or being read into it
 	isWaiting    atomic.Bool // the reader has acted on all that it has read, and looks for more
+	isInputLost  atomic.Bool // nothing more is read as messages: it is not known where one begins
 	rate         messageRate
 
 	writeMu sync.Mutex // held while messages are written
--- a/internal/client/input_end.go
+++ b/internal/client/input_end.go
@@ -85,6 +85,7 @@
 			isFramed = c.readRevocations() == nil
 			continue
 		}
+		c.isInputLost.Store(true)
 		c.releaseBuffer()
 		time.Sleep(openCallPoll)
 	}
--- a/internal/client/read.go
+++ b/internal/client/read.go
@@ -28,10 +28,11 @@
 
 // fill reads more into the buffer, which grows for a message that does not fit.
 func (c *conn) fill() error {
+	hasWaited := c.buffer == nil
 	if err := c.makeBufferSpace(); err != nil {
 		return err
 	}
-	if c.end > c.start || c.skippedBytes > 0 { // the rest of a message may take long
+	if !hasWaited { // for the rest of a message, which may take long
 		if err := c.waitReadable(); err != nil && !errors.Is(err, errSilent) {
 			return err
 		}
--- a/internal/discovery/feed_reader.go
+++ b/internal/discovery/feed_reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"os"
 	"syscall"
 	"time"
 
@@ -43,11 +44,14 @@
 
 // checkSocket notes that nothing has arrived that was not passed on, if that is so. The freshness's lock is held.
 func (r *feedReader) checkSocket(now time.Time) {
-	if r.hasReceived && r.isWaiting && !socketstate.Readable(r.socket) {
+	if r.hasReceived && r.isWaiting && !r.hasUnread() {
 		r.currentAt = now
 	}
 }
 
+// hasUnread reports whether something has arrived that was not read.
+func (r *feedReader) hasUnread() bool { return socketstate.Readable(r.socket) }
+
 // lineComplete gives the next line its time.
 func (r *feedReader) lineComplete() { r.lineUntil = time.Now().Add(lineTimeout) }
 
@@ -62,10 +66,17 @@
 	}
 	r.freshness.beginRead(r)
 	var readErr error
-	err = r.raw.Read(func(fd uintptr) (done bool) {
+	take := func(fd uintptr) (done bool) {
 		n, readErr = r.freshness.take(r, len(buffer), func() (int, error) { return readUninterrupted(int(fd), buffer) })
 		return !errors.Is(readErr, syscall.EAGAIN)
-	})
+	}
+	err = r.raw.Read(take)
+	if errors.Is(err, os.ErrDeadlineExceeded) { // what arrived while the process was stalled can be read
+		var taken bool
+		if controlErr := r.raw.Control(func(fd uintptr) { taken = take(fd) }); controlErr == nil && taken {
+			err = nil
+		}
+	}
 	switch {
 	case err != nil:
 		return 0, err
--- a/internal/discovery/freshness.go
+++ b/internal/discovery/freshness.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// notifiedWithin is how long after an event of the feed a controller that the feed does not reach counts as notified
-	// (protocol page, Figures).
+	// notifiedWithin is how long after an event of the feed a controller that the feed does not reach counts as
+	// notified (protocol page, Figures).
 	notifiedWithin = 7 * time.Second
 	// reconnectTime is how long after the loss of the feed its next connection is waited for, where what was received
 	// before is older than notifiedWithin. Then the feed counts as out of reach, which must stop nothing.
@@ -69,8 +69,8 @@
 	f.notifyChange()
 }
 
-// take reads what has arrived over a connection; from then on until beginRead it counts as not passed on. Where nothing
-// has arrived the error is EAGAIN, and the connection waits on.
+// take reads what has arrived over a connection; from then on until beginRead it counts as not passed on. Where
+// nothing has arrived the error is EAGAIN, and the connection waits on.
 func (f *freshness) take(r *feedReader, bufferSize int, read func() (int, error)) (n int, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -101,8 +101,8 @@
 	return last
 }
 
-// check returns a moment such that the list is known as it was told by then, and a channel that is closed once that may
-// have become a later one. A moment within maxAge is not looked for anew.
+// check returns a moment such that the list is known as it was told by then, and a channel that is closed once that
+// may have become a later one. A moment within maxAge is not looked for anew.
 func (f *freshness) check(maxAge time.Duration) (currentAt time.Time, changed <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -32,7 +32,8 @@
 	stop    context.CancelFunc // called once the feed is watched elsewhere
 }
 
-// run connects again whenever the connection ends, unless the feed has moved away from here. It ends with the context.
+// run connects again whenever the connection ends, unless the feed has moved away from here. It ends with the
+// context.
 func (s *source) run(ctx context.Context) {
 	defer s.watcher.running.Done()
 	defer s.stop()
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -100,16 +100,17 @@
 	return w.last, w.current.address
 }
 
-// CurrentAt returns a moment such that all that the feed had told by then was passed on: what lies unread, or is being
-// passed on, came later. It does not look whether there is a later moment than one within maxAge. While the feed is out
-// of reach it returns the present, as what is told then counts as told only 7 s later (protocol page, Figures).
+// CurrentAt returns a moment such that all that the feed had told by then was passed on: what lies unread, or is
+// being passed on, came later. It does not look whether there is a later moment than one within maxAge. While the
+// feed is out of reach it returns the present, as what is told then counts as told only 7 s later (protocol page,
+// Figures).
 func (w *Watcher) CurrentAt(maxAge time.Duration) time.Time {
 	currentAt, _ := w.freshness.check(maxAge)
 	return currentAt
 }
 
-// AwaitCurrent returns what CurrentAt does, but waits until that is within maxAge, no longer than limit. It must not be
-// called by notify, nor with a lock held that notify takes.
+// AwaitCurrent returns what CurrentAt does, but waits until that is within maxAge, no longer than limit. It must not
+// be called by notify, nor with a lock held that notify takes.
 func (w *Watcher) AwaitCurrent(maxAge, limit time.Duration) time.Time {
 	return w.freshness.await(maxAge, limit)
 }
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -74,7 +74,7 @@
 	c.dialTime = time.Since(startedAt) // read by this goroutine only
 	reader := newAnswerReader(socket, completeWithin(c.pool.bounds))
 	for _, d := range c.connected(socket, reader) {
-		c.send(d)
+		go c.send(d) // one may wait for its client's input, which must not hold up those of other clients
 	}
 	c.readAnswers(reader)
 	c.ended(socket)
