client: the eviction test waits until connections rest

Cause: TestTheLongestIdleConnectionIsEvictedIfNoneIsSilent takes the answer to a heartbeat for the sign that a connection is idle. The goroutines that read the question and wrote the answer may not have run on since; meanwhile the connection counts as in use, as it should, and the next one makes room. Change: the test waits until the server sees the connections at rest, and asserts what it did.

--- a/internal/client/eviction_test.go
+++ b/internal/client/eviction_test.go
@@ -18,6 +18,12 @@
 func (discardingSubmitter) Submit(gateway.Request) {}
 
 func startServer(t *testing.T, maxConns int64) (dial func() net.Conn) {
+	t.Helper()
+	_, dial = serve(t, maxConns)
+	return dial
+}
+
+func serve(t *testing.T, maxConns int64) (server *Server, dial func() net.Conn) {
 	t.Helper()
 	parts := new(limits.Budget)
 	parts.ClientConns.Store(maxConns)
@@ -32,7 +38,7 @@
 		l.Close()
 		f.Close()
 	})
-	return func() net.Conn {
+	return f, func() net.Conn {
 		c, err := net.Dial("tcp", l.Addr().String())
 		if err != nil {
 			t.Fatal(err)
@@ -78,8 +84,31 @@
 	}
 }
 
+// restingConns counts the connections that have spoken, and on which nothing is open, being read or being written.
+func (s *Server) restingConns() (count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if activity := c.activity(); activity.hasSpoken && activity.isIdle && !c.hasPendingInput() {
+			count++
+		}
+	}
+	return count
+}
+
+// awaitResting waits until so many connections rest. That an answer has come does not show it: the goroutines that have
+// read the question and written the answer may not have run since, and meanwhile the connection counts as in use.
+func awaitResting(t *testing.T, server *Server, count int) {
+	t.Helper()
+	for stop := time.Now().Add(20 * time.Second); server.restingConns() != count; time.Sleep(time.Millisecond) {
+		if time.Now().After(stop) {
+			t.Fatalf("%d connections rest, not %d", server.restingConns(), count)
+		}
+	}
+}
+
 func TestTheLongestIdleConnectionIsEvictedIfNoneIsSilent(t *testing.T) {
-	dial := startServer(t, 3)
+	server, dial := serve(t, 3)
 	var conns []net.Conn
 	for range 3 {
 		conns = append(conns, dial())
@@ -87,12 +116,14 @@
 		if !answersHeartbeat(conns[len(conns)-1]) {     // the answer shows that the revoke was read, before the next dials
 			t.Fatal("no answer")
 		}
+		awaitResting(t, server, len(conns))
 	}
 	call := AppendCall(nil, 2, "lookup", []string{"call", "00000000000000aa", "ttl", "20000"}, nil)
 	conns[0].Write(call) // the oldest has a call open
 	if !answersHeartbeat(conns[0]) {
 		t.Fatal("no answer")
 	}
+	awaitResting(t, server, 2)
 	if !answersHeartbeat(dial()) {
 		t.Error("a new client does not get in")
 	}
