--- a/internal/proof/rollout/transfer.go
+++ b/internal/proof/rollout/transfer.go
@@ -57,9 +57,9 @@
 		return 0, err
 	}
 	defer cluster.Close()
-	cluster.Faults.SetWorkDuration(transferJobTime)
 	m := cluster.Members[0]
 	load := cluster.StartLoad(transferSeed, transferClients, transferPause, false)
+	cluster.Faults.SetWorkDuration(transferJobTime) // after the load: its jobs claim what they took as it began
 	isWarm := func() bool { return load.Done.Load() > warmUpJobs }
 	if err := cluster.WaitUntil(awaitTimeout, isWarm); err != nil {
 		return 0, err
