A crowd that waits to be accepted does not keep readers from running

Cause: a trial logged how long what is read had lain in the system's buffer (TCP_INFO) where that is over 60 ms and no stall is known, with crowds placed at a third of the controllers: 41 reads on established connections, up to 272 ms late (load 52), while the ticks of the stall detector were on time. The goroutine that accepts never waits while a crowd does, and looks at all connections for each; on one core the readers wait for their turn. Change: it lets others run after each connection. No test of its own: what it changes is an order of goroutines.

--- a/choice/transfer_test.go
+++ b/choice/transfer_test.go
@@ -26,8 +26,8 @@
 	return cancelled
 }
 
-// What `make proof-rollout` shows with processes: a process that knows what its predecessor has learned takes no attempt
-// for lost that only takes as long as such jobs do; one that does not know it cancels some to try them again.
+// What `make proof-rollout` shows with processes: a process that knows what its predecessor has learned takes no
+// attempt for lost that only takes as long as such jobs do; one that does not know it cancels some to try them again.
 func TestAProcessThatKnowsItsPredecessorsStateRetriesLess(t *testing.T) {
 	predecessor := newStage(t, plainSettings(), 2)
 	if untaught := playSlowJobs(predecessor); untaught == 0 {
--- a/internal/client/server.go
+++ b/internal/client/server.go
@@ -4,6 +4,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -103,12 +104,14 @@
 }
 
 // admit serves a connection once there is room for it: only now, as nobody has to leave while nobody waits to be
-// accepted. It may have come as early as queuedSince.
+// accepted. It may have come as early as queuedSince. Then it lets others run: in a crowd that waits to be accepted this
+// goroutine never waits, and on one core it would keep the readers of all clients from what has come for them.
 func (s *Server) admit(socket *net.TCPConn, queuedSince time.Time) {
 	s.isAdmitting.Store(true)
 	defer s.isAdmitting.Store(false)
 	s.awaitCapacity()
 	s.start(socket, queuedSince)
+	runtime.Gosched()
 }
 
 // start serves a connection, or closes it if the server is closed.
