--- a/internal/client/server.go
+++ b/internal/client/server.go
@@ -104,8 +104,8 @@
 }
 
 // admit serves a connection once there is room for it: only now, as nobody has to leave while nobody waits to be
-// accepted. It may have come as early as queuedSince. Then it lets others run: in a crowd that waits to be accepted this
-// goroutine never waits, and on one core it would keep the readers of all clients from what has come for them.
+// accepted. It may have come as early as queuedSince. Then it lets others run: in a crowd that waits to be accepted
+// this goroutine never waits, and on one core it would keep the readers of all clients from what has come for them.
 func (s *Server) admit(socket *net.TCPConn, queuedSince time.Time) {
 	s.isAdmitting.Store(true)
 	defer s.isAdmitting.Store(false)
--- a/internal/discovery/feed_reader.go
+++ b/internal/discovery/feed_reader.go
@@ -44,13 +44,13 @@
 
 // checkSocket notes that nothing has arrived that was not passed on, if that is so. The freshness's lock is held.
 func (r *feedReader) checkSocket(now time.Time) {
-	if r.hasReceived && r.isWaiting && !r.hasUnread() {
+	if r.hasReceived && r.isWaiting && !r.hasBuffered() {
 		r.currentAt = now
 	}
 }
 
-// hasUnread reports whether something has arrived that was not read.
-func (r *feedReader) hasUnread() bool { return socketstate.Readable(r.socket) }
+// hasBuffered reports whether something has arrived that was not read.
+func (r *feedReader) hasBuffered() bool { return socketstate.Readable(r.socket) }
 
 // lineComplete gives the next line its time.
 func (r *feedReader) lineComplete() { r.lineUntil = time.Now().Add(lineTimeout) }
@@ -72,8 +72,8 @@
 	}
 	err = r.raw.Read(take)
 	if errors.Is(err, os.ErrDeadlineExceeded) { // what arrived while the process was stalled can be read
-		var taken bool
-		if controlErr := r.raw.Control(func(fd uintptr) { taken = take(fd) }); controlErr == nil && taken {
+		var hasRead bool
+		if controlErr := r.raw.Control(func(fd uintptr) { hasRead = take(fd) }); controlErr == nil && hasRead {
 			err = nil
 		}
 	}
--- a/internal/discovery/feed_reader_test.go
+++ b/internal/discovery/feed_reader_test.go
@@ -44,7 +44,7 @@
 	if _, err := feed.Write([]byte("41\n")); err != nil {
 		t.Fatal(err)
 	}
-	for stop := time.Now().Add(20 * time.Second); !reader.hasUnread(); time.Sleep(time.Millisecond) {
+	for stop := time.Now().Add(20 * time.Second); !reader.hasBuffered(); time.Sleep(time.Millisecond) {
 		if time.Now().After(stop) {
 			t.Fatal("nothing comes")
 		}
--- a/internal/proof/soak/main.go
+++ b/internal/proof/soak/main.go
@@ -82,6 +82,11 @@
 	if err != nil {
 		return err
 	}
+	return playSeeds(o, self)
+}
+
+// playSeeds plays all seeds with engines run by a program, and prints what came of them.
+func playSeeds(o options, self string) error {
 	failed := 0
 	played, found := map[string]int{}, map[string]int{}
 	for i := range o.seeds {
--- a/internal/soak/aspect.go
+++ b/internal/soak/aspect.go
@@ -7,15 +7,15 @@
 type aspect uint8
 
 const (
-	aspectProcess aspect = iota // it is ended and started anew
-	aspectPause                 // it is stopped for a time
-	aspectFeed                  // the way to the feed
-	aspectConfig                // a new configuration
-	aspectClients               // clients that speak badly
-	aspectCrowd                 // clients that say nothing
-	aspectCalls                 // system calls that fail
-	aspectList                  // the engine's state in the list
-	aspectWay                   // the way to the engine
+	aspectProcess     aspect = iota // it is ended and started anew
+	aspectPause                     // it is stopped for a time
+	aspectFeed                      // the way to the feed
+	aspectConfig                    // a new configuration
+	aspectClients                   // clients that speak badly
+	aspectIdleClients               // clients that say nothing
+	aspectCalls                     // system calls that fail
+	aspectList                      // the engine's state in the list
+	aspectWay                       // the way to the engine
 )
 
 // aspectOf says which aspect a fault takes hold of.
@@ -37,33 +37,33 @@
 	faultReset:       aspectWay,
 	faultSlow:        aspectWay,
 	faultBadClient:   aspectClients,
-	faultCrowd:       aspectCrowd,
+	faultIdleFlood:   aspectIdleClients,
 	faultDialFails:   aspectCalls,
 	faultAcceptFails: aspectCalls,
 	faultClockStep:   aspectCalls,
 }
 
-// aspects are those that faults have hold of. The zero value has none. It is safe for concurrent use.
+// aspects are those of which a fault is active. The zero value has none. It is safe for concurrent use.
 type aspects struct {
-	mu   sync.Mutex
-	held map[aspect]bool
+	mu     sync.Mutex
+	active map[aspect]bool
 }
 
 // acquire takes hold of the aspect of a kind of fault, unless another fault has; release lets go of it.
 func (a *aspects) acquire(kind string) (release func(), acquired bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	taken := aspectOf[kind]
-	if a.held[taken] {
+	wanted := aspectOf[kind]
+	if a.active[wanted] {
 		return nil, false
 	}
-	if a.held == nil {
-		a.held = map[aspect]bool{}
+	if a.active == nil {
+		a.active = map[aspect]bool{}
 	}
-	a.held[taken] = true
+	a.active[wanted] = true
 	return func() {
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		delete(a.held, taken)
+		delete(a.active, wanted)
 	}, true
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -84,7 +84,7 @@
 		c.report("answer", "call %s has an answer that cannot be read", call.ID)
 		return
 	case Broken, Unanswered:
-		if !c.excused(call) && !c.shutByCrowd(call) {
+		if !c.excused(call) && !c.shutByFlood(call) {
 			c.report("lost", "call %s (%s) on %s sent %s is %s after %v", call.ID, call.Type, call.Connection,
 				clock(call.SentAt), cmp.Or(string(call.Outcome), "unanswered"), call.EndedAt.Sub(call.SentAt))
 		}
@@ -107,7 +107,7 @@
 	case len(c.fetched[call.ID]) > 0:
 		c.report("lost", "call %s (%s) on %s sent %s crossed a close and was sent on", call.ID, call.Type, call.Connection,
 			clock(call.SentAt))
-	case call.SentWith > 1 && !c.idleCloses[call.Controller][call.LocalAddress] && !c.shutByCrowd(call):
+	case call.SentWith > 1 && !c.idleCloses[call.Controller][call.LocalAddress] && !c.shutByFlood(call):
 		c.report("lost", "call %s (%s) on %s sent %s with %d crossed a close that its controller does not name idle", call.ID,
 			call.Type, call.Connection, clock(call.SentAt), call.SentWith)
 	}
@@ -120,12 +120,12 @@
 	})
 }
 
-// shutByCrowd reports whether a call was the first on a new connection that idle clients left no room for: it may be
+// shutByFlood reports whether a call was the first on a new connection that idle clients left no room for: it may be
 // shut unread.
-func (c *checker) shutByCrowd(call *Call) bool {
+func (c *checker) shutByFlood(call *Call) bool {
 	return call.IsFirst && len(c.fetched[call.ID]) == 0 &&
-		slices.ContainsFunc(c.crowds[call.Controller], func(crowd Interval) bool {
-			return call.EndedAt.After(crowd.From) && call.ConnectedAt.Before(crowd.To)
+		slices.ContainsFunc(c.idleFloods[call.Controller], func(flood Interval) bool {
+			return call.EndedAt.After(flood.From) && call.ConnectedAt.Before(flood.To)
 		})
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -42,7 +42,7 @@
 	faultReset      = "engine_resets"
 	faultSlow       = "engine_slow_answers"
 	faultBadClient  = "bad_clients"
-	faultCrowd      = "crowd" // idle clients that fill the descriptors
+	faultIdleFlood  = "idle_client_flood" // idle clients that fill the descriptors
 
 	// For builds with the tag fault, which Config.InjectErrors says.
 	faultDialFails   = "dials_fail"   // with an error of the machine's own
@@ -55,7 +55,7 @@
 		faultTerm, faultTermStart, faultTermPause, faultKill, faultPause, faultMove, faultFeedDown, faultFeedSilent,
 		faultFeedSlow,
 	}
-	clientFaults   = []string{faultBadClient, faultCrowd} // at a controller
+	clientFaults   = []string{faultBadClient, faultIdleFlood} // at a controller
 	engineFaults   = []string{faultDrain, faultRestart, faultVanish, faultHang, faultLongHang, faultReset, faultSlow}
 	injectedFaults = []string{faultDialFails, faultAcceptFails, faultClockStep} // at a controller
 )
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -46,11 +46,11 @@
 // fault plays a fault, unless another has hold of what it is about.
 func (r *run) fault(t Fault, played *playedPairs) {
 	_, isEngineFault := engineFaultPlays[t.Kind]
-	held := &r.controllers[t.Target%len(r.controllers)].faults
+	active := &r.controllers[t.Target%len(r.controllers)].faults
 	if isEngineFault {
-		held = &r.engines[t.Target].faults
+		active = &r.engines[t.Target].faults
 	}
-	release, acquired := held.acquire(t.Kind)
+	release, acquired := active.acquire(t.Kind)
 	if !acquired {
 		return
 	}
@@ -159,7 +159,7 @@
 	faultFeedSilent:  failFeed,
 	faultFeedSlow:    failFeed,
 	faultBadClient:   badClients,
-	faultCrowd:       crowd,
+	faultIdleFlood:   floodWithIdleClients,
 	faultDialFails:   func(_ *run, c *Controller, t Fault) error { return c.steer(t) },
 	faultAcceptFails: func(_ *run, c *Controller, t Fault) error { return c.steer(t) },
 	faultClockStep:   func(_ *run, c *Controller, t Fault) error { return c.steer(t) },
@@ -192,19 +192,19 @@
 }
 
 const (
-	crowdSize        = 600 // connections, more than a controller has descriptors for
-	crowdDialTimeout = 100 * time.Millisecond
+	floodSize        = 600 // connections, more than a controller has descriptors for
+	floodDialTimeout = 100 * time.Millisecond
 )
 
-// crowd has clients that say nothing fill the controller's descriptors for a time.
-func crowd(r *run, c *Controller, t Fault) error {
+// floodWithIdleClients has clients that say nothing fill the controller's descriptors for a time.
+func floodWithIdleClients(r *run, c *Controller, t Fault) error {
 	from := time.Now()
-	dialer := net.Dialer{Timeout: crowdDialTimeout}
+	dialer := net.Dialer{Timeout: floodDialTimeout}
 	var conns []net.Conn
-	for range crowdSize {
+	for range floodSize {
 		conn, err := dialer.DialContext(context.Background(), "tcp4", c.address)
 		if err != nil {
-			time.Sleep(crowdDialTimeout / crowdSize)
+			time.Sleep(floodDialTimeout / floodSize)
 			continue
 		}
 		conns = append(conns, conn)
@@ -213,6 +213,6 @@
 	for _, conn := range conns {
 		_ = conn.Close() // the controller may have closed it
 	}
-	r.records.addCrowd(c.index, Interval{From: from, To: time.Now()})
+	r.records.addIdleFlood(c.index, Interval{From: from, To: time.Now()})
 	return nil
 }
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -82,7 +82,7 @@
 	changes       []Change
 	pauses        map[int][]Interval // of controllers' processes
 	acceptOutages map[int][]Interval // times in which controllers could not accept connections
-	crowds        map[int][]Interval // times in which idle clients filled controllers' descriptors
+	idleFloods    map[int][]Interval // times in which idle clients filled controllers' descriptors
 	idleCloses    map[int]map[string]bool
 	pairs         map[string]int // placed pairs of faults that were played, by name
 	kills         map[int][]time.Time
@@ -97,7 +97,7 @@
 	return &Records{
 		pauses:        map[int][]Interval{},
 		acceptOutages: map[int][]Interval{},
-		crowds:        map[int][]Interval{},
+		idleFloods:    map[int][]Interval{},
 		idleCloses:    map[int]map[string]bool{},
 		pairs:         map[string]int{},
 		kills:         map[int][]time.Time{},
@@ -150,10 +150,10 @@
 	r.pauses[controller] = append(r.pauses[controller], pause)
 }
 
-func (r *Records) addCrowd(controller int, crowd Interval) {
+func (r *Records) addIdleFlood(controller int, flood Interval) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.crowds[controller] = append(r.crowds[controller], crowd)
+	r.idleFloods[controller] = append(r.idleFloods[controller], flood)
 }
 
 // addIdleClose records that a controller logs that it has closed a connection, by its client's address, on which
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -126,21 +126,21 @@
 			r.addIdleClose(0, "127.0.0.1:4")
 			r.fetches = nil
 		}, ""},
-		"shut unread in a crowd": {func(r *Records) {
+		"shut unread in a flood of idle clients": {func(r *Records) {
 			r.calls[0].Outcome = Broken
 			r.calls[0].IsFirst = true
 			r.fetches = nil
-			r.addCrowd(0, Interval{after(-time.Second), after(time.Second)})
+			r.addIdleFlood(0, Interval{after(-time.Second), after(time.Second)})
 		}, ""},
-		"shut in a crowd, and sent on": {func(r *Records) {
+		"shut in a flood, and sent on": {func(r *Records) {
 			r.calls[0].Outcome = Broken
 			r.calls[0].IsFirst = true
-			r.addCrowd(0, Interval{after(-time.Second), after(time.Second)})
+			r.addIdleFlood(0, Interval{after(-time.Second), after(time.Second)})
 		}, "lost"},
-		"shut in a crowd on a connection in use": {func(r *Records) {
+		"shut in a flood on a connection in use": {func(r *Records) {
 			r.calls[0].Outcome = Broken
 			r.fetches = nil
-			r.addCrowd(0, Interval{after(-time.Second), after(time.Second)})
+			r.addIdleFlood(0, Interval{after(-time.Second), after(time.Second)})
 		}, "lost"},
 		"late": {func(r *Records) { r.calls[0].EndedAt = after(2 * time.Second) }, "late"},
 		"late by a pause": {func(r *Records) {
