A permission to send expires; a stall between it and the first byte is asked about again

Cause, suspected and bounded, not traced: between the permission, for which the list was read, and the write of the command lie two locks, two looks at sockets and the making of the command; a process that is stopped just there writes as it wakes up. At a load of 32 a thread may be off its core there for milliseconds. Change: a permission holds for 50 ms. With the command made, the time is looked at last before the write; what has expired is asked for again, three times at most, and ends as superseded then. Measured: TestAPermissionThatHasExpiredIsAskedForAgain; engine and gateway pass.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -96,7 +96,8 @@
 // Permission says whether a dispatch may be sent now. One that may not has the outcome Superseded.
 type Permission struct {
 	Granted   bool
-	TimeoutMS int64 // how long the engine may take, from now on
+	TimeoutMS int64     // how long the engine may take, from now on
+	ExpiresAt time.Time // the process may stall: what was permitted must not be begun later; zero: never
 }
 
 // Lane separates dispatches that may be broken off, to be sent again elsewhere, from those that may not: a connection
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -11,14 +11,31 @@
 const (
 	writeTimeout = time.Second // an engine that takes no byte for so long is cut off
 	maxMoves     = 3           // of a dispatch of which no byte went out, to another connection
+
+	maxPermissions = 3 // that a dispatch asks for on one connection
 )
 
-var errClosedByEngine = errors.New("the engine has closed the connection")
+var (
+	errClosedByEngine    = errors.New("the engine has closed the connection")
+	errPermissionExpired = errors.New("the permission to send has expired")
+)
 
 // send writes a dispatch, unless it was given up or is not permitted any more. If no byte of it went out it never ran,
-// and may go over another connection.
+// and may go over another connection. A permission that has expired before the first byte is asked for again.
 func (c *conn) send(dispatch *Dispatch) {
-	dispatch.awaitGate()
+	for range maxPermissions {
+		dispatch.awaitGate()
+		if !c.trySend(dispatch) {
+			return
+		}
+		counters.Increment("permissions_expired")
+	}
+	c.endExpired(dispatch)
+}
+
+// trySend asks for the permission and writes a dispatch. It reports whether the permission has expired meanwhile, and
+// nothing was written: then it may be tried again.
+func (c *conn) trySend(dispatch *Dispatch) (hasExpired bool) {
 	c.writeMu.Lock()
 	granted := dispatch.permission()
 	decision := c.beginSend(dispatch, granted)
@@ -31,13 +48,24 @@
 		dispatch.withdraw(granted)
 	}
 	c.writeMu.Unlock() // an abort of the dispatch has waited for it
-	switch decision {
-	case sendRefused:
+	switch {
+	case errors.Is(err, errPermissionExpired):
+		return true
+	case decision == sendRefused:
 		counters.Increment("dispatches_refused_at_send")
 		dispatch.notifyEnd(backend.Reply{Outcome: backend.Superseded})
-	case sendNow, sendNothing:
+	default:
 		c.finishSend(dispatch, written, err)
 	}
+	return false
+}
+
+// endExpired ends a dispatch whose permissions have all expired: this process is short of CPU.
+func (c *conn) endExpired(dispatch *Dispatch) {
+	if c.beginSend(dispatch, backend.Permission{}) == sendRefused {
+		counters.Increment("dispatches_refused_at_send")
+		dispatch.notifyEnd(backend.Reply{Outcome: backend.Superseded})
+	}
 }
 
 // sendDecision is what becomes of a dispatch whose turn has come.
@@ -68,10 +96,14 @@
 // writeDispatch writes the command of a dispatch, unless the engine has closed the connection, which its reader may
 // not have come to yet. writeMu is held.
 func (c *conn) writeDispatch(d *Dispatch, granted backend.Permission) (int, error) {
+	command := d.appendCommand(nil, granted)
 	if isClosedByPeer(c.socket) {
 		return 0, errClosedByEngine
 	}
-	return c.writeLocked(d.appendCommand(nil, granted))
+	if !granted.ExpiresAt.IsZero() && time.Now().After(granted.ExpiresAt) { // a stall, since the permission
+		return 0, errPermissionExpired
+	}
+	return c.writeLocked(command)
 }
 
 // finishSend goes on with a dispatch after its write: it is out, or ends, or goes over another connection.
--- a/internal/gateway/send_gate.go
+++ b/internal/gateway/send_gate.go
@@ -13,6 +13,9 @@
 	// inputReadWithin is how long a send waits until what its client has sent is read: longer than its reading is ever
 	// slowed down, and well within the 100 ms after which a canceled job must not be sent.
 	inputReadWithin = 60 * time.Millisecond
+	// permissionTime is for how long a permission holds: with the age of the list at most the grace of a drain, and no
+	// longer than a job may be sent after its client has left.
+	permissionTime = 50 * time.Millisecond
 	// minListWait is the least wait for the endpoint list that is counted and logged.
 	minListWait = time.Millisecond
 )
@@ -75,7 +78,7 @@
 	s.trace("sent_with", given)
 	dispatch := audit.Dispatch{Job: s.job.id, At: now, Given: given, UnavailableSince: unavailableSince}
 	s.gateway.reportViolations(s.job, s.attempt.engine, s.gateway.audit.Dispatched(dispatch))
-	return backend.Permission{Granted: true, TimeoutMS: given.Milliseconds()}
+	return backend.Permission{Granted: true, TimeoutMS: given.Milliseconds(), ExpiresAt: now.Add(permissionTime)}
 }
 
 // listCurrentAt is when the endpoint list was last known to be complete; 0: nobody can tell.
