--- a/scripts/known_red_test.go
+++ b/scripts/known_red_test.go
@@ -135,6 +135,13 @@
 			passes:  true,
 			prints:  []string{"known red, not run: command `exit 7`", "known red, not run: command `make soak"},
 		},
+		{
+			name:     "the tests of the soak are no soak",
+			knownRed: "command `go test ./internal/soak`: planted, issue 40\n",
+			without:  []string{"TestRed", "TestAlsoRed", "TestPanics"},
+			passes:   true,
+			prints:   []string{"known red, not run: command `go test ./internal/soak`"},
+		},
 		{
 			name:     "beside a command no test may fail",
 			knownRed: "command `exit 7`: planted, issue 40\n",
@@ -182,6 +189,7 @@
 		"no command":           {"command ``: seen once, issue 40\n", "no line of the form"},
 		"command not quoted":   {"command make proof-x: seen once, issue 40\n", "no line of the form"},
 		"soak without a seed":  {"command `make soak`: seen once, issue 40\n", "a soak without -seed"},
+		"run without a seed":   {"command `go run ./internal/proof/soak`: once, issue 40\n", "a soak without -seed"},
 		"no cause":             {"red TestRed\n", "no line of the form"},
 		"no issue":             {"red TestRed: planted\n", "no line of the form"},
 		"blank line":           {line + "\n", "no line of the form"},
