client: the log of a close tells what was found before it, not after

Cause: halfCloseIfIdle looked, closed, and the log looked again: what crossed in between was told as unread=true. Mend: one look (connState), by which it is decided, and which is logged once the server's lock is released: no log is written under it any more.

--- a/internal/client/close_log_test.go
+++ b/internal/client/close_log_test.go
@@ -34,8 +34,9 @@
 	}
 	s.until("a connection is not closed", s.server.CloseIdle)
 	wrote.Wait()
+	const nothing = "open_calls=0 unread=false mid_message=false"
 	for line := range strings.Lines(log.String()) {
-		if strings.Contains(line, "client_conn_closed") && !strings.Contains(line, "open_calls=0 unread=false mid_message=false") {
+		if strings.Contains(line, "client_conn_closed") && !strings.Contains(line, nothing) {
 			t.Error(line)
 		}
 	}
--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -193,9 +193,12 @@
 
 // isIdle reports whether nothing is open or being written. The lock is held.
 func (c *conn) isIdle() bool {
-	return len(c.open) == 0 && c.resultsInFlight == 0 && !c.isWritingReplies
+	return len(c.open) == 0 && !c.isWriting()
 }
 
+// isWriting reports whether an answer is being written. The lock is held.
+func (c *conn) isWriting() bool { return c.resultsInFlight > 0 || c.isWritingReplies }
+
 func (c *conn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/client/eviction.go
+++ b/internal/client/eviction.go
@@ -37,7 +37,7 @@
 	evicted := found.best(now, len(s.conns))
 	switch {
 	case evicted != nil:
-		if evicted.halfCloseIfIdle() {
+		if evicted.halfCloseIfIdle().isIdle() {
 			counters.Increment("client_conns_evicted")
 			s.linger(evicted)
 		}
--- a/internal/client/input_end.go
+++ b/internal/client/input_end.go
@@ -128,13 +128,6 @@
 	}
 }
 
-// openCalls returns how many calls are open.
-func (c *conn) openCalls() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.open)
-}
-
 func (c *conn) hasOpenCalls() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/client/server.go
+++ b/internal/client/server.go
@@ -213,36 +213,48 @@
 // CloseIdle half-closes connections on which nothing is owed and nothing has come, and reports whether those are all.
 // Their clients send no more on them, which leaves less to cross the end of the process.
 func (s *Server) CloseIdle() bool {
+	closed, isAll := s.halfCloseIdle()
+	logCloses("idle", closed)
+	return isAll
+}
+
+func (s *Server) halfCloseIdle() (closed []connState, isAll bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	isAll := true
+	isAll = true
 	for c := range s.conns {
-		switch {
-		case c.isClosing():
-		case c.halfCloseIfIdle():
-			c.logClose("idle")
-		default:
+		if c.isClosing() {
+			continue
+		}
+		if found := c.halfCloseIfIdle(); found.isIdle() {
+			closed = append(closed, found)
+		} else {
 			isAll = false
 		}
 	}
-	return isAll
+	return closed, isAll
 }
 
 // closeAll half-closes all connections.
-func (s *Server) closeAll() {
+func (s *Server) closeAll() { logCloses("in_use", s.halfCloseAll()) }
+
+func (s *Server) halfCloseAll() (closed []connState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		if !c.isClosing() {
-			c.logClose("in_use")
-			c.halfClose()
+			closed = append(closed, c.halfClose())
 		}
 	}
+	return closed
 }
 
-// logClose counts and logs why a connection is closed at the end of the process, and what is left on it.
-func (c *conn) logClose(reason string) {
-	counters.Increment("client_conns_closed_" + reason)
-	slog.Info("client_conn_closed", "reason", reason, "address", c.socket.RemoteAddr(), "open_calls", c.openCalls(),
-		"unread", c.hasBufferedInput(), "mid_message", c.isMidMessage.Load())
+// logCloses counts and logs why connections are closed at the end of the process, and what was found on each just
+// before: what comes later has crossed the close.
+func logCloses(reason string, closed []connState) {
+	for _, found := range closed {
+		counters.Increment("client_conns_closed_" + reason)
+		slog.Info("client_conn_closed", "reason", reason, "address", found.address, "open_calls", found.openCalls,
+			"unread", found.hasUnread, "mid_message", found.isMidMessage)
+	}
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -107,12 +107,16 @@
 	case len(c.fetched[call.ID]) > 0:
 		c.report("lost", "call %s (%s) on %s sent %s crossed a close and was sent on", call.ID, call.Type, call.Connection,
 			clock(call.SentAt))
-	case call.SentWith > 1 && !c.idleCloses[call.Controller][call.LocalAddress] && !c.shutByFlood(call):
-		c.report("lost", "call %s (%s) on %s sent %s with %d crossed a close that its controller does not name idle", call.ID,
-			call.Type, call.Connection, clock(call.SentAt), call.SentWith)
+	case call.SentWith > 1 && c.closeOf(call) != closedIdle && !c.shutByFlood(call):
+		c.report("lost", "call %s (%s) on %s (%s) sent %s with %d crossed a close that its controller does not name idle: %s",
+			call.ID, call.Type, call.Connection, call.LocalAddress, clock(call.SentAt), call.SentWith,
+			cmp.Or(c.closeOf(call), "it logs none"))
 	}
 }
 
+// closeOf is what the call's controller logs of the close of its connection; empty: nothing.
+func (c *checker) closeOf(call *Call) string { return c.closes[call.Controller][call.LocalAddress] }
+
 // excused reports whether the process that a call was sent to was killed, as a crash does, before it was answered.
 func (c *checker) excused(call *Call) bool {
 	return slices.ContainsFunc(c.kills[call.Controller], func(at time.Time) bool {
@@ -168,12 +172,13 @@
 		return // it may have come long before it was recorded
 	}
 	if call.Outcome == Left && fetch.At.Sub(call.EndedAt) > leaveTerm+recordSlack {
-		c.report("gone", "call %s reaches %s %v after its client left", call.ID, fetch.Engine, fetch.At.Sub(call.EndedAt))
+		c.report("gone", "call %s reaches %s %v after its client left, %v", call.ID, fetch.Engine,
+			fetch.At.Sub(call.EndedAt), fetch)
 	}
 	left := call.SentAt.Add(call.Timeout).Sub(fetch.At)
 	if fetch.Given > left+deadlineTerm+recordSlack && !c.wasPaused(call) {
-		c.report("deadline", "call %s on %s gives %s %v of %v, %d stalls here meanwhile", call.ID, call.Connection,
-			fetch.Engine, fetch.Given, left, c.stallsBetween(call.SentAt, fetch.At))
+		c.report("deadline", "call %s on %s gives %s %v of %v, %v, %d stalls here meanwhile", call.ID, call.Connection,
+			fetch.Engine, fetch.Given, left, fetch, c.stallsBetween(call.SentAt, fetch.At))
 	}
 	if since, unavailable := c.unavailableFor(call.Controller, fetch); unavailable && since > drainGrace+recordSlack {
 		c.report("drain", "call %s on %s reaches %s at %s, %v after it was listed as not ready", call.ID, call.Connection,
--- a/internal/soak/controller.go
+++ b/internal/soak/controller.go
@@ -295,8 +295,11 @@
 	"panic:", "fatal error", "rule_violated", "answer_overdue", "module_fault", "rules_violated=", "DATA RACE",
 }
 
-// idleClose is a line of a log that says that a connection was closed with nothing open or unread on it.
-var idleClose = regexp.MustCompile(`msg=client_conn_closed reason=idle address=(\S+) open_calls=0 unread=false`)
+// connClose is a line of a log that says why a connection was closed, and what was found on it.
+var connClose = regexp.MustCompile(`msg=client_conn_closed reason=(\S+) address=(\S+) (open_calls=\d+ unread=\w+)`)
+
+// closedIdle is what a log says of a connection that was closed with nothing open or unread on it.
+const closedIdle = "idle open_calls=0 unread=false"
 
 // checkLog records the lines of a process's log that show a fault, and the connections that it has closed.
 func (c *Controller) checkLog(process *testcluster.Process) {
@@ -308,8 +311,9 @@
 			}
 		}
 	}
-	for _, match := range idleClose.FindAllStringSubmatch(log, -1) {
-		c.records.addIdleClose(c.index, match[1])
+	for _, match := range connClose.FindAllStringSubmatch(log, -1) {
+		reason, address, found := match[1], match[2], match[3]
+		c.records.addClose(c.index, address, reason+" "+found)
 	}
 }
 
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -130,6 +130,7 @@
 // serve forwards one connection until either end closes it.
 func (p *Proxy) serve(controller net.Conn) {
 	defer p.remove(controller)
+	acceptedAt := time.Now()
 	p.mu.Lock()
 	p.conns[controller] = struct{}{}
 	target, incarnation := p.target, p.incarnation
@@ -147,7 +148,8 @@
 		p.forwardAnswers(controller, engineConn)
 		reset(controller)
 	}()
-	p.forwardCommands(engineConn, controller, incarnation)
+	p.forwardCommands(engineConn, controller, Fetch{Engine: p.name, Incarnation: incarnation, AcceptedAt: acceptedAt,
+		ReadFrom: time.Now()})
 }
 
 func (p *Proxy) remove(conn net.Conn) {
@@ -180,22 +182,23 @@
 	}
 }
 
-// forwardCommands forwards commands one by one, and records each fetch as it arrives, whether it may pass or not.
-func (p *Proxy) forwardCommands(to, from net.Conn, incarnation int) {
+// forwardCommands forwards commands one by one, and records each fetch as it arrives, whether it may pass or not. What
+// all fetches of the connection have in common is given.
+func (p *Proxy) forwardCommands(to, from net.Conn, fetch Fetch) {
 	queue := make(chan []byte, queuedCommands)
 	defer close(queue)
 	go p.writeCommands(to, queue)
 	var passed bytes.Buffer
 	reader := bufio.NewReader(io.TeeReader(from, &passed))
-	controller, _, _ := net.SplitHostPort(from.RemoteAddr().String())
+	fetch.Controller, _, _ = net.SplitHostPort(from.RemoteAddr().String())
 	for {
 		command, err := engine.ReadCommand(reader)
 		if err != nil {
 			return
 		}
 		if command.Name == "fetch" {
-			p.records.addFetch(Fetch{ID: command.ID, Engine: p.name, Incarnation: incarnation, Controller: controller,
-				At: time.Now(), Given: givenTime(command.Fields)})
+			fetch.ID, fetch.At, fetch.Given = command.ID, time.Now(), givenTime(command.Fields)
+			p.records.addFetch(fetch)
 		}
 		text := bytes.Clone(passed.Bytes()[:passed.Len()-reader.Buffered()])
 		passed.Next(len(text))
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"sync"
 	"time"
 )
@@ -49,6 +50,15 @@
 	Controller  string
 	At          time.Time // its command was read whole
 	Given       time.Duration
+
+	AcceptedAt time.Time // the connection, by the proxy
+	ReadFrom   time.Time // the proxy was connected to the engine's process, and began to read
+}
+
+// String tells of the dispatch's time, and of that of its connection.
+func (f Fetch) String() string {
+	return fmt.Sprintf("at %s on a connection accepted %v and read since %v before", clock(f.At), f.At.Sub(f.AcceptedAt),
+		f.At.Sub(f.ReadFrom))
 }
 
 // Execution is a dispatch that an engine's process began.
@@ -83,7 +93,7 @@
 	pauses        map[int][]Interval // of controllers' processes
 	acceptOutages map[int][]Interval // times in which controllers could not accept connections
 	idleFloods    map[int][]Interval // times in which idle clients filled controllers' descriptors
-	idleCloses    map[int]map[string]bool
+	closes        map[int]map[string]string
 	pairs         map[string]int // placed pairs of faults that were played, by name
 	kills         map[int][]time.Time
 	stops         map[int][]time.Time // SIGTERM
@@ -98,7 +108,7 @@
 		pauses:        map[int][]Interval{},
 		acceptOutages: map[int][]Interval{},
 		idleFloods:    map[int][]Interval{},
-		idleCloses:    map[int]map[string]bool{},
+		closes:        map[int]map[string]string{},
 		pairs:         map[string]int{},
 		kills:         map[int][]time.Time{},
 		stops:         map[int][]time.Time{},
@@ -156,15 +166,14 @@
 	r.idleFloods[controller] = append(r.idleFloods[controller], flood)
 }
 
-// addIdleClose records that a controller logs that it has closed a connection, by its client's address, on which
-// nothing was open and nothing lay unread.
-func (r *Records) addIdleClose(controller int, address string) {
+// addClose records what a controller logs of a connection that it has closed, by its client's address.
+func (r *Records) addClose(controller int, address, text string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.idleCloses[controller] == nil {
-		r.idleCloses[controller] = map[string]bool{}
+	if r.closes[controller] == nil {
+		r.closes[controller] = map[string]string{}
 	}
-	r.idleCloses[controller][address] = true
+	r.closes[controller][address] = text
 }
 
 func (r *Records) addPair(name string) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -123,9 +123,16 @@
 			r.calls[0].Outcome = Crossed
 			r.calls[0].SentWith = 2
 			r.calls[0].LocalAddress = "127.0.0.1:4"
-			r.addIdleClose(0, "127.0.0.1:4")
+			r.addClose(0, "127.0.0.1:4", closedIdle)
 			r.fetches = nil
 		}, ""},
+		"several crossed a close with input unread": {func(r *Records) {
+			r.calls[0].Outcome = Crossed
+			r.calls[0].SentWith = 2
+			r.calls[0].LocalAddress = "127.0.0.1:4"
+			r.addClose(0, "127.0.0.1:4", "idle open_calls=0 unread=true")
+			r.fetches = nil
+		}, "lost"},
 		"shut unread in a flood of idle clients": {func(r *Records) {
 			r.calls[0].Outcome = Broken
 			r.calls[0].IsFirst = true
