choice: calls that lay unread earn retries in the window in which they were sent

Cause: the budget counted a call from when it was read; a process that was stopped for longer than the slack of whoever counts reads calls that were sent up to the pause's length before, and counts them that much longer. Mend: the gateway tells when a call may have been sent at the earliest, and the retry budget counts it from then; it can only count fewer.

--- a/choice/admission.go
+++ b/choice/admission.go
@@ -29,7 +29,7 @@
 	}
 	j := c.newJob(ev)
 	c.addJob(j)
-	c.fundBudgets()
+	c.fundBudgets(c.sentAt(ev))
 	c.demand.observe(j, demandSamples)
 	if !c.withinTenantQuota(ev.Tenant) {
 		j.value *= c.settings.overQuotaValueFactor
@@ -67,9 +67,18 @@
 	return j
 }
 
-// fundBudgets credits what an admitted job earns for retries, gossip and probes.
-func (c *Controller) fundBudgets() {
-	c.retryBudget.admit(c.now)
+// sentAt is when the client may have sent a job, at the earliest.
+func (c *Controller) sentAt(ev Event) Nanos {
+	if ev.SentAt == 0 {
+		return c.now
+	}
+	return min(ev.SentAt, c.now)
+}
+
+// fundBudgets credits what an admitted job earns for retries, gossip and probes. Retries it earns in the
+// window in which it was sent, also where it has lain unread since: a process that was stopped finds many such.
+func (c *Controller) fundBudgets(sentAt Nanos) {
+	c.retryBudget.admit(sentAt)
 	c.retryBudget.tokens = min(maxRetryTokens, c.retryBudget.tokens+retryTokensPerJob)
 	c.gossip.messageTokens = min(maxMessageTokens, c.gossip.messageTokens+gossipPointsPerJob)
 	c.gossip.unreportedJobs++
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -133,12 +133,13 @@
 			}
 		})
 	}
+	arrivedAt := time.Now().Add(-time.Minute) // it has lain unread
 	ev, err := g.arrivalEvent(Request{
 		Type:              []byte("import"),
 		Tenant:            []byte("zeta"),
 		Key:               []byte("k1"),
 		Statement:         []byte(text),
-		ArrivedAt:         time.Now(),
+		ArrivedAt:         arrivedAt,
 		Timeout:           time.Second,
 		ClientRetry:       true,
 		EstimatedWork:     time.Minute,
@@ -157,6 +158,7 @@
 		Type:              1,
 		Tenant:            1,
 		Key:               orderKey([]byte("k1")),
+		SentAt:            g.clock.at(arrivedAt),
 		Cost:              choice.Nanos(time.Minute),
 		CostKnown:         true,
 		IsRepeat:          true,
