soak: the proxy reads what a controller sends before its own way to the engine is up

The check and its bounds are as they were; the record is earlier now: calls on a connection whose engine cannot be reached count, too, which is stricter.

--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -127,29 +127,46 @@
 	}
 }
 
-// serve forwards one connection until either end closes it.
+// serve forwards one connection until either end closes it. What the controller sends is read at once, however long
+// the connection to the engine's process takes.
 func (p *Proxy) serve(controller net.Conn) {
 	defer p.remove(controller)
 	acceptedAt := time.Now()
+	target, incarnation := p.add(controller)
+	if target == "" {
+		reset(controller)
+		return
+	}
+	queue := make(chan []byte, queuedCommands)
+	defer close(queue)
+	go p.connect(target, controller, queue)
+	p.readCommands(controller, queue, Fetch{Engine: p.name, Incarnation: incarnation, AcceptedAt: acceptedAt,
+		ReadFrom: time.Now()})
+}
+
+// add notes a connection, and returns the engine's process that it is for; an empty target: none runs.
+func (p *Proxy) add(conn net.Conn) (target string, incarnation int) {
 	p.mu.Lock()
-	p.conns[controller] = struct{}{}
-	target, incarnation := p.target, p.incarnation
-	p.mu.Unlock()
+	defer p.mu.Unlock()
+	p.conns[conn] = struct{}{}
+	return p.target, p.incarnation
+}
+
+// connect connects to an engine's process, writes it what is queued until the queue is closed, and forwards its
+// answers to the controller. If it cannot be reached, or closes its connection, the controller's is reset.
+func (p *Proxy) connect(target string, controller net.Conn, queue <-chan []byte) {
 	engineConn, err := dial(target)
 	if err != nil {
 		reset(controller)
 		return
 	}
-	p.mu.Lock()
-	p.conns[engineConn] = struct{}{}
-	p.mu.Unlock()
 	defer p.remove(engineConn)
+	p.add(engineConn)
 	go func() {
 		p.forwardAnswers(controller, engineConn)
 		reset(controller)
 	}()
-	p.forwardCommands(engineConn, controller, Fetch{Engine: p.name, Incarnation: incarnation, AcceptedAt: acceptedAt,
-		ReadFrom: time.Now()})
+	p.writeCommands(engineConn, queue)
 }
 
 func (p *Proxy) remove(conn net.Conn) {
@@ -182,12 +199,9 @@
 	}
 }
 
-// forwardCommands forwards commands one by one, and records each fetch as it arrives, whether it may pass or not. What
-// all fetches of the connection have in common is given.
-func (p *Proxy) forwardCommands(to, from net.Conn, fetch Fetch) {
-	queue := make(chan []byte, queuedCommands)
-	defer close(queue)
-	go p.writeCommands(to, queue)
+// readCommands queues commands one by one, and records each fetch as it arrives, whether it may pass or not. What all
+// fetches of the connection have in common is given.
+func (p *Proxy) readCommands(from net.Conn, queue chan<- []byte, fetch Fetch) {
 	var passed bytes.Buffer
 	reader := bufio.NewReader(io.TeeReader(from, &passed))
 	fetch.Controller, _, _ = net.SplitHostPort(from.RemoteAddr().String())
@@ -206,9 +220,8 @@
 	}
 }
 
-// writeCommands writes what is queued once it may pass, and then closes the connection.
+// writeCommands writes what is queued once it may pass.
 func (p *Proxy) writeCommands(to net.Conn, queue <-chan []byte) {
-	defer to.Close()
 	for text := range queue {
 		p.pass()
 		_, _ = to.Write(text) // one that has ended shows at the reader of its answers
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -52,7 +52,7 @@
 	Given       time.Duration
 
 	AcceptedAt time.Time // the connection, by the proxy
-	ReadFrom   time.Time // the proxy was connected to the engine's process, and began to read
+	ReadFrom   time.Time // the proxy began to read it
 }
 
 // String tells of the dispatch's time, and of that of its connection.
