coordinator: a test that a change begins though a request for a status is lost (fails)

By reading: Begin polls once, and one lost request ends the command. The test fails here with 'c1: Get .../v1/status: EOF'.

--- a/internal/coordinator/fixtures_test.go
+++ b/internal/coordinator/fixtures_test.go
@@ -57,16 +57,29 @@
 	missed string // whose jobs miss their time: "new", "all" while any is on the new version, or none
 	stays  string // one that cannot go back once it is on the new version
 	orders []change.Order
+
+	lostPolls map[string]int // by member: how many more requests for its status end with the connection
+}
+
+// losesPoll reports whether a request for a member's status is lost.
+func (f *fakeFleet) losesPoll(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lostPolls[name]--
+	return f.lostPolls[name] >= 0
 }
 
 var fakeGroup = canary.Group{Type: "lookup", Tenant: "acme"}
 
 func newFakeFleet(t *testing.T, to change.Digest, states map[string]*memberState) *fakeFleet {
 	t.Helper()
-	f := &fakeFleet{t: t, to: to, states: states, work: map[string]canary.JobCounts{}}
+	f := &fakeFleet{t: t, to: to, states: states, work: map[string]canary.JobCounts{}, lostPolls: map[string]int{}}
 	for _, name := range []string{"c1", "c2", "c3"} {
 		mux := http.NewServeMux()
 		mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
+			if f.losesPoll(name) {
+				panic(http.ErrAbortHandler) // the server closes the connection
+			}
 			if err := json.NewEncoder(w).Encode(f.status(name)); err != nil {
 				t.Error(err)
 			}
