coordinator: a change begins though a request for a member's status is lost

Cause: one poll, of which each reply had to be there; nothing was recorded yet. Mend: members are polled until all have answered one poll, for 3 s at most, and one that has not is named with the reason it gave.

--- a/internal/coordinator/begin.go
+++ b/internal/coordinator/begin.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"time"
 
 	"swiftreel/internal/canary"
 	"swiftreel/internal/change"
@@ -22,7 +24,7 @@
 	if found && !last.State.Phase.IsTerminal() {
 		return fmt.Errorf("change %d is %s: resume it, or have it end first", last.Change.Number, last.State.Phase)
 	}
-	start, err := startOf(next, fleet, fleet.Poll(ctx), replaceLost)
+	start, err := startOf(next, fleet, pollEveryone(ctx, fleet), replaceLost)
 	if err != nil {
 		return err
 	}
@@ -45,6 +47,58 @@
 	return store.write(recordFile, Record{ID: newID(), Change: next, FromSpec: start.spec, ToSpec: target, State: state})
 }
 
+// Bounds of the polls before a change begins.
+const (
+	beginPollTime  = 3 * time.Second // in which every supervisor has to answer one and the same poll
+	beginPollDelay = 50 * time.Millisecond
+)
+
+// pollEveryone polls until all supervisors have answered one poll, for as long as beginPollTime or ctx: a request that
+// was lost is no reason to refuse a change. For one that has not answered, the reply says why it could not be asked.
+func pollEveryone(ctx context.Context, fleet *FleetClient) []StatusReply {
+	ctx, cancel := context.WithTimeout(ctx, beginPollTime)
+	defer cancel()
+	failures := make([]error, len(fleet.Members))
+	for {
+		replies := fleet.Poll(ctx)
+		if ctx.Err() != nil {
+			return withReasons(replies, failures)
+		}
+		if !hasFailed(replies, failures) {
+			return replies
+		}
+		select {
+		case <-ctx.Done():
+			return withReasons(replies, failures)
+		case <-time.After(beginPollDelay):
+		}
+	}
+}
+
+// hasFailed reports whether a supervisor has not answered, and notes why.
+func hasFailed(replies []StatusReply, failures []error) (found bool) {
+	for i, reply := range replies {
+		if reply.Err == nil {
+			continue
+		}
+		found = true
+		if !errors.Is(reply.Err, errNoReply) { // else it was not asked again yet
+			failures[i] = reply.Err
+		}
+	}
+	return found
+}
+
+// withReasons has replies that are only missing say why an earlier one failed.
+func withReasons(replies []StatusReply, failures []error) []StatusReply {
+	for i := range replies {
+		if replies[i].Err != nil && failures[i] != nil {
+			replies[i].Err = failures[i]
+		}
+	}
+	return replies
+}
+
 // startingPoint is where the fleet stands before a change.
 type startingPoint struct {
 	spec  change.Spec  // that all hold
