--- a/choice/admission.go
+++ b/choice/admission.go
@@ -76,7 +76,7 @@
 }
 
 // fundBudgets credits what an admitted job earns for retries, gossip and probes. Retries it earns in the
-// window in which it arrived, also where it has lain unread since: a process that was stopped finds such jobs.
+// window in which it arrived, also where it lay unread since: a process that was stopped finds such jobs.
 func (c *Controller) fundBudgets(arrivedAt Nanos) {
 	c.retryBudget.admit(arrivedAt)
 	c.retryBudget.tokens = min(maxRetryTokens, c.retryBudget.tokens+retryTokensPerJob)
