rig: clients look whether their connection was closed before they request a job

Symptom: make proof-upgrade red in three of three full runs, 'voters: 3 connections broke before an answer' (2 in another; one run of the group alone passed). Trace, from the logs of the run: the controller that was told to end closed two idle connections at 05:22:27.541 and 27.7095 (client_conn_closed reason=idle open_calls=0 unread=false, calls_crossed=2), and the jobs went out on them 27 and 24 ms later: controllers close idle connections 1.2 s after the signal since, and the rig's clients slept and did not look. The check is as it was: a connection that breaks under a job counts, whenever.

--- a/internal/fake/client.go
+++ b/internal/fake/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"swiftreel/internal/client"
+	"swiftreel/internal/socketstate"
 )
 
 // heartbeatTimeout bounds the wait for the answer to a heartbeat.
@@ -33,6 +34,12 @@
 	return new(net.Dialer).DialContext(context.Background(), "tcp", address)
 }
 
+// IsClosed reports whether the controller has closed the connection, so that nothing that is sent is answered.
+func (c *Client) IsClosed() bool {
+	tcp, isTCP := c.Conn.(*net.TCPConn)
+	return isTCP && socketstate.PeerClosed(tcp)
+}
+
 // Send requests a job and returns the id of its answer. fields are names and values in turn.
 func (c *Client) Send(method, statement string, fields ...string) (uint32, error) {
 	c.lastID++
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -12,7 +12,6 @@
 
 	"swiftreel/internal/client"
 	"swiftreel/internal/fake"
-	"swiftreel/internal/socketstate"
 )
 
 const (
@@ -86,12 +85,6 @@
 	return true
 }
 
-// isClosed reports whether the controller has closed the connection: no client that looks sends on it.
-func (c *loadClient) isClosed() bool {
-	tcp, isTCP := c.conn.Conn.(*net.TCPConn)
-	return isTCP && socketstate.PeerClosed(tcp)
-}
-
 // use takes turns on the connection until it ends, or the controller is about to.
 func (c *loadClient) use() {
 	for !c.isStopped() && c.controller.acceptsRequests() {
@@ -164,7 +157,7 @@
 		requests = append(requests, next)
 		text = append(text, next.bytes...)
 	}
-	if c.isClosed() {
+	if c.conn.IsClosed() {
 		return false
 	}
 	begunAt := time.Now()
@@ -197,7 +190,7 @@
 		if i > 0 {
 			time.Sleep(time.Duration(c.random.Int64N(int64(pieceInterval))))
 		}
-		if c.isClosed() {
+		if c.conn.IsClosed() {
 			return false // it was not whole
 		}
 		begunAt = time.Now()
--- a/internal/testcluster/load.go
+++ b/internal/testcluster/load.go
@@ -114,9 +114,10 @@
 	}
 }
 
-// serve requests jobs over one connection, for as long as they are welcome.
+// serve requests jobs over one connection, for as long as they are welcome. Before each it looks whether the controller
+// has closed the connection meanwhile, as one does that is told to end: clients that read their sockets see that.
 func (c *loadClient) serve(conn *fake.Client) {
-	for n := 0; !c.load.stopped(); n++ {
+	for n := 0; !c.load.stopped() && !conn.IsClosed(); n++ {
 		if n%jobsPerHeartbeat == 0 {
 			if ready, err := conn.Ready(); !ready || err != nil {
 				return
