coordinator: members are polled for 6 s before a change is refused, 3 s by the leader

Mend: three times the longest delay. The leader keeps to 3 s, as whoever requests a change there waits 4.

--- a/internal/coordinator/begin.go
+++ b/internal/coordinator/begin.go
@@ -49,7 +49,9 @@
 
 // Bounds of the polls before a change begins.
 const (
-	beginPollTime  = 3 * time.Second // in which every supervisor has to answer one and the same poll
+	// beginPollTime is how long every supervisor has to answer one and the same poll: one that does not is polled again
+	// after its longest delay.
+	beginPollTime  = 3 * maxRetryDelay
 	beginPollDelay = 50 * time.Millisecond
 )
 
--- a/internal/coordinator/begin_test.go
+++ b/internal/coordinator/begin_test.go
@@ -40,7 +40,7 @@
 // is asked for again. Seen in proof-rollout at a load of 32: the command ended with "EOF" or "connection reset" at its
 // first request, as the schedule's first cut came before it.
 func TestAChangeBeginsThoughRequestsAreLost(t *testing.T) {
-	if err := beginOn(t, 20*time.Second, map[string]int{"c1": 1, "c2": 2}); err != nil {
+	if err := beginOn(t, 20*time.Second, map[string]int{"c1": 1, "c2": 2, "c3": 5}); err != nil {
 		t.Error(err)
 	}
 }
--- a/internal/leader/duties.go
+++ b/internal/leader/duties.go
@@ -16,6 +16,9 @@
 )
 
 const (
+	// beginTimeout is how long a change may take to begin: whoever requests it waits for little more.
+	beginTimeout = 3 * time.Second
+
 	// requestTimeout is how long a supervisor may take to answer.
 	requestTimeout = 2 * time.Second
 	// dutyInterval is the pause between two looks for work.
--- a/internal/leader/duty_handlers.go
+++ b/internal/leader/duty_handlers.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -56,7 +57,9 @@
 	d.changeMu.Lock()
 	defer d.changeMu.Unlock()
 	fleet := coordinator.NewFleetClient(d.fleet.Members, requestTimeout, requestTimeout)
-	return coordinator.Begin(r.Context(), coordinator.Replicated(store), requested, fleet, false)
+	ctx, cancel := context.WithTimeout(r.Context(), beginTimeout)
+	defer cancel()
+	return coordinator.Begin(ctx, coordinator.Replicated(store), requested, fleet, false)
 }
 
 // requestAction records what an operator asks of the rollout under way.
