discovery: a stall without a connection to the feed is no time out of reach

Trace (age of the list and state of the feed logged at each permission, scratch copy): the controller read the feed's end 23 us before SIGSTOP took effect, so it was stopped while it reconnected; as it went on the feed had been lost for 8.04 s, over the 0.5 s for which the next connection is waited for, and all calls went out on the list from before. Mend: that the process runs is noted every 250 ms, and at each look at an old list; after a stall of a second or more the feed counts as just lost. Unit test TestAStallWithoutAConnectionIsNoTimeOutOfReach.

--- a/internal/discovery/freshness.go
+++ b/internal/discovery/freshness.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"context"
 	"errors"
 	"sync"
 	"syscall"
@@ -14,6 +15,10 @@
 	// reconnectTime is how long after the loss of the feed its next connection is waited for, where what was received
 	// before is older than notifiedWithin. Then the feed counts as out of reach, which must stop nothing.
 	reconnectTime = 500 * time.Millisecond
+	// runningInterval is how often it is noted that the process runs.
+	runningInterval = 250 * time.Millisecond
+	// minStall is the least stall after which the feed is waited for anew: without one a connection is tried as often.
+	minStall = maxReconnect
 )
 
 // freshness knows how old the endpoint list is, as far as it was passed on: what the feed has sent may lie unread, or
@@ -22,7 +27,8 @@
 	mu          sync.Mutex // taken last: no other lock is taken while it is held
 	connections map[*feedReader]struct{}
 	currentAt   time.Time     // without a connection: all that had arrived by then was passed on
-	lostAt      time.Time     // when the last connection ended over which something had come
+	lostAt      time.Time     // when the last connection ended over which something had come, or a stall since
+	runningAt   time.Time     // when the process last ran; zero: nobody notes it
 	changed     chan struct{} // closed when more was passed on, or a connection ends
 }
 
@@ -31,6 +37,35 @@
 		changed: make(chan struct{})}
 }
 
+// noteRunning notes that the process runs. After a stall the feed is waited for as if it had just been lost: no
+// connection could be tried meanwhile, and what was told since may count as told already.
+func (f *freshness) noteRunning(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.noteRunningLocked(now)
+}
+
+func (f *freshness) noteRunningLocked(now time.Time) {
+	if !f.runningAt.IsZero() && now.Sub(f.runningAt) >= minStall {
+		f.lostAt = now
+	}
+	f.runningAt = now
+}
+
+// watchRunning notes that the process runs until the context ends.
+func (f *freshness) watchRunning(ctx context.Context) {
+	ticker := time.NewTicker(runningInterval)
+	defer ticker.Stop()
+	for {
+		f.noteRunning(time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // add counts a connection from now on.
 func (f *freshness) add(r *feedReader) {
 	f.mu.Lock()
@@ -111,6 +146,9 @@
 	if now.Sub(last) <= maxAge {
 		return last, f.changed
 	}
+	if !f.runningAt.IsZero() {
+		f.noteRunningLocked(now) // a send may come before the note of the same moment
+	}
 	hasReceived := false
 	for r := range f.connections {
 		r.checkSocket(now)
--- a/internal/discovery/lost_feed_test.go
+++ b/internal/discovery/lost_feed_test.go
@@ -29,3 +29,31 @@
 		}
 	}
 }
+
+// The process was stopped while it had no connection to the feed. Then nothing was tried for as long, and the feed is
+// waited for as if it had just been lost. Seen in the acceptance test of a long pause, 9 of 90 runs beside others: the
+// feed's end was read in the moment before SIGSTOP took effect ("discovery_lost" 23 us after), and 8 s later all calls
+// went out at once on the old list, as the feed had counted as out of reach for 7.5 s.
+func TestAStallWithoutAConnectionIsNoTimeOutOfReach(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct {
+		ranAgo    time.Duration
+		isCurrent bool
+	}{
+		"stopped for 8 s":              {8 * time.Second, false},
+		"stopped for a second":         {minStall, false},
+		"out of reach, and running on": {2 * runningInterval, true},
+	} {
+		f := newFreshness(now.Add(-10 * time.Second))
+		f.lostAt = now.Add(-9 * time.Second)
+		f.runningAt = now.Add(-c.ranAgo)
+		currentAt, _ := f.check(50 * time.Millisecond)
+		if isCurrent := !currentAt.Before(now); isCurrent != c.isCurrent {
+			t.Errorf("%s: current %v ago", name, now.Sub(currentAt))
+		}
+		f.lostAt = f.lostAt.Add(-reconnectTime) // it has run on since, and was not found
+		if currentAt, _ = f.check(50 * time.Millisecond); currentAt.Before(now) {
+			t.Errorf("%s: the feed never counts as out of reach", name)
+		}
+	}
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -58,6 +58,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.start(address)
+	w.running.Go(func() { w.freshness.watchRunning(ctx) })
 	return w
 }
 
