--- a/internal/discovery/lost_feed_test.go
+++ b/internal/discovery/lost_feed_test.go
@@ -35,7 +35,6 @@
 // feed's end was read in the moment before SIGSTOP took effect ("discovery_lost" 23 us after), and 8 s later all calls
 // went out at once on the old list, as the feed had counted as out of reach for 7.5 s.
 func TestAStallWithoutAConnectionIsNoTimeOutOfReach(t *testing.T) {
-	now := time.Now()
 	for name, c := range map[string]struct {
 		ranAgo    time.Duration
 		isCurrent bool
@@ -44,6 +43,7 @@
 		"stopped for a second":         {minStall, false},
 		"out of reach, and running on": {2 * runningInterval, true},
 	} {
+		now := time.Now()
 		f := newFreshness(now.Add(-10 * time.Second))
 		f.lostAt = now.Add(-9 * time.Second)
 		f.runningAt = now.Add(-c.ranAgo)
