Check also what a key holds after the change of the program

Cause: an import that was taken earlier runs after the later one and replaces what that wrote. Change: review/3 ends its writes during the change and compares what each key holds with what was answered.

--- a/review/cases/case2_orphan.go
+++ b/review/cases/case2_orphan.go
@@ -24,8 +24,9 @@
 
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
+	writers := &keyWriters{done: map[string]int{}}
 	for i := range orderKeys {
-		clients.Go(func() { r.writeKey(m.clients, fmt.Sprintf("K%d", i), stop) })
+		clients.Go(func() { r.writeKey(m.clients, fmt.Sprintf("K%d", i), stop, writers) })
 		time.Sleep(100 * time.Millisecond)
 	}
 	time.Sleep(3 * time.Second)
--- a/review/cases/case3_order.go
+++ b/review/cases/case3_order.go
@@ -37,8 +37,9 @@
 
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
+	writers := &keyWriters{done: map[string]int{}}
 	for i := range orderKeys {
-		clients.Go(func() { r.writeKey(m.clients, fmt.Sprintf("K%d", i), stop) })
+		clients.Go(func() { r.writeKey(m.clients, fmt.Sprintf("K%d", i), stop, writers) })
 		time.Sleep(100 * time.Millisecond)
 	}
 	time.Sleep(3 * time.Second)
@@ -52,10 +53,11 @@
 		next := m.awaitServing(old.PID)
 		r.log("controller %d serves in place of %d", next.PID, old.PID)
 	}
-	time.Sleep(8 * time.Second)
-	close(stop)
+	time.Sleep(400 * time.Millisecond)
+	close(stop) // no further turn: what the last imports wrote stays
 	clients.Wait()
-	return engines.breaches()
+	time.Sleep(time.Second)
+	return append(engines.staleContents(writers.done), engines.breaches()...)
 }
 
 // newProgram makes the next program: the present one with another digest.
@@ -68,9 +70,21 @@
 	return path
 }
 
+// keyWriters holds, for each key, the highest number of an import that was answered as done.
+type keyWriters struct {
+	mu   sync.Mutex
+	done map[string]int
+}
+
+func (w *keyWriters) answered(key string, number int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.done[key] = max(w.done[key], number)
+}
+
 // writeKey writes imports of one key until stop is closed: by turns one on a new connection, and one on a connection
 // that stays open. It waits for both answers before the next turn.
-func (r *rig) writeKey(address, key string, stop <-chan struct{}) {
+func (r *rig) writeKey(address, key string, stop <-chan struct{}, writers *keyWriters) {
 	var kept *fake.Client
 	number := 0
 	send := func(on *fake.Client, which string) (answered chan struct{}) {
@@ -84,6 +98,9 @@
 			if err == nil {
 				answer, readErr := on.Read(answerTimeout)
 				r.log("client gets for import %d of key %s: %s", this, key, describe(answer, readErr))
+				if readErr == nil && answer.Error == "" {
+					writers.answered(key, this)
+				}
 				return
 			}
 			r.log("client cannot send import %d of key %s: %v", this, key, err)
--- a/review/cases/fleet.go
+++ b/review/cases/fleet.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -127,6 +128,27 @@
 	return broken
 }
 
+// staleContents returns the keys that an earlier import wrote last, although a later one was answered as done. An import
+// replaces what its key holds.
+func (e *importEngines) staleContents(done map[string]int) (broken []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	last := map[string]*importRun{}
+	for _, run := range e.runs {
+		if last[run.key] == nil || run.end.After(last[run.key].end) {
+			last[run.key] = run
+		}
+	}
+	for key, run := range last {
+		if run.number < done[key] {
+			broken = append(broken, fmt.Sprintf("lost: key %s holds what import %d wrote; import %d, taken later, was answered as done",
+				key, run.number, done[key]))
+		}
+	}
+	slices.Sort(broken)
+	return broken
+}
+
 // importClasses are the reservation types of the fleet cases.
 func importClasses() []object {
 	return []object{
