Order the cases by gravity and play the program change with ten keys

Cause: the change of the program loses accepted data in the ordinary way of operation, a killed supervisor is rarer. Change: review/2 is now the change of the program, review/3 the killed supervisor; their claims say what is seen.

--- a/review/cases/case1_key.go
+++ b/review/cases/case1_key.go
@@ -18,10 +18,10 @@
 func init() { cases["1"] = playLostAnswerOfKeyedUpdate }
 
 const (
-	repeatWindow = 5 * time.Second // for which all engines drop repeats of a key, as the settings say
-	jobTimeout   = 3 * time.Second // of an update
-	clientWait   = 6 * time.Second // of the client before its only retry, longer than the Retry-After that it is given
-	lostUpdate   = 3               // the update whose answer is lost: one of five
+	repeatWindow = 5 * time.Second         // for which all engines drop repeats of a key, as the settings say
+	jobTimeout   = 3 * time.Second         // of an update
+	clientWait   = 3500 * time.Millisecond // of the client before its only retry, longer than the Retry-After that it is given
+	lostUpdate   = 3                       // the update whose answer is lost: one of five
 )
 
 // keyedEngines are SPARQL endpoints that drop repeats of an idempotency key for repeatWindow, as one group.
--- a/review/cases/case3_order.go
+++ b/review/cases/case2_order.go
@@ -12,10 +12,10 @@
 	"swiftreel/internal/fake"
 )
 
-func init() { cases["3"] = playOrderDuringProgramChange }
+func init() { cases["2"] = playOrderDuringProgramChange }
 
 const (
-	orderKeys     = 6
+	orderKeys     = 10
 	afterNew      = 300 * time.Millisecond // after an import on a new connection; the protocol wants 250 ms
 	answerTimeout = 10 * time.Second
 )
--- a/review/cases/case2_orphan.go
+++ b/review/cases/case3_orphan.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-func init() { cases["2"] = playSupervisorKilled }
+func init() { cases["3"] = playSupervisorKilled }
 
 // playSupervisorKilled kills the supervisor of c1, and starts it again as the machine's service manager would.
 func playSupervisorKilled(r *rig) (broken []string) {
