Put the change of the program first, end the cases' processes on signals too

Cause: it loses accepted data in the ordinary way of operation; an interrupted case would have left processes.

--- a/review/cases/case2_order.go
+++ b/review/cases/case1_order.go
@@ -12,7 +12,7 @@
 	"swiftreel/internal/fake"
 )
 
-func init() { cases["2"] = playOrderDuringProgramChange }
+func init() { cases["1"] = playOrderDuringProgramChange }
 
 const (
 	orderKeys     = 10
--- a/review/cases/case1_key.go
+++ b/review/cases/case2_key.go
@@ -15,7 +15,7 @@
 	"swiftreel/internal/fake"
 )
 
-func init() { cases["1"] = playLostAnswerOfKeyedUpdate }
+func init() { cases["2"] = playLostAnswerOfKeyedUpdate }
 
 const (
 	repeatWindow = 5 * time.Second         // for which all engines drop repeats of a key, as the settings say
--- a/review/cases/rig.go
+++ b/review/cases/rig.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strings"
@@ -68,6 +69,14 @@
 		os.Exit(exitNotRun)
 	})
 	defer watchdog.Stop()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupted
+		r.log("CANNOT RUN: interrupted")
+		r.end()
+		os.Exit(exitNotRun)
+	}()
 	r.log("trouble: %v", r.trouble)
 	broken := run(r)
 	if len(broken) == 0 {
