--- a/review/cases/case1_order.go
+++ b/review/cases/case1_order.go
@@ -119,7 +119,13 @@
 			if kept != nil {
 				_ = kept.Conn.Close()
 			}
-			kept = must(fake.Dial(address))
+			var err error
+			if kept, err = fake.Dial(address); err != nil {
+				r.log("client: %v", err)
+				kept = nil
+				time.Sleep(afterNew)
+				continue
+			}
 			<-send(kept, "new")
 			time.Sleep(afterNew)
 		}
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -1,8 +1,8 @@
 //go:build review
 
 // Command cases plays the cases of the review: it starts the project's programs as separate processes, plays clients,
-// engines and the endpoint feed, and checks what these see. Its argument is the number of the case. TROUBLE=0 leaves
-// the disruption out.
+// engines and the endpoint feed, and checks what these see. Its arguments are the number of the case and the path of its
+// record, to which it appends. TROUBLE=0 leaves the disruption out.
 package main
 
 import (
@@ -24,10 +24,9 @@
 var cases = map[string]func(*rig) (broken []string){}
 
 func main() {
-	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: cases NUMBER")
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: cases NUMBER RECORD")
 		os.Exit(exitNotRun)
 	}
-	r := newRig(os.Args[1])
-	os.Exit(r.play(cases[os.Args[1]]))
+	os.Exit(newRig(os.Args[2]).play(cases[os.Args[1]]))
 }
--- a/review/cases/rig.go
+++ b/review/cases/rig.go
@@ -17,6 +17,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"swiftreel/internal/fake"
 )
 
@@ -31,12 +33,23 @@
 	record *bufio.Writer
 	file   *os.File
 	groups []int // process groups to kill at the end
+	ending sync.Once
 }
 
-// failure ends a case that cannot run.
-type failure struct{ reason string }
+// current is the rig of this process. A case that cannot run is ended through it from any goroutine, so that no process
+// is left behind.
+var current *rig
 
-func cannotRun(format string, values ...any) { panic(failure{fmt.Sprintf(format, values...)}) }
+// cannotRun ends a case that cannot run.
+func cannotRun(format string, values ...any) {
+	reason := fmt.Sprintf(format, values...)
+	fmt.Println("cannot run:", reason)
+	if current != nil {
+		current.log("CANNOT RUN: %s", reason)
+		current.end()
+	}
+	os.Exit(exitNotRun)
+}
 
 func must[T any](value T, err error) T {
 	if err != nil {
@@ -45,37 +58,28 @@
 	return value
 }
 
-func newRig(number string) *rig {
+// newRig returns a rig that appends to a record.
+func newRig(record string) *rig {
 	executable := must(os.Executable())
 	root := filepath.Dir(filepath.Dir(filepath.Dir(executable))) // ROOT/review/bin/cases
-	file := must(os.Create(filepath.Join(root, "review", number, "record.txt")))
-	return &rig{root: root, dir: must(os.MkdirTemp("", "review")), trouble: os.Getenv("TROUBLE") != "0",
+	file := must(os.OpenFile(record, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644))
+	// What a killed supervisor leaves becomes a child of this process, which waits for its end.
+	must(0, unix.Prctl(unix.PR_SET_CHILD_SUBREAPER, 1, 0, 0, 0))
+	current = &rig{root: root, dir: must(os.MkdirTemp("", "review")), trouble: os.Getenv("TROUBLE") != "0",
 		start: time.Now(), record: bufio.NewWriter(file), file: file}
+	return current
 }
 
 // play runs a case and returns its exit code.
 func (r *rig) play(run func(*rig) []string) (code int) {
-	code = exitNotRun
 	defer r.end()
-	defer func() {
-		if f, ok := recover().(failure); ok {
-			r.log("CANNOT RUN: %s", f.reason)
-			fmt.Println("cannot run:", f.reason)
-		}
-	}()
-	watchdog := time.AfterFunc(maxDuration, func() {
-		r.log("CANNOT RUN: over its time")
-		r.end()
-		os.Exit(exitNotRun)
-	})
+	watchdog := time.AfterFunc(maxDuration, func() { cannotRun("over its time") })
 	defer watchdog.Stop()
 	interrupted := make(chan os.Signal, 1)
-	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
 		<-interrupted
-		r.log("CANNOT RUN: interrupted")
-		r.end()
-		os.Exit(exitNotRun)
+		cannotRun("interrupted")
 	}()
 	r.log("trouble: %v", r.trouble)
 	broken := run(r)
@@ -91,16 +95,34 @@
 	return exitBroken
 }
 
-// end kills all processes that the case has started and closes the record.
+// endTimeout bounds the wait for the end of killed processes.
+const endTimeout = 5 * time.Second
+
+// end kills all processes that the case has started, waits until they are gone, and closes the record.
 func (r *rig) end() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, group := range r.groups {
-		_ = syscall.Kill(-group, syscall.SIGKILL)
-	}
-	_ = r.record.Flush()
-	_ = r.file.Close()
-	_ = os.RemoveAll(r.dir)
+	r.ending.Do(func() {
+		r.mu.Lock()
+		groups := r.groups
+		r.mu.Unlock()
+		for stop := time.Now().Add(endTimeout); ; time.Sleep(10 * time.Millisecond) {
+			left := 0
+			for _, group := range groups {
+				_ = syscall.Kill(-group, syscall.SIGKILL)
+				_, _ = syscall.Wait4(-group, nil, syscall.WNOHANG, nil)
+				if syscall.Kill(-group, 0) == nil {
+					left++
+				}
+			}
+			if left == 0 || time.Now().After(stop) {
+				r.log("%d process groups left", left)
+				break
+			}
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		_ = r.file.Close()
+		_ = os.RemoveAll(r.dir)
+	})
 }
 
 // log writes a line into the record, with the time since the start in ms.
