--- a/choice/action.go
+++ b/choice/action.go
@@ -18,6 +18,9 @@
 	ListEngines                              // request the full endpoint list from discovery
 	Log                                      // Text
 	Fault                                    // report an internal error of this program: Text
+	RequestTurn                              // from the successor: Job, Key, Enabled if an attempt may be running
+	ReleaseTurn                              // to the successor, with the pause that the key needs: Job, Key, Duration
+	GrantTurn                                // to the predecessor: Job
 )
 
 // Action is one action for the caller to carry out; Kind determines which fields are set.
@@ -26,6 +29,7 @@
 	Job          JobID
 	Engine       EngineID
 	Seq          AttemptSeq
+	Key          Key
 	Duration     Nanos
 	SendDeadline Nanos // no byte of the attempt may be sent later; an attempt not sent by then is Superseded
 	Priority     uint8 // from 1, the lowest, to 3
@@ -45,6 +49,7 @@
 const (
 	TooLateToServe  Reason = "too_late_to_serve" // the job would end after it expires, or is about to expire
 	WouldNotFinish  Reason = "stopping"          // the job would end after this process stops
+	OrderUnknown    Reason = "order_unknown"     // another process may serve the job's key, and is not linked
 	ValueTooLow     Reason = "value_too_low"     // the value of the job is below the overload price of its work
 	QueueFull       Reason = "queue_full"
 	NoRetryLeft     Reason = "no_retry_left"    // the attempt of the job failed, and no other is allowed
--- a/choice/admission.go
+++ b/choice/admission.go
@@ -36,7 +36,7 @@
 		j.value *= c.settings.overQuotaValueFactor
 	}
 	j.bucket = c.bucketFor(j.jobType, ev.Tenant)
-	reason := c.shedReason(j)
+	reason := cmp.Or(c.orderingRefusal(j), c.shedReason(j))
 	if reason == "" && len(j.bucket.queue) == 0 && c.tryDispatch(j) {
 		return
 	}
--- a/choice/bucket.go
+++ b/choice/bucket.go
@@ -15,12 +15,6 @@
 	lastUsedAt    Nanos
 }
 
-// keyOrder is the state of one ordering key.
-type keyOrder struct {
-	jobs        []*job // in order of arrival, until removeFinished removes them
-	pausedUntil Nanos
-}
-
 func (c *Controller) bucketFor(t *jobType, tenant TenantID) *bucket {
 	i := slices.IndexFunc(c.buckets, func(b *bucket) bool { return b.jobType == t && b.tenant == tenant })
 	if i < 0 {
@@ -86,6 +80,6 @@
 	})
 	maps.DeleteFunc(c.tenants, func(_ TenantID, t *tokenBucket) bool { return t.updatedAt < since })
 	maps.DeleteFunc(c.orderings, func(_ Key, o *keyOrder) bool {
-		return len(o.jobs) == 0 && c.now >= o.pausedUntil
+		return len(o.turns) == 0 && c.now >= o.pausedUntil
 	})
 }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -19,6 +19,15 @@
 	QuotaAssigned:      func(c *Controller, ev Event) { c.quota = ev.Quota },
 	PredecessorChanged: (*Controller).markPredecessor,
 	ClockStepped:       func(c *Controller, ev Event) { c.clockOffset = ev.ClockOffset },
+
+	SuccessorChanged:    func(c *Controller, ev Event) { c.markUnlinked(ev.SuccessorRunning) },
+	SuccessorLinked:     func(c *Controller, _ Event) { c.linkSuccessor() },
+	SuccessorUnlinked:   func(c *Controller, _ Event) { c.unlinkSuccessor() },
+	PredecessorLinked:   func(c *Controller, _ Event) { c.linkPredecessor() },
+	PredecessorUnlinked: func(c *Controller, _ Event) { c.unlinkPredecessor() },
+	TurnRequested:       (*Controller).queuePredecessorTurn,
+	TurnReleased:        (*Controller).releasePredecessorTurn,
+	TurnGranted:         (*Controller).acceptGrant,
 }
 
 // Decide processes one event and returns the actions to carry out, in order. The first event must be Started,
@@ -31,5 +40,6 @@
 		eventHandlers[ev.Kind](c, ev)
 	}
 	c.dispatchParked(c.freedBucket)
+	c.grantTurns()
 	return c.actions
 }
--- a/choice/controller.go
+++ b/choice/controller.go
@@ -26,6 +26,7 @@
 	liveJobs    []*job                    // in order of arrival; finished ones until the next sweep
 	buckets     []*bucket                 // deleted once idle
 	orderings   map[Key]*keyOrder         // by ordering key; deleted when empty and no longer paused
+	handover    handover                  // of ordering keys between two processes of this controller
 	tenants     map[TenantID]*tokenBucket // for their quotas; deleted once idle
 	freedBucket *bucket                   // of the attempt that the current event ended; nil: none
 
@@ -130,4 +131,5 @@
 	if ev.PredecessorRunning {
 		c.predecessorEndedAt = math.MaxInt64 / 2
 	}
+	c.markUnlinked(ev.PredecessorRunning)
 }
--- a/choice/event.go
+++ b/choice/event.go
@@ -5,23 +5,31 @@
 
 // The kinds of event. The comments name the fields of Event that each sets.
 const (
-	Started            EventKind = iota + 1 // the first event: Seed, Settings
-	JobArrived                              // a client sent a job: Job to RequiredProtocols
-	StreamStarted                           // a job's answer is being sent to the client: Job
-	ProgressReported                        // an attempt reported progress: Job, Seq, Engine, Progress, Amount
-	AttemptEnded                            // an attempt ended: Job, Seq, Engine, Result to ConnectedAt
-	ClientDisconnected                      // the client disconnected before the final answer: Job
-	TimerFired                              // TimerID
-	EnginesListed                           // discovery reported an endpoint list: List, Engines
-	ProbeCompleted                          // a probe ended: Engine, Result, Latency, Load, ConnectedAt
-	GossipReceived                          // a peer sent a gossip message: Peer, Payload
-	Stopping                                // this process will end; answers are still sent within TimeLeft
-	PlanUpdated                             // from now on a plan is followed, or none: Plan
-	Reconfigured                            // the settings changed, and all other state stays: Settings
-	StateTransferred                        // a predecessor handed over its state: TypeStats, EngineHealth
-	QuotaAssigned                           // this controller's quota was assigned: Quota
-	PredecessorChanged                      // a predecessor still serves its jobs, or ended: PredecessorRunning
-	ClockStepped                            // the wall clock was set: ClockOffset
+	Started             EventKind = iota + 1 // the first event: Seed, Settings
+	JobArrived                               // a client sent a job: Job to RequiredProtocols
+	StreamStarted                            // a job's answer is being sent to the client: Job
+	ProgressReported                         // an attempt reported progress: Job, Seq, Engine, Progress, Amount
+	AttemptEnded                             // an attempt ended: Job, Seq, Engine, Result to ConnectedAt
+	ClientDisconnected                       // the client disconnected before the final answer: Job
+	TimerFired                               // TimerID
+	EnginesListed                            // discovery reported an endpoint list: List, Engines
+	ProbeCompleted                           // a probe ended: Engine, Result, Latency, Load, ConnectedAt
+	GossipReceived                           // a peer sent a gossip message: Peer, Payload
+	Stopping                                 // this process will end; answers are still sent within TimeLeft
+	PlanUpdated                              // from now on a plan is followed, or none: Plan
+	Reconfigured                             // the settings changed, and all other state stays: Settings
+	StateTransferred                         // a predecessor handed over its state: TypeStats, EngineHealth
+	QuotaAssigned                            // this controller's quota was assigned: Quota
+	PredecessorChanged                       // a predecessor still serves its jobs, or ended: PredecessorRunning
+	ClockStepped                             // the wall clock was set: ClockOffset
+	SuccessorChanged                         // a successor that does not link started, or ended: SuccessorRunning
+	SuccessorLinked                          // from now on the successor grants the turns of ordering keys
+	SuccessorUnlinked                        // the linked successor ended
+	PredecessorLinked                        // from now on the predecessor requests its turns of ordering keys here
+	PredecessorUnlinked                      // the linked predecessor ended
+	TurnRequested                            // by the predecessor, for its job: Job, Key, TurnHeld
+	TurnReleased                             // by the predecessor: Job (0: only a pause), Key (0: all keys), Pause
+	TurnGranted                              // by the successor: Job
 )
 
 // Result is how an attempt or a probe ended.
@@ -152,6 +160,9 @@
 	Plan *Plan // nil: none
 
 	PredecessorRunning bool
+	SuccessorRunning   bool
+	TurnHeld           bool  // an attempt of the job may be running already
+	Pause              Nanos // of an ordering key, after an unknown outcome
 	ClockOffset        Nanos // wall clock, which controllers share, minus the time of events
 	Quota              Quota
 	TypeStats          []TypeStats    // by type; implausible ones are ignored
--- a/choice/job.go
+++ b/choice/job.go
@@ -17,6 +17,7 @@
 	jobType           *jobType
 	bucket            *bucket
 	key               Key
+	turn              *turn // in the queue of its ordering key; nil: its type is not ordered by key
 	tables            TableGroup
 	requiredProtocols Protocols
 	headSince         Nanos   // when it became the head of its bucket; 0: it is not the head
@@ -93,14 +94,9 @@
 func (c *Controller) addJob(j *job) {
 	c.jobs[j.id] = j
 	c.liveJobs = append(c.liveJobs, j)
-	if !j.jobType.orderedByKey || j.key == 0 {
-		return
-	}
-	if c.orderings[j.key] == nil {
-		c.orderings[j.key] = &keyOrder{}
+	if j.jobType.orderedByKey && j.key != 0 {
+		c.takeTurn(j)
 	}
-	order := c.orderings[j.key]
-	order.jobs = append(order.jobs, j)
 }
 
 // finishJob marks a job that needs no further answer as finished, and cancels its attempt. The job stays in
@@ -118,8 +114,8 @@
 		return
 	}
 	delete(c.jobs, j.id)
-	if order := c.orderings[j.key]; order != nil && j.jobType.orderedByKey {
-		order.jobs = slices.DeleteFunc(order.jobs, func(o *job) bool { return o == j })
+	if j.turn != nil {
+		c.endTurn(j.turn)
 	}
 }
 
--- a/choice/predecessor_test.go
+++ b/choice/predecessor_test.go
@@ -58,7 +58,7 @@
 	keyed := Event{Kind: JobArrived, Job: 1, Type: 1, Key: 7, TimeLeft: 60e9, Cost: 1e7, CostKnown: true}
 	lookup := Event{Kind: JobArrived, Job: 1, TimeLeft: 60e9, Cost: 1e7, CostKnown: true}
 
-	t.Run("rule 5: an ordering key pauses after the predecessor's end", func(t *testing.T) {
+	t.Run("rule 5: an ordering key pauses after the end of a predecessor that was not linked", func(t *testing.T) {
 		if c := newSuccessor(false, 0); dispatchesAt(c, 1e7, keyed) != 1 {
 			t.Error("a key pauses without a predecessor")
 		}
@@ -66,8 +66,11 @@
 		if dispatchesAt(c, 1e7, keyed) != 0 || sweepAt(c, 5e8) != 0 {
 			t.Error("a job of a key is dispatched while the predecessor may serve the key")
 		}
+		if c.jobs[keyed.Job] != nil {
+			t.Error("a job of a key is kept, though the predecessor may run later ones first")
+		}
 		c.Decide(successorStart+6e8, predecessorEnded)
-		if sweepAt(c, 6e8+5e7) != 0 {
+		if dispatchesAt(c, 6e8+1e7, keyed) != 0 || sweepAt(c, 6e8+5e7) != 0 {
 			t.Error("a job of a key is dispatched during the pause")
 		}
 		if sweepAt(c, 6e8+11e7) != 1 {
--- a/choice/queue.go
+++ b/choice/queue.go
@@ -48,25 +48,6 @@
 	return b.queue[i]
 }
 
-// orderingAllows implements rule 5: all earlier jobs of the key have ended, and the pause after an unknown
-// outcome is over. All keys also pause after the end of a predecessor, which may have served them.
-func (c *Controller) orderingAllows(j *job) bool {
-	order := c.orderings[j.key]
-	if !j.jobType.orderedByKey || j.key == 0 || order == nil {
-		return true
-	}
-	pausedUntil := max(order.pausedUntil, c.predecessorEndedAt+c.settings.orderPause)
-	return order.jobs[0] == j && c.now >= pausedUntil
-}
-
-// pauseOrdering pauses an ordering key after an unknown outcome: the attempt may still be running.
-func (c *Controller) pauseOrdering(j *job, r Result) {
-	order := c.orderings[j.key]
-	if order != nil && j.jobType.orderedByKey && (r == TimedOut || r == Reset || r == Canceled) {
-		order.pausedUntil = max(order.pausedUntil, c.now+c.settings.orderPause)
-	}
-}
-
 // measureHeadWaits records how long the head of each bucket has waited for capacity. A head that waits only
 // for a load on its tables does not indicate overload.
 func (c *Controller) measureHeadWaits() {
--- a/choice/recording_convert_test.go
+++ b/choice/recording_convert_test.go
@@ -50,6 +50,15 @@
 		QuotaAssigned:      "parted",
 		PredecessorChanged: "elder",
 		ClockStepped:       "clock_stepped",
+
+		SuccessorChanged:    "successor_changed",
+		SuccessorLinked:     "successor_linked",
+		SuccessorUnlinked:   "successor_unlinked",
+		PredecessorLinked:   "predecessor_linked",
+		PredecessorUnlinked: "predecessor_unlinked",
+		TurnRequested:       "turn_requested",
+		TurnReleased:        "turn_released",
+		TurnGranted:         "turn_granted",
 	}
 	resultNames = nameTable[Result]{
 		0:                 "",
@@ -85,6 +94,9 @@
 		ListEngines:        "list_all",
 		Log:                "log",
 		Fault:              "fault",
+		RequestTurn:        "request_turn",
+		ReleaseTurn:        "release_turn",
+		GrantTurn:          "grant_turn",
 	}
 )
 
@@ -132,6 +144,9 @@
 		Peer:               uint32(ev.Peer),
 		Payload:            ev.Payload,
 		PredecessorRunning: ev.PredecessorRunning,
+		SuccessorRunning:   ev.SuccessorRunning,
+		TurnHeld:           ev.TurnHeld,
+		Pause:              int64(ev.Pause),
 		ClockOffset:        ev.ClockOffset,
 		ConnectedAt:        ev.ConnectedAt,
 		Quota:              recordedQuota{recordedFloat(ev.Quota.FleetShare), nil, int64(ev.Quota.ExpiresAt)},
@@ -203,6 +218,9 @@
 		Peer:               PeerID(r.Peer),
 		Payload:            r.Payload,
 		PredecessorRunning: r.PredecessorRunning,
+		SuccessorRunning:   r.SuccessorRunning,
+		TurnHeld:           r.TurnHeld,
+		Pause:              Nanos(r.Pause),
 		ClockOffset:        r.ClockOffset,
 		ConnectedAt:        r.ConnectedAt,
 		Quota:              Quota{FleetShare: float64(r.Quota.FleetShare), ExpiresAt: Nanos(r.Quota.ExpiresAt)},
--- a/choice/recording_digest_test.go
+++ b/choice/recording_digest_test.go
@@ -23,6 +23,9 @@
 		if a.Reason != "" {
 			fmt.Fprintf(h, "reason=%s\n", a.Reason)
 		}
+		if a.Key != 0 {
+			fmt.Fprintf(h, "key=%x\n", a.Key)
+		}
 	}
 	return fmt.Sprintf("%016x", h.Sum64())
 }
--- a/choice/recording_test.go
+++ b/choice/recording_test.go
@@ -81,6 +81,9 @@
 	Payload            []byte              `json:"said,omitzero"`
 	Plan               *recordedPlan       `json:"plan,omitzero"`
 	PredecessorRunning bool                `json:"on,omitzero"`
+	SuccessorRunning   bool                `json:"successor,omitzero"`
+	TurnHeld           bool                `json:"held,omitzero"`
+	Pause              int64               `json:"pause,omitzero"`
 	ClockOffset        Nanos               `json:"clock_offset,omitzero"`
 	ConnectedAt        Nanos               `json:"connected_at,omitzero"`
 	Quota              recordedQuota       `json:"part,omitzero"`
--- a/cmd/swiftreel/listener.go
+++ b/cmd/swiftreel/listener.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"swiftreel/internal/operator"
 	"swiftreel/internal/shortage"
 )
 
@@ -31,6 +32,15 @@
 	return listener, err
 }
 
+// listenForClients listens on the address for clients, which is shared if there is a supervisor.
+func listenForClients(address string, file operator.File) (net.Listener, error) {
+	listener, err := listen(address, file.Stats != nil)
+	if err == nil && testHooks.listener != nil {
+		listener = testHooks.listener(listener)
+	}
+	return listener, err
+}
+
 func setReusePort(_, _ string, conn syscall.RawConn) error {
 	var optionErr error
 	controlErr := conn.Control(func(fd uintptr) {
--- a/cmd/swiftreel/main.go
+++ b/cmd/swiftreel/main.go
@@ -47,29 +47,37 @@
 	}
 	stop := make(chan os.Signal, 1) // caught before clients can connect, so that all of them are answered
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	listener, err := listen(file.Listen, operatorFile.Stats != nil)
+	if _, replaces := operatorFile.Predecessor(os.Getenv); replaces {
+		return run(file, nil, options, stop, reload)
+	}
+	listener, err := listenForClients(file.Listen, operatorFile)
 	if err != nil {
 		return err
 	}
-	if testHooks.listener != nil {
-		listener = testHooks.listener(listener)
-	}
 	return run(file, listener, options, stop, reload)
 }
 
 // run serves on a listener until a stop signal has arrived and no answer is pending. Each reload signal reloads both
-// files.
+// files. A nil listener is opened once the order of keys is coordinated with the predecessor; no job is admitted
+// before.
 func run(file config.File, listener net.Listener, options command.ServeOptions, stop, reload <-chan os.Signal) error {
 	listeningSince := time.Now()
 	files, err := readFiles(file, options.Operator, file.Settings)
 	if err != nil {
 		return err
 	}
-	s, err := newServer(files, listener, listeningSince, options)
+	s, err := newServer(files, options)
 	if err != nil {
 		return err
 	}
-	s.start(reload)
+	if listener == nil {
+		s.predecessor.awaitFirstAttempt()
+		listeningSince = time.Now()
+		if listener, err = listenForClients(file.Listen, files.operator); err != nil {
+			return err
+		}
+	}
+	s.start(listener, listeningSince, reload)
 	s.stop(<-stop)
 	return nil
 }
--- a/cmd/swiftreel/reload.go
+++ b/cmd/swiftreel/reload.go
@@ -153,6 +153,7 @@
 	}
 	if next.predecessorRunning() != r.current.predecessorRunning() {
 		s.gateway.SetPredecessor(next.predecessorRunning())
+		s.predecessor.stop() // the predecessor has ended: a process never starts to replace another one
 	}
 	s.stats.setApplied(next)
 	r.recordApplied(next)
--- a/cmd/swiftreel/server.go
+++ b/cmd/swiftreel/server.go
@@ -18,21 +18,20 @@
 // server is a controller: the gateway and the components around it. newServer creates the components, start runs them
 // and stop closes them in reverse order of their dependencies.
 type server struct {
-	files          files // as read at startup; cleared by start
-	listener       net.Listener
-	listeningSince time.Time
-	gateway        *gateway.Gateway
-	clients        *client.Server
-	sparql         *sparqlServer
-	stats          *statsServer
-	plans          *planFollower
-	discovery      *discovery.Watcher
-	reloader       *reloader
+	files       files        // as read at startup; cleared by start
+	listener    net.Listener // set by start
+	gateway     *gateway.Gateway
+	clients     *client.Server
+	sparql      *sparqlServer
+	stats       *statsServer
+	plans       *planFollower
+	discovery   *discovery.Watcher
+	reloader    *reloader
+	predecessor *predecessorFollower // nil if this process replaces none
 }
 
-// newServer returns a server that has not started. The server owns the listener once start is called; since is when the
-// listener was opened.
-func newServer(files files, listener net.Listener, since time.Time, options command.ServeOptions) (*server, error) {
+// newServer returns a server that has not started.
+func newServer(files files, options command.ServeOptions) (*server, error) {
 	sparql, err := newSPARQLServer(files.operator.SPARQL, files.config.Limits)
 	if err != nil {
 		return nil, err
@@ -57,8 +56,7 @@
 		gate.Close()
 		return nil, err
 	}
-	s := &server{files: files, listener: listener, listeningSince: since, gateway: gate, clients: clients,
-		sparql: sparql, stats: stats}
+	s := &server{files: files, gateway: gate, clients: clients, sparql: sparql, stats: stats}
 	s.restoreState()
 	s.plans = &planFollower{gateway: gate}
 	s.plans.follow(files.operator.Plan)
@@ -67,6 +65,7 @@
 	})
 	gate.SetListAge(s.discovery)
 	s.reloader = newReloader(s, budget, options.Operator)
+	s.predecessor = newPredecessorFollower(files.operator, gate)
 	return s, nil
 }
 
@@ -82,10 +81,11 @@
 	restoreSnapshot(s.files.operator.Stats, s.gateway)
 }
 
-// start serves in the background.
-func (s *server) start(reload <-chan os.Signal) {
+// start serves in the background. The server owns the listener from then on; since is when the listener was opened.
+func (s *server) start(listener net.Listener, since time.Time, reload <-chan os.Signal) {
+	s.listener = listener
 	go s.reloader.run(reload)
-	go func() { _ = s.clients.Serve(s.listener, s.listeningSince) }() // returns nil once the listener is closed
+	go func() { _ = s.clients.Serve(listener, since) }() // returns nil once the listener is closed
 	s.sparql.start()
 	debug.FreeOSMemory() // returns memory that the command-line libraries allocated during initialization
 	s.gateway.Start()
--- a/cmd/swiftreel/shutdown.go
+++ b/cmd/swiftreel/shutdown.go
@@ -46,6 +46,7 @@
 	s.discovery.Close()
 	s.plans.close()
 	s.gateway.Close()
+	s.predecessor.close()
 	after := time.Since(stoppedAt).Milliseconds()
 	slog.Info("stopped", append([]any{"after_ms", after}, counters.LogAttributes()...)...)
 }
--- a/cmd/swiftreel/stats.go
+++ b/cmd/swiftreel/stats.go
@@ -10,6 +10,7 @@
 	"swiftreel/internal/counters"
 	"swiftreel/internal/failpoint"
 	"swiftreel/internal/gateway"
+	"swiftreel/internal/handover"
 	"swiftreel/internal/jobstats"
 	"swiftreel/internal/monotonic"
 	"swiftreel/internal/version"
@@ -46,12 +47,15 @@
 	s.stats = jobstats.NewRecorder()
 	s.startedNS = failpoint.WallClock().UnixNano()
 	gate.SetStats(s.stats)
-	server, err := jobstats.Serve(options.Listen, s.report, s.assignShare)
+	server, err := jobstats.Serve(options.Listen, s.report, s.assignShare,
+		jobstats.Route{Pattern: handover.Pattern, Handler: s.acceptSuccessor},
+		jobstats.Route{Pattern: "POST " + handover.NoticePath, Handler: s.acceptNotice})
 	if err != nil {
 		return nil, err
 	}
 	s.server = server
-	slog.Info("serving_tally", "address", server.Address()) // supervisors of all versions parse this line
+	// Supervisors of all versions parse this line.
+	slog.Info("serving_tally", "address", server.Address(), "handover", handover.Version)
 	return s, nil
 }
 
--- /dev/null
+++ b/internal/coordinator/process_order_test.go
@@ -0,0 +1,293 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"swiftreel/internal/change"
+	"swiftreel/internal/fake"
+	"swiftreel/internal/rulecheck"
+	"swiftreel/internal/supervisor"
+	"swiftreel/internal/testcluster"
+)
+
+const (
+	writtenKeys     = 12
+	importTTL       = 8 * time.Second
+	afterNewConn    = 250 * time.Millisecond // clients keep this distance after a job of a key on a new connection
+	betweenImports  = 60 * time.Millisecond  // and this one otherwise
+	importsObserved = 60                     // imports done that show that a state lasts
+)
+
+// keyWriters are clients that send imports of the same keys over new and over kept connections by turns, so that two
+// processes on one address both get jobs of a key.
+type keyWriters struct {
+	cluster *testcluster.Cluster
+	member  *testcluster.Member
+	lastJob atomic.Int64
+	stop    chan struct{}
+	clients sync.WaitGroup
+
+	done, throttled, failed, broken atomic.Int64
+}
+
+func startKeyWriters(cluster *testcluster.Cluster) *keyWriters {
+	w := &keyWriters{cluster: cluster, member: cluster.Members[0], stop: make(chan struct{})}
+	for i := range writtenKeys {
+		w.clients.Go(func() { w.write(fmt.Sprint("key", i)) })
+	}
+	return w
+}
+
+func (w *keyWriters) write(key string) {
+	var kept *fake.Client
+	defer func() {
+		if kept != nil {
+			_ = kept.Conn.Close() // the answers have been read
+		}
+	}()
+	for !w.stopped() {
+		if kept == nil || kept.IsClosed() {
+			kept = w.connect(kept)
+			<-w.send(kept, key, afterNewConn)
+			continue
+		}
+		fresh := w.connect(nil)
+		first := w.send(fresh, key, afterNewConn)
+		second := first
+		if !kept.IsClosed() {
+			second = w.send(kept, key, betweenImports)
+		}
+		<-first
+		<-second
+		_ = fresh.Conn.Close() // its answer has been read
+	}
+}
+
+func (w *keyWriters) stopped() bool {
+	select {
+	case <-w.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// connect closes a former connection and opens a new one.
+func (w *keyWriters) connect(former *fake.Client) *fake.Client {
+	if former != nil {
+		_ = former.Conn.Close() // it ended
+	}
+	for {
+		if conn, err := fake.Dial(w.member.ClientAddress); err == nil {
+			return conn
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// send sends an import of a key, keeps the distance to the next one, and returns a channel that is closed once the
+// import has ended.
+func (w *keyWriters) send(conn *fake.Client, key string, distance time.Duration) (ended chan struct{}) {
+	ended = make(chan struct{})
+	job := fmt.Sprintf("%016x", w.lastJob.Add(1))
+	w.cluster.Events.Add(rulecheck.Entry{Event: rulecheck.Accepted, Job: job, Type: "import", Key: key,
+		OrderScope: w.member.Name, DeadlineNS: time.Now().Add(importTTL).UnixNano()})
+	_, err := conn.Send("import", "SELECT 1 FROM a_1.b", "call", job, "ttl", fmt.Sprint(importTTL.Milliseconds()),
+		"org", "acme", "work", "4", "est_mb", "8", "row", key)
+	go func() {
+		defer close(ended)
+		w.awaitAnswer(conn, job, err)
+	}()
+	time.Sleep(distance)
+	return ended
+}
+
+func (w *keyWriters) awaitAnswer(conn *fake.Client, job string, sendErr error) {
+	answer, err := conn.Read(importTTL + time.Second)
+	entry := rulecheck.Entry{Event: rulecheck.Answered, Job: job}
+	switch {
+	case sendErr != nil || err != nil:
+		w.broken.Add(1)
+		entry.Event = rulecheck.ClientLeft
+	case answer.Error == "":
+		w.done.Add(1)
+		entry.Answer = rulecheck.Done
+	case answer.Error == "Overloaded":
+		w.throttled.Add(1)
+		entry.Answer = rulecheck.Throttled
+	default:
+		w.failed.Add(1)
+		entry.Answer = rulecheck.Cancelled
+	}
+	w.cluster.Events.Add(entry)
+}
+
+// awaitMoreDone waits until importsObserved further imports are done.
+func (w *keyWriters) awaitMoreDone(t *testing.T) {
+	t.Helper()
+	before := w.done.Load()
+	waitUntil(t, w.cluster, "imports are done", func() bool { return w.done.Load() >= before+importsObserved })
+}
+
+// finish stops the clients and the cluster, and checks what happened against the rules.
+func (w *keyWriters) finish(t *testing.T) {
+	t.Helper()
+	w.awaitMoreDone(t)
+	close(w.stop)
+	w.clients.Wait()
+	if err := w.cluster.Stop(); err != nil {
+		t.Error(err)
+	}
+	for _, v := range rulecheck.Check(testcluster.Rules, w.cluster.Events.Entries()) {
+		t.Error(v)
+	}
+	t.Logf("imports: %d done, %d throttled, %d failed, %d broken", w.done.Load(), w.throttled.Load(), w.failed.Load(),
+		w.broken.Load())
+	if t.Failed() {
+		t.Log(w.member.Supervisor.Log())
+	}
+}
+
+// requireAdmittedServed fails the test if an import that was admitted was throttled or cancelled. A process that stops
+// admits no calls after a while (calls_after_stop), whatever their keys.
+func (w *keyWriters) requireAdmittedServed(t *testing.T) {
+	t.Helper()
+	log := w.member.Supervisor.Log()
+	if strings.Contains(log, "jobs_throttled_") || w.failed.Load() > 0 {
+		t.Errorf("%d imports were throttled, %d failed: %s", w.throttled.Load(), w.failed.Load(), log)
+	}
+}
+
+// startOrderTest starts a cluster of one controller with clients of ordered keys.
+func startOrderTest(t *testing.T) (*testcluster.Cluster, *keyWriters) {
+	t.Helper()
+	t.Parallel()
+	cluster, err := testcluster.Config{Program: currentProgram, Seed: 20, Controllers: 1, Engines: 2}.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cluster.Close)
+	cluster.Faults.SetWorkDuration(30 * time.Millisecond)
+	writers := startKeyWriters(cluster)
+	writers.awaitMoreDone(t)
+	return cluster, writers
+}
+
+func statusOf(t *testing.T, cluster *testcluster.Cluster) supervisor.Status {
+	t.Helper()
+	var status supervisor.Status
+	waitUntil(t, cluster, "a status", func() (answered bool) {
+		var err error
+		status, err = cluster.Status(cluster.Members[0])
+		return err == nil
+	})
+	return status
+}
+
+// orderProgram orders the first member to run a program, as the given change of the fleet.
+func orderProgram(t *testing.T, cluster *testcluster.Cluster, number int64, path string) {
+	t.Helper()
+	fence := change.Fence{Number: number, Term: 1, Revision: 1}
+	if err := cluster.OrderProgram(cluster.Members[0], fence, path); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// awaitOnly waits until the first member runs only one process, which is of the given version.
+func awaitOnly(t *testing.T, cluster *testcluster.Cluster, version string) {
+	t.Helper()
+	waitUntil(t, cluster, "only "+version+" runs", func() bool {
+		s, err := cluster.Status(cluster.Members[0])
+		return err == nil && s.Version == version && s.Serving && len(s.DrainingPIDs) == 0
+	})
+}
+
+// awaitNextProcess waits until the supervisor of the first member has started a process beside the one with the given
+// ID, and returns the ID of the new one.
+func awaitNextProcess(t *testing.T, cluster *testcluster.Cluster, current int) (next int) {
+	t.Helper()
+	parent := cluster.Members[0].Supervisor.Pid()
+	waitUntil(t, cluster, "a next process", func() bool {
+		lists, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/children", parent))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, list := range lists {
+			text, _ := os.ReadFile(list) // the thread may have ended
+			for child := range strings.FieldsSeq(string(text)) {
+				if pid, _ := strconv.Atoi(child); pid != current {
+					next = pid
+				}
+			}
+		}
+		return next != 0
+	})
+	return next
+}
+
+// Guards against imports of a key that overtake each other, or wait for keys that they do not share, while the old and
+// the new program both take jobs (review/1).
+func TestImportsKeepTheirOrderInAChangeOfTheProgram(t *testing.T) {
+	cluster, writers := startOrderTest(t)
+	orderProgram(t, cluster, 1, otherProgram)
+	awaitOnly(t, cluster, "other")
+	writers.finish(t)
+	writers.requireAdmittedServed(t)
+}
+
+// Guards against a predecessor that does not order its jobs again after the next process has died unpromoted.
+func TestImportsKeepTheirOrderIfTheNextProcessDies(t *testing.T) {
+	cluster, writers := startOrderTest(t)
+	old := statusOf(t, cluster)
+	orderProgram(t, cluster, 1, otherProgram)
+	next := awaitNextProcess(t, cluster, old.PID)
+	keeper := cluster.Members[0].Supervisor
+	keeper.Signal(syscall.SIGSTOP) // so that it does not promote the process
+	writers.awaitMoreDone(t)
+	signalProcess(t, next, syscall.SIGKILL)
+	writers.awaitMoreDone(t)
+	keeper.Signal(syscall.SIGCONT)
+	awaitOnly(t, cluster, "other")
+	writers.finish(t)
+}
+
+// Guards against a next process that is discarded after it has taken jobs.
+func TestImportsKeepTheirOrderIfTheNextProcessIsDiscarded(t *testing.T) {
+	cluster, writers := startOrderTest(t)
+	old := statusOf(t, cluster)
+	orderProgram(t, cluster, 1, otherProgram)
+	awaitNextProcess(t, cluster, old.PID)
+	keeper := cluster.Members[0].Supervisor
+	keeper.Signal(syscall.SIGSTOP)
+	writers.awaitMoreDone(t)
+	keeper.Signal(syscall.SIGCONT)
+	orderProgram(t, cluster, 2, currentProgram)
+	awaitOnly(t, cluster, old.Version)
+	writers.finish(t)
+}
+
+// Guards against a state of the first handover that is left in the second: a change, its rollback and the change again.
+func TestImportsKeepTheirOrderInChangesInARow(t *testing.T) {
+	cluster, writers := startOrderTest(t)
+	first := statusOf(t, cluster).Version
+	for i, path := range []string{otherProgram, currentProgram, otherProgram} {
+		orderProgram(t, cluster, int64(i+1), path)
+		version := map[string]string{currentProgram: first, otherProgram: "other"}[path]
+		waitUntil(t, cluster, "the ordered program serves", func() bool {
+			s, err := cluster.Status(cluster.Members[0])
+			return err == nil && s.Version == version && s.Serving
+		})
+	}
+	awaitOnly(t, cluster, "other")
+	writers.finish(t)
+	writers.requireAdmittedServed(t)
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -47,9 +47,12 @@
 	var others []choice.Action // a copy, since the module reuses the returned slice
 	for _, action := range g.module.Decide(g.lastTime, event) {
 		g.trace.action(g.lastTime, action)
-		if concernsJob(action.Kind) {
+		switch {
+		case concernsJob(action.Kind):
 			g.deliver(moduleAction{action: action, decidedAt: now})
-		} else {
+		case concernsPeer(action.Kind):
+			g.sendToPeer(action)
+		default:
 			others = append(others, action)
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,7 @@
 	lastJobID  choice.JobID
 	lastTime   choice.Nanos // time of the last event; the module's time must not decrease
 	closed     bool         // timers that fire afterwards have no effect
+	peer       Peer         // nil if no other process of this controller is linked
 }
 
 // Options configures a Gateway.
@@ -125,6 +126,7 @@
 	close(g.closing)
 	g.engines.Close()
 	g.running.Wait()
+	g.closePeer()
 	invariant.Check(len(g.jobs) == 0 && len(g.openCalls) == 0 && g.audit.OpenJobs() == 0, "jobs_left")
 	invariant.Check(g.budget.ReadBytes.Unused() && g.budget.MessageBytes.Unused(), "bytes_left")
 }
--- /dev/null
+++ b/internal/gateway/handover.go
@@ -0,0 +1,156 @@
+package gateway
+
+import (
+	"errors"
+	"log/slog"
+
+	"swiftreel/choice"
+	"swiftreel/internal/handover"
+)
+
+// Peer is the other process of this controller while a program is replaced, as package handover links it.
+type Peer interface {
+	// Send queues a message without waiting. Messages arrive in the order of the calls.
+	Send(handover.Message)
+	// Receive waits for the next message. It returns an error once the connection has ended.
+	Receive() (handover.Message, error)
+	// Close ends the connection.
+	Close()
+}
+
+// errPeerLinked means that another process is linked already.
+var errPeerLinked = errors.New("another process of this controller is linked")
+
+// SetUncoordinatedSuccessor tells the module whether a successor runs that does not link to this process.
+func (g *Gateway) SetUncoordinatedSuccessor(running bool) {
+	g.notify(choice.Event{Kind: choice.SuccessorChanged, SuccessorRunning: running})
+	slog.Info("uncoordinated_successor", "running", running)
+}
+
+// ServeSuccessor leaves the order of ordering keys to a successor process until the connection to it ends. It closes
+// the connection. It returns an error if another process is linked.
+func (g *Gateway) ServeSuccessor(successor Peer) error {
+	defer successor.Close()
+	if !g.link(successor, choice.SuccessorLinked) {
+		return errPeerLinked
+	}
+	slog.Info("successor_linked")
+	g.receiveFrom(successor, choice.SuccessorUnlinked)
+	slog.Info("successor_unlinked")
+	return nil
+}
+
+// FollowPredecessor orders the jobs of ordering keys for both processes until the connection to the predecessor ends.
+// It closes the connection. synced is called once the turns of all jobs that the predecessor admitted alone are known.
+func (g *Gateway) FollowPredecessor(predecessor Peer, synced func()) error {
+	defer predecessor.Close()
+	if !g.link(predecessor, choice.PredecessorLinked) {
+		return errPeerLinked
+	}
+	g.receiveFrom(syncedPeer{Peer: predecessor, synced: synced}, choice.PredecessorUnlinked)
+	slog.Info("predecessor_unlinked")
+	return nil
+}
+
+// syncedPeer calls synced for each message that says so.
+type syncedPeer struct {
+	Peer
+	synced func()
+}
+
+// Receive implements Peer.
+func (p syncedPeer) Receive() (handover.Message, error) {
+	message, err := p.Peer.Receive()
+	if err == nil && message.Kind == handover.Synced {
+		slog.Info("predecessor_linked")
+		p.synced()
+	}
+	return message, err
+}
+
+// link makes a process the peer and notifies the module. It returns false if there is a peer or the gateway is closed.
+func (g *Gateway) link(peer Peer, linked choice.EventKind) bool {
+	g.mu.Lock()
+	if g.peer != nil || g.closed {
+		g.mu.Unlock()
+		return false
+	}
+	g.peer = peer
+	actions := g.decide(choice.Event{Kind: linked})
+	if linked == choice.SuccessorLinked {
+		peer.Send(handover.Message{Kind: handover.Synced})
+	}
+	g.mu.Unlock()
+	g.perform(actions)
+	return true
+}
+
+// receiveFrom passes the peer's messages to the module until the connection ends, and then the event unlinked.
+func (g *Gateway) receiveFrom(peer Peer, unlinked choice.EventKind) {
+	for {
+		message, err := peer.Receive()
+		if err != nil {
+			break
+		}
+		if event, known := turnEvent(message); known {
+			g.notify(event)
+		}
+	}
+	g.mu.Lock()
+	g.peer = nil
+	actions := g.decide(choice.Event{Kind: unlinked})
+	g.mu.Unlock()
+	g.perform(actions)
+}
+
+// closePeer closes the connection to the peer, if there is one. Nothing of this process is in flight any more.
+func (g *Gateway) closePeer() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.peer != nil {
+		g.peer.Close()
+	}
+}
+
+func concernsPeer(kind choice.ActionKind) bool {
+	return kind == choice.RequestTurn || kind == choice.ReleaseTurn || kind == choice.GrantTurn
+}
+
+// sendToPeer sends an action of the module to the peer. The caller must hold the lock, which keeps the module's order.
+func (g *Gateway) sendToPeer(action choice.Action) {
+	if g.peer == nil {
+		return
+	}
+	message := handover.Message{Turn: uint32(action.Job), Key: uint64(action.Key)}
+	switch action.Kind {
+	case choice.RequestTurn:
+		message.Kind = handover.Request
+		message.Held = action.Enabled
+	case choice.ReleaseTurn:
+		message.Kind = handover.Release
+		message.PauseNS = int64(action.Duration)
+	default:
+		message.Kind = handover.Grant
+	}
+	g.peer.Send(message)
+}
+
+// turnEvent converts a message of the peer to an event of the module; false for kinds that the module does not handle.
+func turnEvent(message handover.Message) (choice.Event, bool) {
+	event := choice.Event{Job: choice.JobID(message.Turn), Key: choice.Key(message.Key)}
+	switch message.Kind {
+	case handover.Request:
+		event.Kind = choice.TurnRequested
+		event.TurnHeld = message.Held
+	case handover.Release:
+		event.Kind = choice.TurnReleased
+		event.Pause = choice.Nanos(message.PauseNS)
+	case handover.Grant:
+		event.Kind = choice.TurnGranted
+	case handover.Synced:
+		return choice.Event{}, false
+	default:
+		return choice.Event{}, false
+	}
+	return event, true
+}
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -28,6 +28,15 @@
 	choice.PredecessorChanged: "elder",
 	choice.QuotaAssigned:      "parted",
 	choice.ClockStepped:       "clock_stepped",
+
+	choice.SuccessorChanged:    "successor_changed",
+	choice.SuccessorLinked:     "successor_linked",
+	choice.SuccessorUnlinked:   "successor_unlinked",
+	choice.PredecessorLinked:   "predecessor_linked",
+	choice.PredecessorUnlinked: "predecessor_unlinked",
+	choice.TurnRequested:       "turn_requested",
+	choice.TurnReleased:        "turn_released",
+	choice.TurnGranted:         "turn_granted",
 }
 
 var actionNames = [...]string{
@@ -44,6 +53,9 @@
 	choice.ListEngines:        "list_all",
 	choice.Log:                "log",
 	choice.Fault:              "fault",
+	choice.RequestTurn:        "request_turn",
+	choice.ReleaseTurn:        "release_turn",
+	choice.GrantTurn:          "grant_turn",
 }
 
 func (on trace) event(now choice.Nanos, event choice.Event) {
@@ -67,8 +79,10 @@
 	case choice.ProgressReported:
 		return []any{"job", event.Job, "seq", event.Seq, "engine", event.Engine,
 			"note", event.Progress, "amount", event.Amount}
-	case choice.ClientDisconnected:
+	case choice.ClientDisconnected, choice.TurnGranted:
 		return []any{"job", event.Job}
+	case choice.TurnRequested, choice.TurnReleased:
+		return []any{"job", event.Job, "key", fmt.Sprintf("%x", event.Key), "held", event.TurnHeld, "pause", event.Pause}
 	case choice.EnginesListed:
 		return []any{"list", event.List, "lines", event.Engines}
 	case choice.ProbeCompleted:
--- /dev/null
+++ b/internal/handover/message.go
@@ -0,0 +1,27 @@
+// Package handover connects the two processes of one controller while a program is replaced, so that jobs of one
+// ordering key run one at a time and in order although clients send them to either process.
+//
+// The successor connects to the predecessor's HTTP server and upgrades the connection (RFC 9110, section 7.8). From
+// then on both send messages as lines of JSON: the predecessor requests and releases turns of ordering keys, the
+// successor grants them. The end of the connection means the end of a process. Package choice decides what follows.
+package handover
+
+// Kind is the kind of a message.
+type Kind string
+
+// The kinds of message. The comments name the sender and the fields of Message that each sets.
+const (
+	Request Kind = "request" // predecessor: a job waits for its turn of a key: Turn, Key, Held
+	Release Kind = "release" // predecessor: a turn is over, or a key pauses: Turn, Key, PauseNS
+	Synced  Kind = "synced"  // predecessor: the turns of all earlier jobs were requested
+	Grant   Kind = "grant"   // successor: the job may run: Turn
+)
+
+// Message is one message.
+type Message struct {
+	Kind    Kind   `json:"kind"`
+	Turn    uint32 `json:"turn,omitempty"`       // the predecessor's number of the job; 0: none
+	Key     uint64 `json:"key,string,omitempty"` // hash of the ordering key; 0: all keys
+	Held    bool   `json:"held,omitempty"`       // an attempt of the job may be running
+	PauseNS int64  `json:"pause_ns,omitempty"`   // how long the key pauses from now on, in nanoseconds
+}
--- a/internal/jobstats/server.go
+++ b/internal/jobstats/server.go
@@ -74,9 +74,15 @@
 	http     *http.Server
 }
 
-// Serve listens on an IPv4 TCP address. Until Close, it serves the result of report at GET /tally and passes shares
-// received at POST /part to accept. Both functions are called concurrently.
-func Serve(address string, report func() Report, accept func(Share)) (*Server, error) {
+// Route is a further route of the server, with a pattern of http.ServeMux.
+type Route struct {
+	Pattern string
+	Handler http.HandlerFunc
+}
+
+// Serve listens on an IPv4 TCP address. Until Close, it serves the result of report at GET /tally, passes shares
+// received at POST /part to accept, and serves further routes. All functions are called concurrently.
+func Serve(address string, report func() Report, accept func(Share), further ...Route) (*Server, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
@@ -89,6 +95,9 @@
 	mux.HandleFunc("POST /part", func(w http.ResponseWriter, r *http.Request) {
 		serveShare(w, r, accept)
 	})
+	for _, route := range further {
+		mux.HandleFunc(route.Pattern, route.Handler)
+	}
 	server := &Server{
 		listener: listener,
 		http: &http.Server{
--- a/internal/operator/files_test.go
+++ b/internal/operator/files_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"swiftreel/internal/golden"
+	"swiftreel/internal/handover"
 )
 
 // Load reads every key of files that operators and supervisors wrote, and fills in the defaults.
@@ -132,3 +133,28 @@
 		}
 	}
 }
+
+// A supervisor names the process that a controller replaces in its environment; one of an earlier version does not.
+func TestPredecessor(t *testing.T) {
+	replaced := handover.Predecessor{PID: 42, Address: "127.0.0.1:7"}
+	replaces := File{Stats: &Stats{Predecessor: true}}
+	for name, c := range map[string]struct {
+		file  File
+		text  string
+		known bool
+	}{
+		"not supervised":     {File{}, PredecessorEnvironment(replaced), false},
+		"replaces none":      {File{Stats: &Stats{}}, PredecessorEnvironment(replaced), false},
+		"told":               {replaces, PredecessorEnvironment(replaced), true},
+		"an earlier version": {replaces, "", false},
+		"malformed":          {replaces, predecessorVariable + "=x@127.0.0.1:7", false},
+	} {
+		got, known := c.file.Predecessor(func(name string) string {
+			value, _ := strings.CutPrefix(c.text, name+"=")
+			return value
+		})
+		if known != c.known || known && got != replaced {
+			t.Errorf("%s: %+v %v", name, got, known)
+		}
+	}
+}
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -6,7 +6,10 @@
 	"net"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
+
+	"swiftreel/internal/handover"
 )
 
 // Fleet lists the controllers that changes are rolled out to in stages. Supervisors and coordinators read this part;
@@ -76,6 +79,25 @@
 	return time.Duration(milliseconds) * time.Millisecond
 }
 
+// predecessorVariable is the environment variable with which a supervisor tells a controller which process it replaces:
+// PID@host:port, the latter of the process's report. Supervisors of earlier versions do not set it.
+const predecessorVariable = "SWIFTREEL_PREDECESSOR"
+
+// PredecessorEnvironment returns the environment entry that a supervisor sets for a controller that replaces a process.
+func PredecessorEnvironment(predecessor handover.Predecessor) string {
+	return fmt.Sprintf("%s=%d@%s", predecessorVariable, predecessor.PID, predecessor.Address)
+}
+
+// Predecessor returns the process that this controller replaces, and false if there is none or it is not known.
+func (f File) Predecessor(getenv func(string) string) (handover.Predecessor, bool) {
+	pidText, address, found := strings.Cut(getenv(predecessorVariable), "@")
+	pid, err := strconv.Atoi(pidText)
+	if f.Stats == nil || !f.Stats.Predecessor || !found || err != nil {
+		return handover.Predecessor{}, false
+	}
+	return handover.Predecessor{PID: pid, Address: address}, true
+}
+
 // minIntervalDivisor is the divisor of Planning.IntervalMS that gives the default of MinIntervalMS.
 const minIntervalDivisor = 10
 
--- a/internal/supervisor/controller.go
+++ b/internal/supervisor/controller.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"swiftreel/internal/change"
+	"swiftreel/internal/handover"
 	"swiftreel/internal/jobstats"
 )
 
@@ -20,8 +21,9 @@
 	logBufferBytes       = 64 << 10
 )
 
-// reportAddressLine matches the log line in which a controller announces the address of its report.
-var reportAddressLine = regexp.MustCompile(`msg=serving_tally address=(\S+)`)
+// reportAddressLine matches the log line in which a controller announces the address of its report, and whether it
+// links to the process that it replaces. Controllers of earlier versions do not.
+var reportAddressLine = regexp.MustCompile(`msg=serving_tally address=(\S+)(?: handover=(\d+))?`)
 
 // controller is a process of the controller program. It is owned by the goroutine of Run, except for the fields that
 // are marked as guarded by the supervisor's lock.
@@ -37,9 +39,12 @@
 
 	report            jobstats.Report // the last one received; guarded by the supervisor's lock
 	appliedAssignment assignmentID    // the assignment whose share the process applies; guarded by the supervisor's lock
+	successorNoticed  bool            // it knows that a successor runs that does not link to it
 
-	mu      sync.Mutex
-	address string // host:port where the process serves its report; empty until the process has logged it
+	onAddress func() // called once the address is known
+	mu        sync.Mutex
+	address   string // host:port where the process serves its report; empty until the process has logged it
+	links     bool   // it links to the process that it replaces
 }
 
 // start starts the process and copies its log to logOutput until it exits.
@@ -75,9 +80,7 @@
 	for {
 		line, err := lines.ReadString('\n')
 		if match := reportAddressLine.FindStringSubmatch(line); match != nil {
-			c.mu.Lock()
-			c.address = match[1]
-			c.mu.Unlock()
+			c.setAddress(match[1], match[2] != "")
 		}
 		_, _ = io.WriteString(logOutput, line) // a failing log writer must not stop the controller
 		if err != nil {
@@ -86,6 +89,28 @@
 	}
 }
 
+func (c *controller) setAddress(address string, links bool) {
+	c.mu.Lock()
+	c.address = address
+	c.links = links
+	c.mu.Unlock()
+	c.onAddress()
+}
+
+// servesUnlinked reports whether the process may admit jobs without a link to the process that it replaces.
+func (c *controller) servesUnlinked() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.address != "" && !c.links
+}
+
+// identity identifies the process for its successor; false until its address is known.
+func (c *controller) identity() (handover.Predecessor, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return handover.Predecessor{PID: c.command.Process.Pid, Address: c.address}, c.address != ""
+}
+
 func (c *controller) hasExited() bool {
 	select {
 	case <-c.exited:
--- a/internal/supervisor/controller_client.go
+++ b/internal/supervisor/controller_client.go
@@ -10,6 +10,7 @@
 	"net/http"
 
 	"swiftreel/internal/assignment"
+	"swiftreel/internal/handover"
 	"swiftreel/internal/jobstats"
 	"swiftreel/internal/quota"
 )
@@ -77,11 +78,21 @@
 
 // postShare sends a share to the controller. It returns nil if the controller has accepted it.
 func (c *controller) postShare(ctx context.Context, client *http.Client, share jobstats.Share) error {
-	url, err := c.url("/part")
+	return c.post(ctx, client, "/part", share)
+}
+
+// postNotice tells the controller whether a successor runs that does not link to it.
+func (c *controller) postNotice(ctx context.Context, client *http.Client, notice handover.Notice) error {
+	return c.post(ctx, client, handover.NoticePath, notice)
+}
+
+// post sends a value as JSON. It returns nil if the controller has accepted it.
+func (c *controller) post(ctx context.Context, client *http.Client, path string, value any) error {
+	url, err := c.url(path)
 	if err != nil {
 		return err
 	}
-	text, err := json.Marshal(share)
+	text, err := json.Marshal(value)
 	if err != nil {
 		return err
 	}
@@ -97,7 +108,7 @@
 		return err
 	}
 	if response.StatusCode != http.StatusNoContent {
-		return fmt.Errorf("share refused: %s", response.Status)
+		return fmt.Errorf("%s refused: %s", path, response.Status)
 	}
 	return nil
 }
--- a/internal/supervisor/lifecycle.go
+++ b/internal/supervisor/lifecycle.go
@@ -19,17 +19,16 @@
 		operatorFile: s.nextOperatorFilePath(),
 		startedAt:    time.Now(),
 		exited:       make(chan struct{}),
+		onAddress:    s.wakeUp,
 	}
 	s.mu.Lock()
 	hasCurrent := s.current != nil
+	predecessor := s.predecessor()
 	s.mu.Unlock()
-	hasPredecessor := hasCurrent || len(s.draining) > 0
-	if !s.writeOperatorFile(c, order, assigned, hasPredecessor) {
+	if !s.writeOperatorFile(c, order, assigned, predecessor != nil) {
 		return
 	}
-	environment := append(slices.Clone(s.options.Environment), operatorFileVariable+"="+c.operatorFile,
-		operator.DrainEnvironment(s.options.DrainTimeout))
-	err := c.start(environment, s.options.LogOutput)
+	err := c.start(s.environment(c, predecessor), s.options.LogOutput)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -42,6 +41,27 @@
 	}
 }
 
+// predecessor returns the process that a controller started now replaces, or nil. The lock must be held.
+func (s *Supervisor) predecessor() *controller {
+	if s.current == nil && len(s.draining) > 0 {
+		return s.draining[len(s.draining)-1]
+	}
+	return s.current
+}
+
+// environment returns the environment of a controller.
+func (s *Supervisor) environment(c, predecessor *controller) []string {
+	environment := append(slices.Clone(s.options.Environment), operatorFileVariable+"="+c.operatorFile,
+		operator.DrainEnvironment(s.options.DrainTimeout))
+	if predecessor == nil {
+		return environment
+	}
+	if identity, known := predecessor.identity(); known {
+		environment = append(environment, operator.PredecessorEnvironment(identity))
+	}
+	return environment
+}
+
 // reapExited removes controllers that have exited and kills those that exceed the drain timeout.
 func (s *Supervisor) reapExited() {
 	s.mu.Lock()
--- a/internal/supervisor/step.go
+++ b/internal/supervisor/step.go
@@ -7,6 +7,7 @@
 
 	"swiftreel/internal/assignment"
 	"swiftreel/internal/change"
+	"swiftreel/internal/handover"
 	"swiftreel/internal/monotonic"
 	"swiftreel/internal/quota"
 )
@@ -26,6 +27,7 @@
 // step polls the controllers and performs the next action.
 func (s *Supervisor) step(ctx context.Context) {
 	s.reapExited()
+	s.noticeSuccessor(ctx)
 	s.pollControllers(ctx)
 	state := s.observe()
 	if state.recheckDue {
@@ -35,6 +37,26 @@
 	s.perform(state)
 }
 
+// noticeSuccessor tells the current controller whether the next one may admit jobs without a link to it. It does so
+// before the polls, which may take long: clients wait only some hundred milliseconds between two jobs of a key.
+func (s *Supervisor) noticeSuccessor(ctx context.Context) {
+	s.mu.Lock()
+	current, next := s.current, s.next
+	s.mu.Unlock()
+	if current == nil {
+		return
+	}
+	unlinked := next != nil && next.servesUnlinked()
+	if unlinked == current.successorNoticed {
+		return
+	}
+	if err := current.postNotice(ctx, &s.httpClient, handover.Notice{Running: unlinked}); err != nil {
+		s.noticeLog.Warn("successor_not_noticed", "reason", err)
+		return // retried in the next step
+	}
+	current.successorNoticed = unlinked
+}
+
 // pollControllers requests the reports of the current and the next controller.
 func (s *Supervisor) pollControllers(ctx context.Context) {
 	for _, c := range []*controller{s.current, s.next} {
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -22,6 +22,7 @@
 
 	"swiftreel/internal/assignment"
 	"swiftreel/internal/change"
+	"swiftreel/internal/ratelog"
 )
 
 const (
@@ -61,6 +62,7 @@
 	wake         chan struct{} // signalled when an order or an assignment is accepted
 	incarnation  string        // identifies this process; assignments name it
 	startCount   int           // controllers started; used only by the goroutine of Run
+	noticeLog    ratelog.Logger
 
 	mu               sync.Mutex // guards the fields below
 	order            change.AcceptedOrder
