Jobs of a key that lay unread in a stall run in the order of their receipt

Callers saw: after a controller was stopped and went on (SIGSTOP, SIGCONT), imports of a key ran in another order than they were sent, and the key kept the earlier content.

Cause: calls that arrive meanwhile lie unread, and their connections are read in any order; a new connection has to be accepted first. The module took the order of reading for that of the key, and so did the run-time check.

Change: a call that may have been read late carries bounds of its receipt; TCP_INFO tells when the last data came in on a connection. Keys are queued in that order, in both processes of a controller; a key pauses 50 ms after a late job, and a job that may have been received before one that has begun is throttled, as it never ran. The audit uses the bounds.

--- a/choice/action.go
+++ b/choice/action.go
@@ -18,28 +18,32 @@
 	ListEngines                              // request the full endpoint list from discovery
 	Log                                      // Text
 	Fault                                    // report an internal error of this program: Text
-	RequestTurn                              // from the successor: Job, Key, Enabled if an attempt may be running
+	RequestTurn                              // from the successor: Job, Key, ReceivedAfter, -Before, Enabled if it may run
 	ReleaseTurn                              // to the successor, with the pause that the key needs: Job, Key, Duration
 	GrantTurn                                // to the predecessor: Job
+	RefuseTurn                               // to the predecessor: Job
 )
 
 // Action is one action for the caller to carry out; Kind determines which fields are set.
 type Action struct {
-	Kind         ActionKind
-	Job          JobID
-	Engine       EngineID
-	Seq          AttemptSeq
-	Key          Key
-	Duration     Nanos
-	SendDeadline Nanos // no byte of the attempt may be sent later; an attempt not sent by then is Superseded
-	Priority     uint8 // from 1, the lowest, to 3
-	MemoryMB     float64
-	TimerID      TimerID
-	Peer         PeerID // math.MaxUint32: all peers
-	Enabled      bool
-	Payload      string // of a gossip message
-	Text         string
-	Reason       Reason
+	Kind   ActionKind
+	Job    JobID
+	Engine EngineID
+	Seq    AttemptSeq
+	Key    Key
+	// ReceivedAfter and ReceivedBefore are those of the job's event.
+	ReceivedAfter  Nanos
+	ReceivedBefore Nanos
+	Duration       Nanos
+	SendDeadline   Nanos // no byte of the attempt may be sent later; an attempt not sent by then is Superseded
+	Priority       uint8 // from 1, the lowest, to 3
+	MemoryMB       float64
+	TimerID        TimerID
+	Peer           PeerID // math.MaxUint32: all peers
+	Enabled        bool
+	Payload        string // of a gossip message
+	Text           string
+	Reason         Reason
 }
 
 // Reason is why a job gets a final answer without a result. It is also the name of a counter.
@@ -49,7 +53,7 @@
 const (
 	TooLateToServe  Reason = "too_late_to_serve" // the job would end after it expires, or is about to expire
 	WouldNotFinish  Reason = "stopping"          // the job would end after this process stops
-	OrderUnknown    Reason = "order_unknown"     // another process may serve the job's key, and is not linked
+	OrderUnknown    Reason = "order_unknown"     // a later job of its key may have begun
 	ValueTooLow     Reason = "value_too_low"     // the value of the job is below the overload price of its work
 	QueueFull       Reason = "queue_full"
 	NoRetryLeft     Reason = "no_retry_left"    // the attempt of the job failed, and no other is allowed
--- a/choice/admission.go
+++ b/choice/admission.go
@@ -29,7 +29,7 @@
 		return
 	}
 	j := c.newJob(ev)
-	c.addJob(j)
+	c.addJob(j, ev)
 	c.creditBudgets(c.earliestArrival(ev))
 	c.demand.observe(j, demandSamples)
 	if !c.takeTenantToken(ev.Tenant) {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,6 +28,7 @@
 	TurnRequested:       (*Controller).queuePredecessorTurn,
 	TurnReleased:        (*Controller).releasePredecessorTurn,
 	TurnGranted:         (*Controller).acceptGrant,
+	TurnRefused:         (*Controller).acceptRefusal,
 }
 
 // Decide processes one event and returns the actions to carry out, in order. The first event must be Started,
--- a/choice/controller.go
+++ b/choice/controller.go
@@ -14,6 +14,7 @@
 	clockOffset        Nanos // wall clock minus now
 	startedAt          Nanos
 	lastSweepAt        Nanos
+	stalledUntil       Nanos // end of the last stall of this process
 	stopsAt            Nanos // when this process ends; math.MaxInt64: not stopping
 	predecessorEndedAt Nanos // far in the future while the predecessor runs
 	watchRequestedAt   Nanos
@@ -64,6 +65,7 @@
 	c.random = pcg(ev.Seed)
 	c.startedAt = c.now
 	c.lastSweepAt = c.now
+	c.stalledUntil = math.MinInt64 / 2
 	c.stopsAt = math.MaxInt64
 	c.predecessorEndedAt = math.MinInt64 / 2
 	c.outage.lastFailedDialAt = c.now - outageTimeout
--- a/choice/event.go
+++ b/choice/event.go
@@ -27,9 +27,10 @@
 	SuccessorUnlinked                        // the linked successor ended
 	PredecessorLinked                        // from now on the predecessor requests its turns of ordering keys here
 	PredecessorUnlinked                      // the linked predecessor ended
-	TurnRequested                            // by the predecessor, for its job: Job, Key, TurnHeld
+	TurnRequested                            // by the predecessor, for its job: Job, Key, TurnHeld, ReceivedAfter, -Before
 	TurnReleased                             // by the predecessor: Job (0: only a pause), Key (0: all keys), Pause
 	TurnGranted                              // by the successor: Job
+	TurnRefused                              // by the successor, as a later job of the key may have begun: Job
 )
 
 // Result is how an attempt or a probe ended.
@@ -122,12 +123,16 @@
 	Seed     uint64
 	Settings *Settings // nil: defaults
 
-	Job               JobID
-	Type              TypeID
-	Tenant            TenantID
-	Key               Key
-	TimeLeft          Nanos // until the job expires; of Stopping: until the process ends
-	ArrivedAt         Nanos // earliest time at which the job may have arrived, if it was read late; 0: now
+	Job       JobID
+	Type      TypeID
+	Tenant    TenantID
+	Key       Key
+	TimeLeft  Nanos // until the job expires; of Stopping: until the process ends
+	ArrivedAt Nanos // earliest time at which the job may have arrived, if it was read late; 0: now
+	// ReceivedAfter and ReceivedBefore bound when this machine received a job or a turn's job; 0: now. They tell the order
+	// of jobs of a key that were read late, as after a pause of the process.
+	ReceivedAfter     Nanos
+	ReceivedBefore    Nanos
 	Cost              Nanos // estimated work
 	CostKnown         bool
 	IsRepeat          bool // the client retries an earlier request
--- a/choice/handover.go
+++ b/choice/handover.go
@@ -63,7 +63,7 @@
 		for i, t := range order.turns {
 			j := c.jobs[t.job]
 			t.granted = i == 0 && (j.attempt != nil || j.mayHaveRun)
-			c.emit(Action{Kind: RequestTurn, Job: t.job, Key: key, Enabled: t.granted})
+			c.requestTurn(t)
 		}
 		if pause := order.pausedUntil - c.now; pause > 0 {
 			c.emit(Action{Kind: ReleaseTurn, Key: key, Duration: pause})
--- a/choice/handover_test.go
+++ b/choice/handover_test.go
@@ -12,7 +12,7 @@
 	now       Nanos
 	processes [2]*handoverProcess
 	nextJob   JobID
-	admitted  map[JobID]int // order of admission over both processes
+	admitted  map[JobID]int // order of receipt over both processes
 	lastRun   map[Key]int   // latest in that order that was dispatched, by key
 	runs      map[Key]JobID // attempt in flight, by key
 	pausedTo  map[Key]Nanos // a key pauses until then after an unknown outcome
@@ -31,6 +31,8 @@
 const (
 	predecessorIndex = 0
 	successorIndex   = 1
+
+	maxJobs = 1000 // of a play
 )
 
 func newTwoProcesses(t *testing.T) *twoProcesses {
@@ -87,11 +89,14 @@
 		case Dispatch:
 			p.dispatch(process, a.Job)
 		case RequestTurn:
-			process.send(Event{Kind: TurnRequested, Job: a.Job, Key: a.Key, TurnHeld: a.Enabled})
+			process.send(Event{Kind: TurnRequested, Job: a.Job, Key: a.Key, TurnHeld: a.Enabled,
+				ReceivedAfter: a.ReceivedAfter, ReceivedBefore: a.ReceivedBefore})
 		case ReleaseTurn:
 			process.send(Event{Kind: TurnReleased, Job: a.Job, Key: a.Key, Pause: a.Duration})
 		case GrantTurn:
 			process.send(Event{Kind: TurnGranted, Job: a.Job})
+		case RefuseTurn:
+			process.send(Event{Kind: TurnRefused, Job: a.Job})
 		case Throttle, CancelPermanently:
 			delete(p.waits, a.Job)
 		}
@@ -124,11 +129,21 @@
 
 // admit sends a job of a key to a process. Its earlier jobs are known to both, as clients keep their distance.
 func (p *twoProcesses) admit(process *handoverProcess, key Key) JobID {
+	return p.admitReceived(process, key, 0, 0)
+}
+
+// admitReceived does the same for a job that was received a while ago, within bounds; 0 means now.
+func (p *twoProcesses) admitReceived(process *handoverProcess, key Key, oldest, latest Nanos) JobID {
 	p.deliverAll()
 	p.nextJob++
 	id := p.nextJob
-	p.admitted[id], p.keys[id], p.waits[id] = int(id), key, p.now
-	p.decide(process, Event{Kind: JobArrived, Job: id, Type: 1, Key: key, TimeLeft: 60e9, Cost: 1e7, CostKnown: true})
+	p.keys[id], p.waits[id] = key, p.now
+	p.admitted[id] = int(p.now-oldest-successorStart)*maxJobs + int(id)
+	ev := Event{Kind: JobArrived, Job: id, Type: 1, Key: key, TimeLeft: 60e9, Cost: 1e7, CostKnown: true}
+	if oldest > 0 {
+		ev.ReceivedAfter, ev.ReceivedBefore = p.now-oldest, p.now-latest
+	}
+	p.decide(process, ev)
 	return id
 }
 
@@ -285,3 +300,18 @@
 		})
 	}
 }
+
+// Guards against a second successor that serves keys before the pause after the first one's end is over.
+func TestASecondSuccessorKeepsThePauseAfterTheFirst(t *testing.T) {
+	p := newTwoProcesses(t)
+	p.startSuccessor()
+	p.admit(p.processes[successorIndex], 1)
+	p.kill(successorIndex)
+	p.advance(50 * ms)
+	p.startSuccessor()
+	next := p.admit(p.processes[successorIndex], 1)
+	p.advance(49 * ms)
+	require(t, len(p.runs) == 0, "a job is dispatched in the pause")
+	p.advance(ms)
+	require(t, p.runs[1] == next, "no job is dispatched after the pause")
+}
--- a/choice/job.go
+++ b/choice/job.go
@@ -63,6 +63,9 @@
 		j.firstEngine = e
 	}
 	j.attempt = a
+	if j.turn != nil {
+		j.turn.started = true
+	}
 	j.lastEngine = e
 	j.attemptCount++
 	j.bucket.threadsInUse += j.jobType.threads
@@ -91,11 +94,11 @@
 }
 
 // addJob adds a new job. If its type is ordered by key, it is queued behind the earlier jobs of its key.
-func (c *Controller) addJob(j *job) {
+func (c *Controller) addJob(j *job, ev Event) {
 	c.jobs[j.id] = j
 	c.liveJobs = append(c.liveJobs, j)
 	if j.jobType.orderedByKey && j.key != 0 {
-		c.takeTurn(j)
+		c.takeTurn(j, ev)
 	}
 }
 
--- a/choice/ordering.go
+++ b/choice/ordering.go
@@ -2,42 +2,60 @@
 
 import "slices"
 
-// keyOrder is the state of one ordering key.
-type keyOrder struct {
-	turns       []*turn // in order of admission, until endTurn removes them
-	pausedUntil Nanos
-}
+const (
+	// A sweep that is this late means that input may lie unread. Clients keep a greater distance between jobs of
+	// a key, so that jobs that are read in time are in order.
+	lateReadThreshold = 50 * ms
+	// A key pauses for lateReadWait after a late job: earlier ones may still be unread.
+	lateReadWait = 50 * ms
+	// Keys of late jobs are remembered for lateReadRetention, in which all other input of that time is read.
+	lateReadRetention = second
+)
 
-// turn is the place of a job in the queue of its ordering key.
-type turn struct {
-	job     JobID // at the process that admitted the job
-	key     Key
-	granted bool // the process that orders the key's jobs allows the job to run
+// takeTurn queues a job by its key. While a successor is linked, the job also needs its grant.
+func (c *Controller) takeTurn(j *job, ev Event) {
+	j.turn = newTurn(ev, c.now)
+	j.turn.refused = !c.queueTurn(j.turn)
+	j.turn.granted = c.handover.mode != ordersAtSuccessor
+	if !j.turn.refused && !j.turn.granted {
+		c.requestTurn(j.turn)
+	}
 }
 
-// takeTurn queues a job behind the earlier jobs of its key. While a successor is linked, the job also needs
-// the successor's grant.
-func (c *Controller) takeTurn(j *job) {
-	j.turn = &turn{job: j.id, key: j.key, granted: c.handover.mode != ordersAtSuccessor}
-	c.queueTurn(j.turn)
-	if !j.turn.granted {
-		c.emit(Action{Kind: RequestTurn, Job: j.id, Key: j.key})
-	}
+func (c *Controller) requestTurn(t *turn) {
+	c.emit(Action{Kind: RequestTurn, Job: t.job, Key: t.key, ReceivedAfter: t.receivedAfter,
+		ReceivedBefore: t.receivedBefore, Enabled: t.granted})
 }
 
-func (c *Controller) queueTurn(t *turn) {
+// queueTurn queues a turn behind those of jobs that were received earlier. It returns false if that is not
+// possible, because a job that may have been received later has started.
+func (c *Controller) queueTurn(t *turn) bool {
 	if c.orderings[t.key] == nil {
 		c.orderings[t.key] = &keyOrder{}
 	}
 	order := c.orderings[t.key]
-	order.turns = append(order.turns, t)
+	if !t.started && c.mayPrecedeUnread(t) {
+		order.pauseFor(lateReadWait, c.now)
+		order.keptUntil = c.now + lateReadRetention
+	}
+	return order.insert(t)
+}
+
+// mayPrecedeUnread reports whether an earlier job of the key may still be unread: this one was read late, or
+// the process has just been stalled.
+func (c *Controller) mayPrecedeUnread(t *turn) bool {
+	return t.receivedAfter != t.receivedBefore || c.now < c.stalledUntil+lateReadWait ||
+		c.now-c.lastSweepAt > lateReadThreshold
 }
 
 // endTurn removes the turn of a job that has ended, so that the next one of the key may run.
 func (c *Controller) endTurn(t *turn) {
 	order := c.orderings[t.key]
 	order.turns = slices.DeleteFunc(order.turns, func(o *turn) bool { return o == t })
-	if c.handover.mode == ordersAtSuccessor {
+	if t.started {
+		order.startedBefore = max(order.startedBefore, t.receivedBefore)
+	}
+	if c.handover.mode == ordersAtSuccessor && !t.refused {
 		pause := max(0, order.pausedUntil-c.now)
 		c.emit(Action{Kind: ReleaseTurn, Job: t.job, Key: t.key, Duration: pause})
 	}
@@ -62,12 +80,11 @@
 	}
 }
 
-func (o *keyOrder) pauseFor(pause, now Nanos) { o.pausedUntil = max(o.pausedUntil, now+pause) }
-
-// orderingRefusal refuses a new job of an ordering key while another process of this controller may admit
-// jobs of the key too and the two are not linked: nobody knows their common order.
+// orderingRefusal refuses a new job of an ordering key whose place in the order is unknown: it was read after
+// a later one may have started, or another process of this controller may admit jobs of the key and is not
+// linked.
 func (c *Controller) orderingRefusal(j *job) Reason {
-	if j.turn != nil && c.handover.mode == ordersUnknown {
+	if j.turn != nil && (j.turn.refused || c.handover.mode == ordersUnknown) {
 		return OrderUnknown
 	}
 	return ""
--- a/choice/predecessor_turns.go
+++ b/choice/predecessor_turns.go
@@ -7,8 +7,13 @@
 	if c.handover.mode != ordersForBoth || ev.Key == 0 {
 		return
 	}
-	t := &turn{job: ev.Job, key: ev.Key, granted: ev.TurnHeld}
-	c.queueTurn(t)
+	t := newTurn(ev, c.now)
+	t.granted = ev.TurnHeld
+	t.started = ev.TurnHeld
+	if !c.queueTurn(t) {
+		c.emit(Action{Kind: RefuseTurn, Job: ev.Job})
+		return
+	}
 	c.handover.predecessorTurns = append(c.handover.predecessorTurns, t)
 }
 
@@ -44,11 +49,19 @@
 	for _, t := range c.handover.predecessorTurns {
 		if !t.granted && c.hasTurn(t) {
 			t.granted = true
+			t.started = true
 			c.emit(Action{Kind: GrantTurn, Job: t.job})
 		}
 	}
 }
 
+// acceptRefusal gives up a job whose turn the successor refused. The job was never dispatched.
+func (c *Controller) acceptRefusal(ev Event) {
+	if j := c.jobs[ev.Job]; j != nil && j.turn != nil && c.handover.mode == ordersAtSuccessor {
+		c.finishWithoutResult(j, OrderUnknown)
+	}
+}
+
 // acceptGrant lets a job run whose turn the successor granted.
 func (c *Controller) acceptGrant(ev Event) {
 	if j := c.jobs[ev.Job]; j != nil && j.turn != nil && c.handover.mode == ordersAtSuccessor {
--- a/choice/recording_convert_test.go
+++ b/choice/recording_convert_test.go
@@ -59,6 +59,7 @@
 		TurnRequested:       "turn_requested",
 		TurnReleased:        "turn_released",
 		TurnGranted:         "turn_granted",
+		TurnRefused:         "turn_refused",
 	}
 	resultNames = nameTable[Result]{
 		0:                 "",
@@ -97,6 +98,7 @@
 		RequestTurn:        "request_turn",
 		ReleaseTurn:        "release_turn",
 		GrantTurn:          "grant_turn",
+		RefuseTurn:         "refuse_turn",
 	}
 )
 
@@ -147,6 +149,8 @@
 		SuccessorRunning:   ev.SuccessorRunning,
 		TurnHeld:           ev.TurnHeld,
 		Pause:              int64(ev.Pause),
+		ReceivedAfter:      int64(ev.ReceivedAfter),
+		ReceivedBefore:     int64(ev.ReceivedBefore),
 		ClockOffset:        ev.ClockOffset,
 		ConnectedAt:        ev.ConnectedAt,
 		Quota:              recordedQuota{recordedFloat(ev.Quota.FleetShare), nil, int64(ev.Quota.ExpiresAt)},
@@ -221,6 +225,8 @@
 		SuccessorRunning:   r.SuccessorRunning,
 		TurnHeld:           r.TurnHeld,
 		Pause:              Nanos(r.Pause),
+		ReceivedAfter:      Nanos(r.ReceivedAfter),
+		ReceivedBefore:     Nanos(r.ReceivedBefore),
 		ClockOffset:        r.ClockOffset,
 		ConnectedAt:        r.ConnectedAt,
 		Quota:              Quota{FleetShare: float64(r.Quota.FleetShare), ExpiresAt: Nanos(r.Quota.ExpiresAt)},
--- a/choice/recording_digest_test.go
+++ b/choice/recording_digest_test.go
@@ -26,6 +26,9 @@
 		if a.Key != 0 {
 			fmt.Fprintf(h, "key=%x\n", a.Key)
 		}
+		if a.ReceivedAfter != 0 || a.ReceivedBefore != 0 {
+			fmt.Fprintf(h, "received=%d,%d\n", a.ReceivedAfter, a.ReceivedBefore)
+		}
 	}
 	return fmt.Sprintf("%016x", h.Sum64())
 }
--- a/choice/recording_test.go
+++ b/choice/recording_test.go
@@ -84,6 +84,8 @@
 	SuccessorRunning   bool                `json:"successor,omitzero"`
 	TurnHeld           bool                `json:"held,omitzero"`
 	Pause              int64               `json:"pause,omitzero"`
+	ReceivedAfter      int64               `json:"received_after,omitzero"`
+	ReceivedBefore     int64               `json:"received_before,omitzero"`
 	ClockOffset        Nanos               `json:"clock_offset,omitzero"`
 	ConnectedAt        Nanos               `json:"connected_at,omitzero"`
 	Quota              recordedQuota       `json:"part,omitzero"`
--- a/choice/sweep.go
+++ b/choice/sweep.go
@@ -15,6 +15,7 @@
 	c.liveJobs = slices.DeleteFunc(c.liveJobs, func(j *job) bool { return j.finished && j.attempt == nil })
 	if stalled := c.now - c.lastSweepAt - sweepInterval; stalled >= stallThreshold {
 		c.discountStall(stalled)
+		c.stalledUntil = c.now
 	}
 	c.lastSweepAt = c.now
 	for _, j := range c.liveJobs {
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -48,7 +48,9 @@
 	ID       choice.JobID
 	Deadline time.Time  // until which the client waits
 	RunOnce  bool       // the job must not run twice
-	Key      choice.Key // jobs of one key run one at a time, in order; 0: no ordering
+	Key      choice.Key // jobs of one key run one at a time, in order of receipt; 0: no ordering
+	// ReceivedAfter and ReceivedBefore bound the time of receipt of a job that was read late; zero: now.
+	ReceivedAfter, ReceivedBefore time.Time
 }
 
 // Dispatch is a dispatch whose first byte is about to be sent.
@@ -92,8 +94,8 @@
 // keyRecord is the record of an ordering key.
 type keyRecord struct {
 	open           map[choice.JobID]*jobRecord
-	arrivals       int // number of jobs admitted with the key
-	lastDispatched int // highest arrival number among dispatched jobs
+	arrivals       int        // number of jobs admitted with the key
+	lastDispatched *jobRecord // of the dispatched jobs, the one received last; nil: none
 	pausedUntil    time.Time
 }
 
@@ -118,6 +120,9 @@
 func (l *Ledger) Admitted(job Job, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if job.ReceivedAfter.IsZero() {
+		job.ReceivedAfter, job.ReceivedBefore = now, now
+	}
 	admitted := &jobRecord{Job: job}
 	l.jobs[job.ID] = admitted
 	if job.Key != 0 {
@@ -150,9 +155,11 @@
 	broken.add(l.bounds.DrainGrace > 0 && isPastGrace, DispatchedToUnavailable)
 	if r.Key != 0 {
 		key := l.key(r.Key)
-		broken.add(key.hasOtherInFlight(r) || r.arrival < key.lastDispatched, DispatchedOutOfOrder)
+		broken.add(key.hasOtherInFlight(r) || r.wasReceivedBefore(key.lastDispatched), DispatchedOutOfOrder)
 		broken.add(d.At.Before(key.pausedUntil), DispatchedWhileKeyPauses)
-		key.lastDispatched = max(key.lastDispatched, r.arrival)
+		if key.lastDispatched == nil || key.lastDispatched.wasReceivedBefore(r) {
+			key.lastDispatched = r
+		}
 	}
 	if r.dispatches > 0 {
 		broken.add(l.retries.addRetry(d.At), RetriedBeyondBudget)
@@ -191,6 +198,14 @@
 	k.open[r.ID] = r
 }
 
+// wasReceivedBefore reports whether a job of a key was certainly received before another one; nil stands for none.
+func (r *jobRecord) wasReceivedBefore(other *jobRecord) bool {
+	if other == nil || !r.ReceivedBefore.Equal(other.ReceivedAfter) {
+		return other != nil && r.ReceivedBefore.Before(other.ReceivedAfter)
+	}
+	return r.arrival < other.arrival
+}
+
 // hasOtherInFlight reports whether an attempt of another job of the key is in flight.
 func (k *keyRecord) hasOtherInFlight(r *jobRecord) bool {
 	for _, other := range k.open {
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -154,3 +154,27 @@
 		t.Errorf("%d jobs and %d keys are left", l.OpenJobs(), len(l.keys))
 	}
 }
+
+// Jobs that were read late are in the order of their receipt, as far as it is known.
+func TestOrderIsThatOfReceipt(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		after, before time.Duration // of the second job; the first was received from 100 to 120 ms after the start
+		want          []Violation
+	}{
+		{"earlier", 50 * time.Millisecond, 99 * time.Millisecond, []Violation{DispatchedOutOfOrder}},
+		{"not known", 50 * time.Millisecond, 101 * time.Millisecond, nil},
+		{"later", 130 * time.Millisecond, 150 * time.Millisecond, nil},
+	} {
+		l := NewLedger(Bounds{})
+		received := Job{ID: job, Key: key, Deadline: at(time.Minute)}
+		received.ReceivedAfter, received.ReceivedBefore = at(100*time.Millisecond), at(120*time.Millisecond)
+		l.Admitted(received, at(time.Second))
+		received.ID, received.ReceivedAfter, received.ReceivedBefore = later, at(c.after), at(c.before)
+		l.Admitted(received, at(time.Second))
+		end(l, job, choice.Done)
+		if got := l.Dispatched(dispatch(later, 2*time.Second)); !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/client/call.go
+++ b/internal/client/call.go
@@ -22,8 +22,8 @@
 }
 
 // newJobRequest copies the parts that must outlive the read buffer into a single allocation.
-func newJobRequest(client *call, received message, r request, at time.Time) gateway.Request {
-	size := len(received.method) + len(r.jobID) + len(r.tenant) + len(r.key) + len(r.idempotencyKey) + len(r.statement)
+func newJobRequest(client *call, m message, r request, received receipt) gateway.Request {
+	size := len(m.method) + len(r.jobID) + len(r.tenant) + len(r.key) + len(r.idempotencyKey) + len(r.statement)
 	storage := make([]byte, 0, size)
 	copyPart := func(part []byte) []byte {
 		start := len(storage)
@@ -31,14 +31,16 @@
 		return storage[start:len(storage):len(storage)]
 	}
 	return gateway.Request{
-		Type:              copyPart(received.method),
+		Type:              copyPart(m.method),
 		ID:                copyPart(r.jobID),
 		Tenant:            copyPart(r.tenant),
 		Key:               copyPart(r.key),
 		IdempotencyKey:    copyPart(r.idempotencyKey),
 		Statement:         copyPart(r.statement),
 		Timeout:           r.timeout,
-		ArrivedAt:         at,
+		ArrivedAt:         received.earliest,
+		ReceivedAfter:     received.after,
+		ReceivedBefore:    received.before,
 		ClientRetry:       r.isRetry,
 		EstimatedWork:     r.work,
 		EstimatedMemoryMB: r.memoryMB,
--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -106,7 +106,7 @@
 		if err != nil {
 			return c.submitCallsBeforeError(err)
 		}
-		if err := c.handleMessages(c.earliestSendTime()); err != nil {
+		if err := c.handleMessages(c.receiptOfInput()); err != nil {
 			return c.submitCallsBeforeError(err)
 		}
 		mayHaveMore := c.filledBuffer && c.readSinceSubmit < maxReadAhead && c.hasBufferedInput()
@@ -116,14 +116,22 @@
 	}
 }
 
-// earliestSendTime returns the earliest time at which the input just read may have been sent.
-func (c *conn) earliestSendTime() time.Time {
-	earliest := c.server.stalls.earliestSendTime(time.Now())
+// receiptOfInput returns when the input just read may have been received.
+func (c *conn) receiptOfInput() receipt {
+	readAt := time.Now()
+	earliest := c.server.stalls.earliestSendTime(readAt)
 	if !c.bufferedSince.IsZero() && c.bufferedSince.Before(earliest) {
 		earliest = c.bufferedSince
 	}
 	c.bufferedSince = time.Time{}
-	return earliest
+	unreadSince := earliest
+	if start, stalled := c.server.stalls.stalledSince(readAt); stalled && start.Before(earliest) {
+		unreadSince = start
+	}
+	if readAt.Sub(unreadSince) < lateReadThreshold {
+		return receipt{earliest: earliest}
+	}
+	return newReceipt(c.socket, earliest, unreadSince, readAt)
 }
 
 // submitCallsBeforeError submits the valid calls that precede input that cannot be read. It returns the given reason
--- a/internal/client/handle.go
+++ b/internal/client/handle.go
@@ -13,9 +13,8 @@
 // maxOpenCalls is the maximum number of open calls on a connection, as the protocol specifies.
 const maxOpenCalls = 32
 
-// handleMessages handles all complete messages in the buffer. sendTime is the earliest time at which they may have been
-// sent.
-func (c *conn) handleMessages(sendTime time.Time) error {
+// handleMessages handles all complete messages in the buffer, which were received within the given bounds.
+func (c *conn) handleMessages(received receipt) error {
 	for {
 		size, err := valueSize(c.buffer[c.start:c.end])
 		if errors.Is(err, ErrIncomplete) {
@@ -25,7 +24,8 @@
 			return err
 		}
 		c.rate.countMessage()
-		if err := c.handle(c.buffer[c.start:c.start+size], sendTime); err != nil {
+		isLast := c.start+size == c.end && received.isLate && !c.hasBufferedInput()
+		if err := c.handle(c.buffer[c.start:c.start+size], received.ofMessage(isLast)); err != nil {
 			c.unusableSize = size
 			return err
 		}
@@ -36,7 +36,7 @@
 }
 
 // handle handles one complete message. An error ends the input of the connection.
-func (c *conn) handle(text []byte, sendTime time.Time) error {
+func (c *conn) handle(text []byte, received receipt) error {
 	m, err := parseMessage(text)
 	if err != nil {
 		return err
@@ -54,25 +54,25 @@
 	case string(m.method) == methodHeartbeat:
 		return c.reply(appendHeartbeatAnswer(nil, m.id, c.server.jobs.Ready()))
 	default:
-		return c.handleCall(m, sendTime)
+		return c.handleCall(m, received)
 	}
 }
 
 // handleCall opens a call or refuses it.
-func (c *conn) handleCall(received message, sendTime time.Time) error {
-	r, err := parseRequest(received)
+func (c *conn) handleCall(m message, received receipt) error {
+	r, err := parseRequest(m)
 	if err != nil {
 		address := c.socket.RemoteAddr()
 		c.server.unusable.CountAndWarn("calls_unusable", "call_unusable", "address", address, "reason", err)
-		return c.refuse(received.id, errorFailed, fieldReason, err.Error())
+		return c.refuse(m.id, errorFailed, fieldReason, err.Error())
 	}
 	if !c.server.limits.MessageBytes.Reserve(len(r.statement)) {
-		return c.refuse(received.id, errorThrottled, "", "")
+		return c.refuse(m.id, errorThrottled, "", "")
 	}
-	call := &call{conn: c, id: received.id, reservedBytes: len(r.statement)}
+	call := &call{conn: c, id: m.id, reservedBytes: len(r.statement)}
 	result := c.openCall(call)
 	if result == callOpened {
-		c.pendingCalls = append(c.pendingCalls, pendingCall{call, newJobRequest(call, received, r, sendTime)})
+		c.pendingCalls = append(c.pendingCalls, pendingCall{call, newJobRequest(call, m, r, received)})
 		return nil
 	}
 	c.server.limits.MessageBytes.Release(call.reservedBytes)
@@ -81,9 +81,9 @@
 		counters.Increment("calls_crossed")
 		return nil
 	case callIDInUse:
-		return &idInUseError{id: received.id}
+		return &idInUseError{id: m.id}
 	default:
-		return c.refuse(received.id, errorThrottled, "", "")
+		return c.refuse(m.id, errorThrottled, "", "")
 	}
 }
 
--- a/internal/client/input_end_test.go
+++ b/internal/client/input_end_test.go
@@ -55,7 +55,7 @@
 	}
 	c.buffer = encodeCall(1, "SELECT 2")
 	c.end = len(c.buffer)
-	reason := c.handleMessages(time.Now())
+	reason := c.handleMessages(receipt{earliest: time.Now()})
 	if reason == nil || !c.settle(opened, 0) {
 		t.Fatalf("%v", reason)
 	}
--- /dev/null
+++ b/internal/client/receipt_test.go
@@ -0,0 +1,101 @@
+package client
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"swiftreel/internal/socketstate"
+)
+
+// connectedSockets returns both ends of a TCP connection.
+func connectedSockets(t *testing.T) (here, there *net.TCPConn) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	sent, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = sent.Close() })
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = accepted.Close() })
+	return accepted.(*net.TCPConn), sent.(*net.TCPConn)
+}
+
+// Guards against calls of one key that are taken in the order of reading after a stall: the kernel knows when each was
+// received.
+func TestInputThatLayUnreadIsDatedByItsReceipt(t *testing.T) {
+	here, there := connectedSockets(t)
+	stalledAt := time.Now()
+	time.Sleep(60 * time.Millisecond)
+	sentAfter := time.Now()
+	if _, err := there.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	for !socketstate.Readable(here) {
+		time.Sleep(time.Millisecond)
+	}
+	receivedBefore := time.Now()
+	time.Sleep(60 * time.Millisecond)
+	r := newReceipt(here, stalledAt, stalledAt, time.Now())
+	last, other := r.ofMessage(true), r.ofMessage(false)
+	tolerance := 2 * socketstate.ReceiptPrecision
+	if !r.isLate || last.after.Before(sentAfter.Add(-tolerance)) || last.before.After(receivedBefore.Add(tolerance)) ||
+		last.after.After(receivedBefore) || last.before.Before(sentAfter) {
+		t.Errorf("received in [%v, %v], stated [%v, %v]", sentAfter, receivedBefore, last.after, last.before)
+	}
+	if !other.after.Equal(stalledAt) || !other.before.Equal(last.after) || !r.earliest.Equal(stalledAt) {
+		t.Errorf("another message of the input: [%v, %v], earliest %v", other.after, other.before, r.earliest)
+	}
+}
+
+// Input that is read shortly after a stall is late only if it was received well before.
+func TestInputAfterAStallIsInTime(t *testing.T) {
+	here, there := connectedSockets(t)
+	if _, err := there.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	for !socketstate.Readable(here) {
+		time.Sleep(time.Millisecond)
+	}
+	age, err := socketstate.LastReceiptAge(here)
+	if err != nil {
+		t.Fatal(err)
+	}
+	readAt := time.Now()
+	r := newReceipt(here, readAt, readAt.Add(-time.Second), readAt)
+	if age < lateReadThreshold/2 && r != (receipt{earliest: readAt}) {
+		t.Errorf("%+v is late after %v", r, age)
+	}
+	time.Sleep(2 * lateReadThreshold)
+	readAt = time.Now()
+	if r = newReceipt(here, readAt, readAt.Add(-time.Second), readAt); !r.isLate || !r.earliest.Before(readAt) {
+		t.Errorf("%+v is in time after %v", r, 2*lateReadThreshold)
+	}
+	_ = here.Close()
+	if r = newReceipt(here, readAt.Add(-time.Second), readAt.Add(-time.Second), readAt); !r.before.Equal(readAt) {
+		t.Errorf("without the kernel's time: %+v", r)
+	}
+}
+
+func TestAStallIsRememberedForTheInputThatIsReadAfterIt(t *testing.T) {
+	begin := time.Now()
+	detector := newStallDetector(begin)
+	if _, stalled := detector.stalledSince(begin.Add(2 * busyGrace)); stalled {
+		t.Error("stalled without a stall")
+	}
+	detector.tick(begin.Add(time.Second))
+	for after, want := range map[time.Duration]bool{0: true, busyGrace - 1: true, busyGrace: false} {
+		start, stalled := detector.stalledSince(begin.Add(time.Second + after))
+		if stalled != want || !start.Equal(begin) {
+			t.Errorf("%v after the stall: %v, since %v", after, stalled, start.Sub(begin))
+		}
+	}
+}
--- a/internal/client/stall.go
+++ b/internal/client/stall.go
@@ -12,6 +12,7 @@
 	stallCheckInterval = 10 * time.Millisecond
 	stallThreshold     = 50 * time.Millisecond // a tick this late means that the process was stalled
 	stallGrace         = 20 * time.Millisecond // time after a stall in which all input that arrived during it is read
+	busyGrace          = time.Second           // the same on a machine that is short of CPU time
 )
 
 // stallDetector determines how long input may have been waiting when it is read. A process that was stopped or got no
@@ -37,7 +38,7 @@
 	defer d.mu.Unlock()
 	d.lastTick = now
 	d.stallStart = now
-	d.stallEnd = now.Add(-stallGrace)
+	d.stallEnd = now.Add(-busyGrace)
 }
 
 // tick must be called at each interval. It returns the duration of a stall that has just ended, or 0 if there was none.
@@ -68,6 +69,14 @@
 	return readAt
 }
 
+// stalledSince returns the start of a stall since which input that is read at a time may have lain unread, and false if
+// there was none.
+func (d *stallDetector) stalledSince(readAt time.Time) (start time.Time, stalled bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stallStart, readAt.Sub(d.stallEnd) < busyGrace
+}
+
 // run calls tick at each interval until done is closed.
 func (d *stallDetector) run(done <-chan struct{}) {
 	ticker := time.NewTicker(stallCheckInterval)
--- a/internal/coordinator/process_order_test.go
+++ b/internal/coordinator/process_order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -25,6 +26,7 @@
 	afterNewConn    = 250 * time.Millisecond // clients keep this distance after a job of a key on a new connection
 	betweenImports  = 60 * time.Millisecond  // and this one otherwise
 	importsObserved = 60                     // imports done that show that a state lasts
+	stopTime        = time.Second            // of a process: several imports of each key then lie unread
 )
 
 // keyWriters are clients that send imports of the same keys over new and over kept connections by turns, so that two
@@ -147,7 +149,11 @@
 	if err := w.cluster.Stop(); err != nil {
 		t.Error(err)
 	}
-	for _, v := range rulecheck.Check(testcluster.Rules, w.cluster.Events.Entries()) {
+	checkOrderAtEngines(t, w.cluster.Events.Entries())
+	rules := testcluster.Rules
+	rules.Types = maps.Clone(rules.Types)
+	rules.Types["import"] = rulecheck.Type{Effect: rulecheck.RunOnce} // the order is checked above
+	for _, v := range rulecheck.Check(rules, w.cluster.Events.Entries()) {
 		t.Error(v)
 	}
 	t.Logf("imports: %d done, %d throttled, %d failed, %d broken", w.done.Load(), w.throttled.Load(), w.failed.Load(),
@@ -157,6 +163,35 @@
 	}
 }
 
+// checkOrderAtEngines checks that the jobs of each key ran one at a time and in the order in which they were sent.
+// rulecheck also wants an answer to have been read before the next job begins; clients on two connections read answers
+// some microseconds later than engines get the next job.
+func checkOrderAtEngines(t *testing.T, entries []rulecheck.Entry) {
+	t.Helper()
+	sent := map[string]rulecheck.Entry{}      // by job
+	running := map[string]string{}            // job by key
+	lastBegan := map[string]rulecheck.Entry{} // as sent, by key
+	for _, entry := range entries {
+		switch entry.Event {
+		case rulecheck.Accepted:
+			sent[entry.Job] = entry
+		case rulecheck.Began:
+			job := sent[entry.Job]
+			if other := running[job.Key]; other != "" {
+				t.Errorf("job %s of %s begins while job %s runs", job.Job, job.Key, other)
+			}
+			if last := lastBegan[job.Key]; last.TimeNS > job.TimeNS {
+				t.Errorf("job %s of %s begins after job %s, which was sent later", job.Job, job.Key, last.Job)
+			}
+			running[job.Key] = job.Job
+			lastBegan[job.Key] = job
+		case rulecheck.Ended:
+			running[sent[entry.Job].Key] = ""
+		default:
+		}
+	}
+}
+
 // requireAdmittedServed fails the test if an import that was admitted was throttled or cancelled. A process that stops
 // admits no calls after a while (calls_after_stop), whatever their keys.
 func (w *keyWriters) requireAdmittedServed(t *testing.T) {
@@ -291,3 +326,32 @@
 	writers.finish(t)
 	writers.requireAdmittedServed(t)
 }
+
+// Guards against imports of a key that lay unread while their process was stopped, and run in another order.
+func TestImportsKeepTheirOrderIfTheirProcessWasStopped(t *testing.T) {
+	cluster, writers := startOrderTest(t)
+	pid := statusOf(t, cluster).PID
+	for range 3 {
+		signalProcess(t, pid, syscall.SIGSTOP)
+		time.Sleep(stopTime)
+		signalProcess(t, pid, syscall.SIGCONT)
+		writers.awaitMoreDone(t)
+	}
+	writers.finish(t)
+	writers.requireAdmittedServed(t)
+}
+
+// Guards against a predecessor that was stopped through the handover, and dispatches what it finds when it goes on.
+func TestImportsKeepTheirOrderIfThePredecessorWasStopped(t *testing.T) {
+	cluster, writers := startOrderTest(t)
+	old := statusOf(t, cluster)
+	signalProcess(t, old.PID, syscall.SIGSTOP)
+	orderProgram(t, cluster, 1, otherProgram)
+	waitUntil(t, cluster, "the next process serves", func() bool {
+		s, err := cluster.Status(cluster.Members[0])
+		return err == nil && s.Version == "other" && s.Serving
+	})
+	signalProcess(t, old.PID, syscall.SIGCONT)
+	awaitOnly(t, cluster, "other")
+	writers.finish(t)
+}
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -121,6 +121,8 @@
 		Key:               orderingKey(request.Key),
 		TimeLeft:          choice.Nanos(timeLeft(request)),
 		ArrivedAt:         g.clock.at(request.ArrivedAt),
+		ReceivedAfter:     g.clock.receivedAt(request.ReceivedAfter),
+		ReceivedBefore:    g.clock.receivedAt(request.ReceivedBefore),
 		Cost:              choice.Nanos(request.EstimatedWork),
 		CostKnown:         request.EstimatedWork > 0,
 		IsRepeat:          request.ClientRetry,
--- a/internal/gateway/audit.go
+++ b/internal/gateway/audit.go
@@ -11,7 +11,8 @@
 // auditAdmitted records an admitted job in the audit ledger.
 func (g *Gateway) auditAdmitted(j *job, arrival choice.Event) {
 	jobType, _ := g.settings.typeOf(arrival.Type)
-	admitted := audit.Job{ID: j.id, Deadline: j.ArrivedAt.Add(j.Timeout), RunOnce: jobType.runOnce}
+	admitted := audit.Job{ID: j.id, Deadline: j.ArrivedAt.Add(j.Timeout), RunOnce: jobType.runOnce,
+		ReceivedAfter: j.ReceivedAfter, ReceivedBefore: j.ReceivedBefore}
 	if jobType.ordered {
 		admitted.Key = arrival.Key
 	}
--- a/internal/gateway/clock.go
+++ b/internal/gateway/clock.go
@@ -6,6 +6,7 @@
 	"swiftreel/choice"
 	"swiftreel/internal/backend"
 	"swiftreel/internal/failpoint"
+	"swiftreel/internal/monotonic"
 )
 
 const (
@@ -19,8 +20,8 @@
 )
 
 // clock provides the module's time in nanoseconds. Module time starts at the Unix time of the clock's creation and is
-// monotonic from then on. The clock also tracks steps of the wall clock in either direction. All methods except now, at
-// and connectedAt require the owner's lock.
+// monotonic from then on. The clock also tracks steps of the wall clock in either direction. All methods except now,
+// at, connectedAt and the conversions to and from the monotonic clock require the owner's lock.
 type clock struct {
 	start  time.Time
 	wall   func() time.Time
@@ -43,6 +44,25 @@
 
 func (c *clock) now() choice.Nanos { return c.at(time.Now()) }
 
+// receivedAt converts a time to module time; the zero time means now, which is 0.
+func (c *clock) receivedAt(moment time.Time) choice.Nanos {
+	if moment.IsZero() {
+		return 0
+	}
+	return c.at(moment)
+}
+
+// toMonotonic converts module time to the machine's monotonic clock, which all processes share. It is exact to within
+// the time between two system calls.
+func (c *clock) toMonotonic(moment choice.Nanos) int64 {
+	return monotonic.Now() - int64(c.now()-moment)
+}
+
+// fromMonotonic converts a reading of the machine's monotonic clock to module time.
+func (c *clock) fromMonotonic(reading int64) choice.Nanos {
+	return c.now() - choice.Nanos(monotonic.Now()-reading)
+}
+
 // connectedAt returns the module time at which the connection of a reply was established; 0 means unknown.
 func (c *clock) connectedAt(reply backend.Reply) choice.Nanos {
 	if reply.ConnectedAt.IsZero() {
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -92,7 +92,7 @@
 		if err != nil {
 			break
 		}
-		if event, known := turnEvent(message); known {
+		if event, known := g.turnEvent(message); known {
 			g.notify(event)
 		}
 	}
@@ -113,7 +113,12 @@
 }
 
 func concernsPeer(kind choice.ActionKind) bool {
-	return kind == choice.RequestTurn || kind == choice.ReleaseTurn || kind == choice.GrantTurn
+	switch kind {
+	case choice.RequestTurn, choice.ReleaseTurn, choice.GrantTurn, choice.RefuseTurn:
+		return true
+	default:
+		return false
+	}
 }
 
 // sendToPeer sends an action of the module to the peer. The caller must hold the lock, which keeps the module's order.
@@ -126,9 +131,13 @@
 	case choice.RequestTurn:
 		message.Kind = handover.Request
 		message.Held = action.Enabled
+		message.ReceivedAfterNS = g.clock.toMonotonic(action.ReceivedAfter)
+		message.ReceivedBeforeNS = g.clock.toMonotonic(action.ReceivedBefore)
 	case choice.ReleaseTurn:
 		message.Kind = handover.Release
 		message.PauseNS = int64(action.Duration)
+	case choice.RefuseTurn:
+		message.Kind = handover.Refuse
 	default:
 		message.Kind = handover.Grant
 	}
@@ -136,17 +145,21 @@
 }
 
 // turnEvent converts a message of the peer to an event of the module; false for kinds that the module does not handle.
-func turnEvent(message handover.Message) (choice.Event, bool) {
+func (g *Gateway) turnEvent(message handover.Message) (choice.Event, bool) {
 	event := choice.Event{Job: choice.JobID(message.Turn), Key: choice.Key(message.Key)}
 	switch message.Kind {
 	case handover.Request:
 		event.Kind = choice.TurnRequested
 		event.TurnHeld = message.Held
+		event.ReceivedAfter = g.clock.fromMonotonic(message.ReceivedAfterNS)
+		event.ReceivedBefore = g.clock.fromMonotonic(message.ReceivedBeforeNS)
 	case handover.Release:
 		event.Kind = choice.TurnReleased
 		event.Pause = choice.Nanos(message.PauseNS)
 	case handover.Grant:
 		event.Kind = choice.TurnGranted
+	case handover.Refuse:
+		event.Kind = choice.TurnRefused
 	case handover.Synced:
 		return choice.Event{}, false
 	default:
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -9,14 +9,17 @@
 // Request is a client's request to run a job, independent of the protocol. The gateway owns its byte slices once it is
 // submitted.
 type Request struct {
-	Type              []byte // name of the job type
-	ID                []byte // of the call; also identifies the job's dispatches at engines
-	Tenant            []byte
-	Key               []byte // ordering key; empty if none
-	Statement         []byte
-	IdempotencyKey    []byte        // passed on to engines; empty if none
-	Timeout           time.Duration // the job timeout, from ArrivedAt
-	ArrivedAt         time.Time
+	Type           []byte // name of the job type
+	ID             []byte // of the call; also identifies the job's dispatches at engines
+	Tenant         []byte
+	Key            []byte // ordering key; empty if none
+	Statement      []byte
+	IdempotencyKey []byte        // passed on to engines; empty if none
+	Timeout        time.Duration // the job timeout, from ArrivedAt
+	ArrivedAt      time.Time
+	// ReceivedAfter and ReceivedBefore bound when this machine received the request, if it was read late; otherwise zero.
+	ReceivedAfter     time.Time
+	ReceivedBefore    time.Time
 	ClientRetry       bool             // the client is retrying an earlier request
 	EstimatedWork     time.Duration    // 0 if unknown
 	EstimatedMemoryMB float64          // 0 if unknown
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -37,6 +37,7 @@
 	choice.TurnRequested:       "turn_requested",
 	choice.TurnReleased:        "turn_released",
 	choice.TurnGranted:         "turn_granted",
+	choice.TurnRefused:         "turn_refused",
 }
 
 var actionNames = [...]string{
@@ -56,6 +57,7 @@
 	choice.RequestTurn:        "request_turn",
 	choice.ReleaseTurn:        "release_turn",
 	choice.GrantTurn:          "grant_turn",
+	choice.RefuseTurn:         "refuse_turn",
 }
 
 func (on trace) event(now choice.Nanos, event choice.Event) {
@@ -79,7 +81,7 @@
 	case choice.ProgressReported:
 		return []any{"job", event.Job, "seq", event.Seq, "engine", event.Engine,
 			"note", event.Progress, "amount", event.Amount}
-	case choice.ClientDisconnected, choice.TurnGranted:
+	case choice.ClientDisconnected, choice.TurnGranted, choice.TurnRefused:
 		return []any{"job", event.Job}
 	case choice.TurnRequested, choice.TurnReleased:
 		return []any{"job", event.Job, "key", fmt.Sprintf("%x", event.Key), "held", event.TurnHeld, "pause", event.Pause}
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -11,10 +11,11 @@
 
 // The kinds of message. The comments name the sender and the fields of Message that each sets.
 const (
-	Request Kind = "request" // predecessor: a job waits for its turn of a key: Turn, Key, Held
+	Request Kind = "request" // predecessor: a job waits for its turn of a key: Turn, Key, Held, Received...
 	Release Kind = "release" // predecessor: a turn is over, or a key pauses: Turn, Key, PauseNS
 	Synced  Kind = "synced"  // predecessor: the turns of all earlier jobs were requested
 	Grant   Kind = "grant"   // successor: the job may run: Turn
+	Refuse  Kind = "refuse"  // successor: the job must not run: Turn
 )
 
 // Message is one message.
@@ -24,4 +25,7 @@
 	Key     uint64 `json:"key,string,omitempty"` // hash of the ordering key; 0: all keys
 	Held    bool   `json:"held,omitempty"`       // an attempt of the job may be running
 	PauseNS int64  `json:"pause_ns,omitempty"`   // how long the key pauses from now on, in nanoseconds
+	// Bounds of the time at which the job was received, in nanoseconds of the machine's monotonic clock.
+	ReceivedAfterNS  int64 `json:"received_after_boot_ns,omitempty"`
+	ReceivedBeforeNS int64 `json:"received_before_boot_ns,omitempty"`
 }
