A controller under an earlier supervisor takes the stop signal for a successor's sign

Change: supervisors promise in the environment to tell of such successors (SWIFTREEL_SUCCESSOR_NOTICES). Without the promise a supervised controller throttles new jobs of keys from SIGTERM on, unless a successor is linked.

TestASupervisedControllerMayBeReplacedUnnoticed fails without the change, as the job is served.

--- a/cmd/swiftreel/server.go
+++ b/cmd/swiftreel/server.go
@@ -28,6 +28,9 @@
 	discovery   *discovery.Watcher
 	reloader    *reloader
 	predecessor *predecessorFollower // nil if this process replaces none
+
+	// mayBeReplacedUnnoticed means that a stop signal may be the first sign of a successor that does not link.
+	mayBeReplacedUnnoticed bool
 }
 
 // newServer returns a server that has not started.
@@ -56,7 +59,8 @@
 		gate.Close()
 		return nil, err
 	}
-	s := &server{files: files, gateway: gate, clients: clients, sparql: sparql, stats: stats}
+	s := &server{files: files, gateway: gate, clients: clients, sparql: sparql, stats: stats,
+		mayBeReplacedUnnoticed: !files.operator.LearnsOfSuccessors(os.Getenv)}
 	s.restoreState()
 	s.plans = &planFollower{gateway: gate}
 	s.plans.follow(files.operator.Plan)
--- a/cmd/swiftreel/shutdown.go
+++ b/cmd/swiftreel/shutdown.go
@@ -36,6 +36,9 @@
 func (s *server) stop(signal os.Signal) {
 	stoppedAt := time.Now()
 	s.gateway.Stop()
+	if s.mayBeReplacedUnnoticed {
+		s.gateway.SetUncoordinatedSuccessor(true)
+	}
 	slog.Info("stopping", "signal", signal, "owed", s.clients.PendingAnswers())
 	s.awaitQuiet(stoppedAt)
 	_ = s.listener.Close() // an error does not matter: no more connections are accepted
--- a/cmd/swiftreel/shutdown_test.go
+++ b/cmd/swiftreel/shutdown_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 	"swiftreel/internal/client"
 	"swiftreel/internal/counters"
 	"swiftreel/internal/fake"
+	"swiftreel/internal/operator"
 )
 
 func TestSIGTERMServesLateCallsThenExits(t *testing.T) {
@@ -141,3 +144,40 @@
 	defer c.Conn.Close()
 	return c.Ready()
 }
+
+// Guards against jobs of a key that overtake those of a successor, of which a supervisor of an earlier version tells
+// nothing: the stop signal is the first sign of it.
+func TestASupervisedControllerMayBeReplacedUnnoticed(t *testing.T) {
+	for name, test := range map[string]struct {
+		notices   string
+		throttled bool
+	}{
+		"a supervisor that tells of successors": {operator.NoticesEnvironment(), false},
+		"one of an earlier version":             {"", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "operator.json")
+			writeFile(t, path, `{"tally":{"listen":"127.0.0.1:0","spec":"","elder":false}}`)
+			t.Setenv("ROUTER_OPERATOR", path)
+			if variable, value, found := strings.Cut(test.notices, "="); found {
+				t.Setenv(variable, value)
+			}
+			w := startController(t, "e1")
+			lateArrivalWindow = 3 * time.Second
+			w.stop <- syscall.SIGTERM
+			eventually(t, "still ready", func() bool { ready, err := w.dialReady(); return !ready && err == nil })
+			keyed := w.submit("import", "20000", "row", "k")
+			if w.isThrottled(keyed) != test.throttled {
+				t.Error("a job of a key is throttled, or not, at the wrong time")
+			}
+			if w.isThrottled(w.submit("lookup", "20000")) {
+				t.Error("a job without a key is throttled")
+			}
+			if err := <-w.ended; err != nil {
+				t.Error(err)
+			}
+			w.client.Conn.Close()
+			w.client = nil
+		})
+	}
+}
--- a/internal/coordinator/process_order_test.go
+++ b/internal/coordinator/process_order_test.go
@@ -332,9 +332,7 @@
 	cluster, writers := startOrderTest(t)
 	pid := statusOf(t, cluster).PID
 	for range 3 {
-		signalProcess(t, pid, syscall.SIGSTOP)
-		time.Sleep(stopTime)
-		signalProcess(t, pid, syscall.SIGCONT)
+		stopFor(t, pid, stopTime)
 		writers.awaitMoreDone(t)
 	}
 	writers.finish(t)
@@ -347,11 +345,43 @@
 	old := statusOf(t, cluster)
 	signalProcess(t, old.PID, syscall.SIGSTOP)
 	orderProgram(t, cluster, 1, otherProgram)
+	awaitPromotion(t, cluster)
+	signalProcess(t, old.PID, syscall.SIGCONT)
+	awaitOnly(t, cluster, "other")
+	writers.finish(t)
+}
+
+// Guards against processes that were stopped while both admitted jobs: first the predecessor, in the next change the
+// successor.
+func TestImportsKeepTheirOrderIfOneOfBothProcessesIsStopped(t *testing.T) {
+	cluster, writers := startOrderTest(t)
+	first := statusOf(t, cluster)
+	orderProgram(t, cluster, 1, otherProgram)
+	awaitPromotion(t, cluster)
+	stopFor(t, first.PID, stopTime)
+	awaitOnly(t, cluster, "other")
+	writers.awaitMoreDone(t)
+	orderProgram(t, cluster, 2, currentProgram)
+	next := awaitNextProcess(t, cluster, statusOf(t, cluster).PID)
+	waitUntil(t, cluster, "the next process serves", func() bool { return statusOf(t, cluster).PID == next })
+	stopFor(t, next, stopTime)
+	awaitOnly(t, cluster, first.Version)
+	writers.finish(t)
+}
+
+// awaitPromotion waits until the first member's controller runs the other program.
+func awaitPromotion(t *testing.T, cluster *testcluster.Cluster) {
+	t.Helper()
 	waitUntil(t, cluster, "the next process serves", func() bool {
 		s, err := cluster.Status(cluster.Members[0])
 		return err == nil && s.Version == "other" && s.Serving
 	})
-	signalProcess(t, old.PID, syscall.SIGCONT)
-	awaitOnly(t, cluster, "other")
-	writers.finish(t)
+}
+
+// stopFor stops a process for a while.
+func stopFor(t *testing.T, pid int, duration time.Duration) {
+	t.Helper()
+	signalProcess(t, pid, syscall.SIGSTOP)
+	time.Sleep(duration)
+	signalProcess(t, pid, syscall.SIGCONT)
 }
--- a/internal/operator/files_test.go
+++ b/internal/operator/files_test.go
@@ -158,3 +158,19 @@
 		}
 	}
 }
+
+// A supervisor of an earlier version does not tell a controller of successors.
+func TestLearnsOfSuccessors(t *testing.T) {
+	supervised := File{Stats: &Stats{}}
+	told := func(name string) string {
+		value, _ := strings.CutPrefix(NoticesEnvironment(), name+"=")
+		return value
+	}
+	untold := func(string) string { return "" }
+	if !(File{}).LearnsOfSuccessors(untold) || !supervised.LearnsOfSuccessors(told) {
+		t.Error("a controller that has no successor, or is told of each, does not learn of it")
+	}
+	if supervised.LearnsOfSuccessors(untold) {
+		t.Error("a controller under a supervisor of an earlier version learns of its successors")
+	}
+}
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -98,6 +98,18 @@
 	return handover.Predecessor{PID: pid, Address: address}, true
 }
 
+// noticesVariable is the environment variable with which a supervisor promises a controller that it tells it of
+// successors that do not link to it. Supervisors of earlier versions do not set it.
+const noticesVariable = "SWIFTREEL_SUCCESSOR_NOTICES"
+
+// NoticesEnvironment returns the environment entry of that promise.
+func NoticesEnvironment() string { return noticesVariable + "=1" }
+
+// LearnsOfSuccessors reports whether this controller is told of every successor that does not link to it, or has none.
+func (f File) LearnsOfSuccessors(getenv func(string) string) bool {
+	return f.Stats == nil || getenv(noticesVariable) != ""
+}
+
 // minIntervalDivisor is the divisor of Planning.IntervalMS that gives the default of MinIntervalMS.
 const minIntervalDivisor = 10
 
--- a/internal/supervisor/lifecycle.go
+++ b/internal/supervisor/lifecycle.go
@@ -52,7 +52,7 @@
 // environment returns the environment of a controller.
 func (s *Supervisor) environment(c, predecessor *controller) []string {
 	environment := append(slices.Clone(s.options.Environment), operatorFileVariable+"="+c.operatorFile,
-		operator.DrainEnvironment(s.options.DrainTimeout))
+		operator.DrainEnvironment(s.options.DrainTimeout), operator.NoticesEnvironment())
 	if predecessor == nil {
 		return environment
 	}
