A successor orders keys only once the predecessor has named all its jobs

The successor now begins with `synced`, and takes the link and the first turns in as one step under the lock. - A successor that stops while the predecessor hangs before `synced` waited for it: its link is now closed. - Times of receipt were converted between the processes with two readings of the clock, so that jobs that were read in time looked late (a pause of 50 ms) and two of one instant could change places. One offset, measured once, converts.

--- a/choice/ordering.go
+++ b/choice/ordering.go
@@ -3,9 +3,9 @@
 import "slices"
 
 const (
-	// A sweep that is this late means that input may lie unread. Clients keep a greater distance between jobs of
-	// a key, so that jobs that are read in time are in order.
-	lateReadThreshold = 50 * ms
+	// While a sweep is overdue by unreadSweepDelay, input may lie unread. Clients keep a greater distance between
+	// jobs of a key, so that jobs that are read in time are in order.
+	unreadSweepDelay = 50 * ms
 	// A key pauses for lateReadWait after a late job: earlier ones may still be unread.
 	lateReadWait = 50 * ms
 	// Keys of late jobs are remembered for lateReadRetention, in which all other input of that time is read.
@@ -45,7 +45,7 @@
 // the process has just been stalled.
 func (c *Controller) mayPrecedeUnread(t *turn) bool {
 	return t.receivedAfter != t.receivedBefore || c.now < c.stalledUntil+lateReadWait ||
-		c.now-c.lastSweepAt > lateReadThreshold
+		c.now-c.lastSweepAt > unreadSweepDelay
 }
 
 // endTurn removes the turn of a job that has ended, so that the next one of the key may run.
--- a/cmd/swiftreel/handover.go
+++ b/cmd/swiftreel/handover.go
@@ -34,6 +34,8 @@
 
 	signalAttempted func()
 	signalStopping  func()
+	ctx             context.Context // ends with closeLink
+	closeLink       func()
 }
 
 // newPredecessorFollower starts to link to the predecessor that the operator's file and the environment name. It
@@ -52,6 +54,7 @@
 	}
 	f.signalAttempted = sync.OnceFunc(func() { close(f.attempted) })
 	f.signalStopping = sync.OnceFunc(func() { close(f.stopping) })
+	f.ctx, f.closeLink = context.WithCancel(context.Background())
 	go f.run()
 	return f
 }
@@ -77,10 +80,11 @@
 
 // follow links to the predecessor and returns once the link has ended.
 func (f *predecessorFollower) follow() error {
-	link, err := handover.Dial(context.Background(), f.predecessor, linkTimeout) // bounded by the timeout
+	link, err := handover.Dial(f.ctx, f.predecessor, linkTimeout)
 	if err != nil {
 		return err
 	}
+	defer context.AfterFunc(f.ctx, link.Close)()
 	return f.gateway.FollowPredecessor(link, f.signalAttempted)
 }
 
@@ -107,6 +111,7 @@
 func (f *predecessorFollower) close() {
 	if f != nil {
 		f.signalStopping()
+		f.closeLink()
 		<-f.stopped
 	}
 }
--- a/internal/gateway/clock.go
+++ b/internal/gateway/clock.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync"
 	"time"
 
 	"swiftreel/choice"
@@ -17,6 +18,9 @@
 	stepRetention = time.Minute
 	// maxClockSteps bounds the number of steps that are kept.
 	maxClockSteps = 8
+
+	maxOffsetError     = 100 * time.Microsecond
+	offsetMeasurements = 10
 )
 
 // clock provides the module's time in nanoseconds. Module time starts at the Unix time of the clock's creation and is
@@ -27,6 +31,8 @@
 	wall   func() time.Time
 	offset choice.Nanos // wall clock minus module time, as of the last step
 	steps  []clockStep  // within stepRetention, oldest first
+
+	uptimeOffset func() int64 // measured at the first call
 }
 
 // clockStep is an observed step of the wall clock.
@@ -35,7 +41,11 @@
 	offsetBefore choice.Nanos
 }
 
-func newClock() clock { return clock{start: time.Now(), wall: failpoint.WallClock} }
+func newClock() clock {
+	c := clock{start: time.Now(), wall: failpoint.WallClock}
+	c.uptimeOffset = sync.OnceValue((&clock{start: c.start}).measureUptimeOffset)
+	return c
+}
 
 // at converts a time to module time.
 func (c *clock) at(moment time.Time) choice.Nanos {
@@ -52,15 +62,25 @@
 	return c.at(moment)
 }
 
-// toMonotonic converts module time to the machine's monotonic clock, which all processes share. It is exact to within
-// the time between two system calls.
-func (c *clock) toMonotonic(moment choice.Nanos) int64 {
-	return monotonic.Now() - int64(c.now()-moment)
-}
+// toMonotonic converts module time to the clock of monotonic.Uptime, which all processes of the machine share.
+func (c *clock) toMonotonic(moment choice.Nanos) int64 { return int64(moment) + c.uptimeOffset() }
 
-// fromMonotonic converts a reading of the machine's monotonic clock to module time.
+// fromMonotonic converts a reading of that clock to module time.
 func (c *clock) fromMonotonic(reading int64) choice.Nanos {
-	return c.now() - choice.Nanos(monotonic.Now()-reading)
+	return choice.Nanos(reading - c.uptimeOffset())
+}
+
+// measureUptimeOffset returns monotonic.Uptime minus module time, which is constant, to within maxOffsetError unless the
+// process is stalled again and again.
+func (c *clock) measureUptimeOffset() (offset int64) {
+	for range offsetMeasurements {
+		before := c.now()
+		offset = monotonic.Uptime() - int64(before)
+		if time.Duration(c.now()-before) <= maxOffsetError {
+			break
+		}
+	}
+	return offset
 }
 
 // connectedAt returns the module time at which the connection of a reply was established; 0 means unknown.
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -18,8 +18,14 @@
 	Close()
 }
 
-// errPeerLinked means that another process is linked already.
-var errPeerLinked = errors.New("another process of this controller is linked")
+// maxRequestedTurns bounds the messages of a predecessor before Synced.
+const maxRequestedTurns = 1 << 17
+
+// Reasons why a process is not linked.
+var (
+	errPeerLinked   = errors.New("another process of this controller is linked")
+	errTooManyTurns = errors.New("the predecessor requests too many turns")
+)
 
 // SetUncoordinatedSuccessor tells the module whether a successor runs that does not link to this process.
 func (g *Gateway) SetUncoordinatedSuccessor(running bool) {
@@ -31,7 +37,7 @@
 // the connection. It returns an error if another process is linked.
 func (g *Gateway) ServeSuccessor(successor Peer) error {
 	defer successor.Close()
-	if !g.link(successor, choice.SuccessorLinked) {
+	if !g.link(successor, choice.SuccessorLinked, nil) {
 		return errPeerLinked
 	}
 	slog.Info("successor_linked")
@@ -41,35 +47,43 @@
 }
 
 // FollowPredecessor orders the jobs of ordering keys for both processes until the connection to the predecessor ends.
-// It closes the connection. synced is called once the turns of all jobs that the predecessor admitted alone are known.
+// It closes the connection. It begins, and calls synced, once the predecessor has requested the turns of all jobs that
+// it admitted alone. A connection that ends earlier changes nothing: the predecessor may go on alone.
 func (g *Gateway) FollowPredecessor(predecessor Peer, synced func()) error {
 	defer predecessor.Close()
-	if !g.link(predecessor, choice.PredecessorLinked) {
+	requested, err := receiveUntilSynced(predecessor)
+	if err != nil {
+		return err
+	}
+	if !g.link(predecessor, choice.PredecessorLinked, requested) {
 		return errPeerLinked
 	}
-	g.receiveFrom(syncedPeer{Peer: predecessor, synced: synced}, choice.PredecessorUnlinked)
+	slog.Info("predecessor_linked", "turns", len(requested))
+	synced()
+	g.receiveFrom(predecessor, choice.PredecessorUnlinked)
 	slog.Info("predecessor_unlinked")
 	return nil
 }
 
-// syncedPeer calls synced for each message that says so.
-type syncedPeer struct {
-	Peer
-	synced func()
-}
-
-// Receive implements Peer.
-func (p syncedPeer) Receive() (handover.Message, error) {
-	message, err := p.Peer.Receive()
-	if err == nil && message.Kind == handover.Synced {
-		slog.Info("predecessor_linked")
-		p.synced()
+// receiveUntilSynced returns the messages of a predecessor before Synced, one or two for each open job and key.
+func receiveUntilSynced(predecessor Peer) ([]handover.Message, error) {
+	var requested []handover.Message
+	for len(requested) <= maxRequestedTurns {
+		message, err := predecessor.Receive()
+		if err != nil {
+			return nil, err
+		}
+		if message.Kind == handover.Synced {
+			return requested, nil
+		}
+		requested = append(requested, message)
 	}
-	return message, err
+	return nil, errTooManyTurns
 }
 
-// link makes a process the peer and notifies the module. It returns false if there is a peer or the gateway is closed.
-func (g *Gateway) link(peer Peer, linked choice.EventKind) bool {
+// link makes a process the peer and notifies the module of that and of the peer's first messages, before any other
+// event. It returns false if there is a peer or the gateway is closed.
+func (g *Gateway) link(peer Peer, linked choice.EventKind, messages []handover.Message) bool {
 	g.mu.Lock()
 	if g.peer != nil || g.closed {
 		g.mu.Unlock()
@@ -77,6 +91,9 @@
 	}
 	g.peer = peer
 	actions := g.decide(choice.Event{Kind: linked})
+	for _, message := range messages {
+		actions = append(actions, g.decidePeerMessage(message)...)
+	}
 	if linked == choice.SuccessorLinked {
 		peer.Send(handover.Message{Kind: handover.Synced})
 	}
@@ -92,9 +109,10 @@
 		if err != nil {
 			break
 		}
-		if event, known := g.turnEvent(message); known {
-			g.notify(event)
-		}
+		g.mu.Lock()
+		actions := g.decidePeerMessage(message)
+		g.mu.Unlock()
+		g.perform(actions)
 	}
 	g.mu.Lock()
 	g.peer = nil
@@ -103,6 +121,14 @@
 	g.perform(actions)
 }
 
+// decidePeerMessage passes a message to the module and returns the actions to perform. The caller must hold the lock.
+func (g *Gateway) decidePeerMessage(message handover.Message) []choice.Action {
+	if event, known := g.turnEvent(message); known {
+		return g.decide(event)
+	}
+	return nil
+}
+
 // closePeer closes the connection to the peer, if there is one. Nothing of this process is in flight any more.
 func (g *Gateway) closePeer() {
 	g.mu.Lock()
@@ -160,8 +186,6 @@
 		event.Kind = choice.TurnGranted
 	case handover.Refuse:
 		event.Kind = choice.TurnRefused
-	case handover.Synced:
-		return choice.Event{}, false
 	default:
 		return choice.Event{}, false
 	}
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -25,7 +25,7 @@
 	Key     uint64 `json:"key,string,omitempty"` // hash of the ordering key; 0: all keys
 	Held    bool   `json:"held,omitempty"`       // an attempt of the job may be running
 	PauseNS int64  `json:"pause_ns,omitempty"`   // how long the key pauses from now on, in nanoseconds
-	// Bounds of the time at which the job was received, in nanoseconds of the machine's monotonic clock.
-	ReceivedAfterNS  int64 `json:"received_after_boot_ns,omitempty"`
-	ReceivedBeforeNS int64 `json:"received_before_boot_ns,omitempty"`
+	// Bounds of the time at which the job was received, in nanoseconds by monotonic.Uptime.
+	ReceivedAfterNS  int64 `json:"received_after_ns,omitempty"`
+	ReceivedBeforeNS int64 `json:"received_before_ns,omitempty"`
 }
