--- a/choice/ordering.go
+++ b/choice/ordering.go
@@ -3,8 +3,8 @@
 import "slices"
 
 const (
-	// While a sweep is overdue by unreadSweepDelay, input may lie unread. Clients keep a greater distance between
-	// jobs of a key, so that jobs that are read in time are in order.
+	// While a sweep is overdue by unreadSweepDelay, input may lie unread. Clients keep a greater distance
+	// between jobs of a key, so that jobs that are read in time are in order.
 	unreadSweepDelay = 50 * ms
 	// A key pauses for lateReadWait after a late job: earlier ones may still be unread.
 	lateReadWait = 50 * ms
