--- a/internal/gateway/clock.go
+++ b/internal/gateway/clock.go
@@ -70,8 +70,8 @@
 	return choice.Nanos(reading - c.uptimeOffset())
 }
 
-// measureUptimeOffset returns monotonic.Uptime minus module time, which is constant. The error is at most maxOffsetError
-// unless the process is stalled again and again.
+// measureUptimeOffset returns monotonic.Uptime minus module time, which is constant. The error is at most
+// maxOffsetError, unless the process is stalled again and again.
 func (c *clock) measureUptimeOffset() (offset int64) {
 	for range offsetMeasurements {
 		before := c.now()
