Key locks: the terms of a lock manager for the order of keys over two processes

"Turn" names the slots of slow start in the same package. A job takes a lock on its ordering key; the predecessor requests locks, the successor grants or refuses them. Tests of choice, gateway, handover, client, coordinator, cmd and scripts pass, and scripts/lint.

--- a/choice/action.go
+++ b/choice/action.go
@@ -18,10 +18,10 @@
 	ListEngines                              // request the full endpoint list from discovery
 	Log                                      // Text
 	Fault                                    // report an internal error of this program: Text
-	RequestTurn                              // from the successor: Job, Key, ReceivedAfter, -Before, Enabled if it may run
-	ReleaseTurn                              // to the successor, with the pause that the key needs: Job, Key, Duration
-	GrantTurn                                // to the predecessor: Job
-	RefuseTurn                               // to the predecessor: Job
+	RequestKeyLock                           // from the successor: Job, Key, ReceivedAfter, -Before, Enabled if it may run
+	ReleaseKeyLock                           // to the successor, with the pause that the key needs: Job, Key, Duration
+	GrantKeyLock                             // to the predecessor: Job
+	RefuseKeyLock                            // to the predecessor: Job
 )
 
 // Action is one action for the caller to carry out; Kind determines which fields are set.
--- a/choice/bucket.go
+++ b/choice/bucket.go
@@ -80,6 +80,6 @@
 	})
 	maps.DeleteFunc(c.tenants, func(_ TenantID, t *tokenBucket) bool { return t.updatedAt < since })
 	maps.DeleteFunc(c.orderings, func(_ Key, o *keyOrder) bool {
-		return len(o.turns) == 0 && c.now >= max(o.pausedUntil, o.keptUntil) && c.handover.mode != ordersForBoth
+		return len(o.locks) == 0 && c.now >= max(o.pausedUntil, o.retainedUntil) && c.handover.mode != ordersForBoth
 	})
 }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,10 +25,10 @@
 	SuccessorUnlinked:   func(c *Controller, _ Event) { c.unlinkSuccessor() },
 	PredecessorLinked:   func(c *Controller, _ Event) { c.linkPredecessor() },
 	PredecessorUnlinked: func(c *Controller, _ Event) { c.unlinkPredecessor() },
-	TurnRequested:       (*Controller).queuePredecessorTurn,
-	TurnReleased:        (*Controller).releasePredecessorTurn,
-	TurnGranted:         (*Controller).acceptGrant,
-	TurnRefused:         (*Controller).acceptRefusal,
+	KeyLockRequested:    (*Controller).queuePredecessorLock,
+	KeyLockReleased:     (*Controller).releasePredecessorLock,
+	KeyLockGranted:      (*Controller).acceptGrant,
+	KeyLockRefused:      (*Controller).acceptRefusal,
 }
 
 // Decide processes one event and returns the actions to carry out, in order. The first event must be Started,
@@ -41,6 +41,6 @@
 		eventHandlers[ev.Kind](c, ev)
 	}
 	c.dispatchParked(c.freedBucket)
-	c.grantTurns()
+	c.grantPredecessorLocks()
 	return c.actions
 }
--- a/choice/event.go
+++ b/choice/event.go
@@ -23,14 +23,14 @@
 	PredecessorChanged                       // a predecessor still serves its jobs, or ended: PredecessorRunning
 	ClockStepped                             // the wall clock was set: ClockOffset
 	SuccessorChanged                         // a successor that does not link started, or ended: SuccessorRunning
-	SuccessorLinked                          // from now on the successor grants the turns of ordering keys
+	SuccessorLinked                          // from now on the successor grants the locks of ordering keys
 	SuccessorUnlinked                        // the linked successor ended
-	PredecessorLinked                        // from now on the predecessor requests its turns of ordering keys here
+	PredecessorLinked                        // from now on the predecessor requests its locks of ordering keys here
 	PredecessorUnlinked                      // the linked predecessor ended
-	TurnRequested                            // by the predecessor, for its job: Job, Key, TurnHeld, ReceivedAfter, -Before
-	TurnReleased                             // by the predecessor: Job (0: only a pause), Key (0: all keys), Pause
-	TurnGranted                              // by the successor: Job
-	TurnRefused                              // by the successor, as a later job of the key may have begun: Job
+	KeyLockRequested                         // by the predecessor: Job, Key, MayBeRunning, ReceivedAfter, -Before
+	KeyLockReleased                          // by the predecessor: Job (0: only a pause), Key (0: all keys), Pause
+	KeyLockGranted                           // by the successor: Job
+	KeyLockRefused                           // by the successor, as a later job of the key may have begun: Job
 )
 
 // Result is how an attempt or a probe ended.
@@ -129,8 +129,8 @@
 	Key       Key
 	TimeLeft  Nanos // until the job expires; of Stopping: until the process ends
 	ArrivedAt Nanos // earliest time at which the job may have arrived, if it was read late; 0: now
-	// ReceivedAfter and ReceivedBefore bound when this machine received a job or a turn's job; 0: now. They tell the order
-	// of jobs of a key that were read late, as after a pause of the process.
+	// ReceivedAfter and ReceivedBefore bound when this machine received a job; 0: now. They give the order of jobs
+	// of a key that were read late, as after a stall of the process.
 	ReceivedAfter     Nanos
 	ReceivedBefore    Nanos
 	Cost              Nanos // estimated work
@@ -166,7 +166,7 @@
 
 	PredecessorRunning bool
 	SuccessorRunning   bool
-	TurnHeld           bool  // an attempt of the job may be running already
+	MayBeRunning       bool  // an attempt of the job may be running already
 	Pause              Nanos // of an ordering key, after an unknown outcome
 	ClockOffset        Nanos // wall clock, which controllers share, minus the time of events
 	Quota              Quota
--- a/choice/handover.go
+++ b/choice/handover.go
@@ -6,7 +6,7 @@
 )
 
 // While a program is replaced, two processes serve one controller, and clients may send jobs of one ordering
-// key to either. The successor then orders the jobs of both: it queues the turns that the linked predecessor
+// key to either. The successor then orders the jobs of both: it queues the locks that the linked predecessor
 // requests among its own, and grants each once it is first. A process answers and dispatches only the jobs
 // that it admitted.
 
@@ -23,8 +23,8 @@
 // handover is the state of the handover of ordering keys between two processes of one controller.
 type handover struct {
 	mode             orderingMode
-	allPausedUntil   Nanos   // all keys pause until then, as a process that may have served them ended
-	predecessorTurns []*turn // requested and not released
+	allPausedUntil   Nanos      // all keys pause until then, as a process that may have served them ended
+	predecessorLocks []*keyLock // requested and not released
 }
 
 // markUnlinked records whether another process that is not linked may admit jobs of ordering keys.
@@ -49,24 +49,24 @@
 	}
 }
 
-// linkSuccessor requests the turns of all open jobs, in their order, before those of any later job.
+// linkSuccessor requests the locks of all open jobs, in their order, before those of any later job.
 func (c *Controller) linkSuccessor() {
 	if c.handover.mode == ordersForBoth || c.handover.mode == ordersAtSuccessor {
 		return
 	}
 	c.handover.mode = ordersAtSuccessor
 	if pause := c.handover.allPausedUntil - c.now; pause > 0 {
-		c.emit(Action{Kind: ReleaseTurn, Duration: pause})
+		c.emit(Action{Kind: ReleaseKeyLock, Duration: pause})
 	}
 	for _, key := range slices.Sorted(maps.Keys(c.orderings)) {
 		order := c.orderings[key]
-		for i, t := range order.turns {
-			j := c.jobs[t.job]
-			t.granted = i == 0 && (j.attempt != nil || j.mayHaveRun)
-			c.requestTurn(t)
+		for i, lock := range order.locks {
+			j := c.jobs[lock.job]
+			lock.granted = i == 0 && (j.attempt != nil || j.mayHaveRun)
+			c.requestFromSuccessor(lock)
 		}
 		if pause := order.pausedUntil - c.now; pause > 0 {
-			c.emit(Action{Kind: ReleaseTurn, Key: key, Duration: pause})
+			c.emit(Action{Kind: ReleaseKeyLock, Key: key, Duration: pause})
 		}
 	}
 }
@@ -79,23 +79,23 @@
 	c.handover.mode = ordersAlone
 	c.pauseAllKeys(c.settings.orderPause)
 	for _, order := range c.orderings {
-		for _, t := range order.turns {
-			t.granted = true
+		for _, lock := range order.locks {
+			lock.granted = true
 		}
 	}
 }
 
-// unlinkPredecessor drops the turns of a predecessor that ended. A key pauses if its job may still run.
+// unlinkPredecessor drops the locks of a predecessor that ended. A key pauses if its job may still run.
 func (c *Controller) unlinkPredecessor() {
 	if c.handover.mode != ordersForBoth {
 		return
 	}
 	c.handover.mode = ordersAlone
-	for _, t := range c.handover.predecessorTurns {
-		if t.granted {
-			c.orderings[t.key].pauseFor(c.settings.orderPause, c.now)
+	for _, lock := range c.handover.predecessorLocks {
+		if lock.granted {
+			c.orderings[lock.key].pauseFor(c.settings.orderPause, c.now)
 		}
-		c.endTurn(t)
+		c.removeLock(lock)
 	}
-	c.handover.predecessorTurns = nil
+	c.handover.predecessorLocks = nil
 }
--- a/choice/handover_test.go
+++ b/choice/handover_test.go
@@ -88,15 +88,15 @@
 		switch a.Kind {
 		case Dispatch:
 			p.dispatch(process, a.Job)
-		case RequestTurn:
-			process.send(Event{Kind: TurnRequested, Job: a.Job, Key: a.Key, TurnHeld: a.Enabled,
+		case RequestKeyLock:
+			process.send(Event{Kind: KeyLockRequested, Job: a.Job, Key: a.Key, MayBeRunning: a.Enabled,
 				ReceivedAfter: a.ReceivedAfter, ReceivedBefore: a.ReceivedBefore})
-		case ReleaseTurn:
-			process.send(Event{Kind: TurnReleased, Job: a.Job, Key: a.Key, Pause: a.Duration})
-		case GrantTurn:
-			process.send(Event{Kind: TurnGranted, Job: a.Job})
-		case RefuseTurn:
-			process.send(Event{Kind: TurnRefused, Job: a.Job})
+		case ReleaseKeyLock:
+			process.send(Event{Kind: KeyLockReleased, Job: a.Job, Key: a.Key, Pause: a.Duration})
+		case GrantKeyLock:
+			process.send(Event{Kind: KeyLockGranted, Job: a.Job})
+		case RefuseKeyLock:
+			process.send(Event{Kind: KeyLockRefused, Job: a.Job})
 		case Throttle, CancelPermanently:
 			delete(p.waits, a.Job)
 		}
--- a/choice/job.go
+++ b/choice/job.go
@@ -17,7 +17,7 @@
 	jobType           *jobType
 	bucket            *bucket
 	key               Key
-	turn              *turn // in the queue of its ordering key; nil: its type is not ordered by key
+	lock              *keyLock // in the queue of its ordering key; nil: its type is not ordered by key
 	tables            TableGroup
 	requiredProtocols Protocols
 	headSince         Nanos   // when it became the head of its bucket; 0: it is not the head
@@ -63,8 +63,8 @@
 		j.firstEngine = e
 	}
 	j.attempt = a
-	if j.turn != nil {
-		j.turn.started = true
+	if j.lock != nil {
+		j.lock.started = true
 	}
 	j.lastEngine = e
 	j.attemptCount++
@@ -98,7 +98,7 @@
 	c.jobs[j.id] = j
 	c.liveJobs = append(c.liveJobs, j)
 	if j.jobType.orderedByKey && j.key != 0 {
-		c.takeTurn(j, ev)
+		c.requestLock(j, ev)
 	}
 }
 
@@ -117,8 +117,8 @@
 		return
 	}
 	delete(c.jobs, j.id)
-	if j.turn != nil {
-		c.endTurn(j.turn)
+	if j.lock != nil {
+		c.removeLock(j.lock)
 	}
 }
 
--- a/choice/key_order.go
+++ b/choice/key_order.go
@@ -4,14 +4,15 @@
 
 // keyOrder is the state of one ordering key.
 type keyOrder struct {
-	turns         []*turn // in order of receipt, until endTurn removes them
+	locks         []*keyLock // in order of receipt, until removeLock removes them
 	pausedUntil   Nanos
 	startedBefore Nanos // receivedBefore of the last job that was started and has ended
-	keptUntil     Nanos // for startedBefore
+	retainedUntil Nanos // for startedBefore
 }
 
-// turn is the place of a job in the queue of its ordering key.
-type turn struct {
+// keyLock is the lock that a job takes on its ordering key. A key has a queue of locks, of which the first may
+// be in force.
+type keyLock struct {
 	job            JobID // at the process that admitted the job
 	key            Key
 	granted        bool  // the process that orders the key's jobs allows the job to run
@@ -21,39 +22,39 @@
 	receivedBefore Nanos
 }
 
-// newTurn returns the turn of the job of an event.
-func newTurn(ev Event, now Nanos) *turn {
-	t := &turn{job: ev.Job, key: ev.Key, receivedAfter: now, receivedBefore: now}
+// newKeyLock returns the lock of the job of an event.
+func newKeyLock(ev Event, now Nanos) *keyLock {
+	lock := &keyLock{job: ev.Job, key: ev.Key, receivedAfter: now, receivedBefore: now}
 	if ev.ReceivedAfter != 0 {
-		t.receivedAfter = min(ev.ReceivedAfter, now)
+		lock.receivedAfter = min(ev.ReceivedAfter, now)
 	}
 	if ev.ReceivedBefore != 0 {
-		t.receivedBefore = min(max(ev.ReceivedBefore, t.receivedAfter), now)
+		lock.receivedBefore = min(max(ev.ReceivedBefore, lock.receivedAfter), now)
 	}
-	return t
+	return lock
 }
 
 // ofSameRead reports whether two jobs came in one read of a connection, in order.
-func (t *turn) ofSameRead(other *turn) bool {
-	return t.receivedAfter == other.receivedAfter && t.receivedBefore == other.receivedBefore
+func (lock *keyLock) ofSameRead(other *keyLock) bool {
+	return lock.receivedAfter == other.receivedAfter && lock.receivedBefore == other.receivedBefore
 }
 
-// insert inserts a turn by its time of receipt, unless its place is unknown.
-func (o *keyOrder) insert(t *turn) bool {
-	at := len(o.turns)
-	for at > 0 && !o.turns[at-1].started && o.turns[at-1].receivedAfter > t.receivedBefore {
+// insert inserts a lock by its time of receipt, unless its place is unknown.
+func (o *keyOrder) insert(lock *keyLock) bool {
+	at := len(o.locks)
+	for at > 0 && !o.locks[at-1].started && o.locks[at-1].receivedAfter > lock.receivedBefore {
 		at--
 	}
 	latest := o.startedBefore
-	for _, earlier := range o.turns[:at] {
-		if !earlier.ofSameRead(t) {
+	for _, earlier := range o.locks[:at] {
+		if !earlier.ofSameRead(lock) {
 			latest = max(latest, earlier.receivedBefore)
 		}
 	}
-	if latest > t.receivedAfter && !t.started {
+	if latest > lock.receivedAfter && !lock.started {
 		return false
 	}
-	o.turns = slices.Insert(o.turns, at, t)
+	o.locks = slices.Insert(o.locks, at, lock)
 	return true
 }
 
--- a/choice/ordering_test.go
+++ b/choice/ordering_test.go
@@ -108,7 +108,7 @@
 	p.decide(predecessor, Event{Kind: TimerFired, TimerID: predecessor.controller.timerID})
 	later := p.admit(predecessor, 1)
 	p.deliver(successor)
-	require(t, len(predecessor.inbox) == 0, "a turn is granted at once after a stall")
+	require(t, len(predecessor.inbox) == 0, "a lock is granted at once after a stall")
 	earlier := p.admitReceived(successor, 1, 500*ms, 480*ms)
 	p.advance(lateReadWait)
 	require(t, p.runs[1] == earlier, "the job received first does not run first: %v", p.runs)
--- a/choice/recording_convert_test.go
+++ b/choice/recording_convert_test.go
@@ -56,10 +56,10 @@
 		SuccessorUnlinked:   "successor_unlinked",
 		PredecessorLinked:   "predecessor_linked",
 		PredecessorUnlinked: "predecessor_unlinked",
-		TurnRequested:       "turn_requested",
-		TurnReleased:        "turn_released",
-		TurnGranted:         "turn_granted",
-		TurnRefused:         "turn_refused",
+		KeyLockRequested:    "key_lock_requested",
+		KeyLockReleased:     "key_lock_released",
+		KeyLockGranted:      "key_lock_granted",
+		KeyLockRefused:      "key_lock_refused",
 	}
 	resultNames = nameTable[Result]{
 		0:                 "",
@@ -95,10 +95,10 @@
 		ListEngines:        "list_all",
 		Log:                "log",
 		Fault:              "fault",
-		RequestTurn:        "request_turn",
-		ReleaseTurn:        "release_turn",
-		GrantTurn:          "grant_turn",
-		RefuseTurn:         "refuse_turn",
+		RequestKeyLock:     "request_key_lock",
+		ReleaseKeyLock:     "release_key_lock",
+		GrantKeyLock:       "grant_key_lock",
+		RefuseKeyLock:      "refuse_key_lock",
 	}
 )
 
@@ -147,7 +147,7 @@
 		Payload:            ev.Payload,
 		PredecessorRunning: ev.PredecessorRunning,
 		SuccessorRunning:   ev.SuccessorRunning,
-		TurnHeld:           ev.TurnHeld,
+		MayBeRunning:       ev.MayBeRunning,
 		Pause:              int64(ev.Pause),
 		ReceivedAfter:      int64(ev.ReceivedAfter),
 		ReceivedBefore:     int64(ev.ReceivedBefore),
@@ -223,7 +223,7 @@
 		Payload:            r.Payload,
 		PredecessorRunning: r.PredecessorRunning,
 		SuccessorRunning:   r.SuccessorRunning,
-		TurnHeld:           r.TurnHeld,
+		MayBeRunning:       r.MayBeRunning,
 		Pause:              Nanos(r.Pause),
 		ReceivedAfter:      Nanos(r.ReceivedAfter),
 		ReceivedBefore:     Nanos(r.ReceivedBefore),
--- a/choice/recording_test.go
+++ b/choice/recording_test.go
@@ -82,7 +82,7 @@
 	Plan               *recordedPlan       `json:"plan,omitzero"`
 	PredecessorRunning bool                `json:"on,omitzero"`
 	SuccessorRunning   bool                `json:"successor,omitzero"`
-	TurnHeld           bool                `json:"held,omitzero"`
+	MayBeRunning       bool                `json:"held,omitzero"`
 	Pause              int64               `json:"pause,omitzero"`
 	ReceivedAfter      int64               `json:"received_after,omitzero"`
 	ReceivedBefore     int64               `json:"received_before,omitzero"`
--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -124,14 +124,14 @@
 		earliest = c.bufferedSince
 	}
 	c.bufferedSince = time.Time{}
-	unreadSince := earliest
+	bufferedSince := earliest
 	if start, stalled := c.server.stalls.stalledSince(readAt); stalled && start.Before(earliest) {
-		unreadSince = start
+		bufferedSince = start
 	}
-	if readAt.Sub(unreadSince) < lateReadThreshold {
+	if readAt.Sub(bufferedSince) < lateReadThreshold {
 		return receipt{earliest: earliest}
 	}
-	return newReceipt(c.socket, earliest, unreadSince, readAt)
+	return newReceipt(c.socket, earliest, bufferedSince, readAt)
 }
 
 // submitCallsBeforeError submits the valid calls that precede input that cannot be read. It returns the given reason
--- a/internal/client/receipt.go
+++ b/internal/client/receipt.go
@@ -23,8 +23,8 @@
 // newReceipt returns the receipt of all input read at a time from a socket, which may have lain unread since an earlier
 // time. earliest is a lower bound of when it was sent, provided that it was read in time after all. The kernel tells
 // when the last of it was received.
-func newReceipt(socket syscall.Conn, earliest, unreadSince, readAt time.Time) receipt {
-	late := receipt{earliest: earliest, isLate: true, after: unreadSince, before: readAt}
+func newReceipt(socket syscall.Conn, earliest, bufferedSince, readAt time.Time) receipt {
+	late := receipt{earliest: earliest, isLate: true, after: bufferedSince, before: readAt}
 	age, err := socketstate.LastReceiptAge(socket)
 	if err != nil {
 		counters.Increment("receipt_times_unknown")
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -18,13 +18,13 @@
 	Close()
 }
 
-// maxRequestedTurns bounds the messages of a predecessor before Synced.
-const maxRequestedTurns = 1 << 17
+// maxRequestedLocks bounds the messages of a predecessor before Synced.
+const maxRequestedLocks = 1 << 17
 
 // Reasons why a process is not linked.
 var (
 	errPeerLinked   = errors.New("another process of this controller is linked")
-	errTooManyTurns = errors.New("the predecessor requests too many turns")
+	errTooManyLocks = errors.New("the predecessor requests too many locks")
 )
 
 // SetUncoordinatedSuccessor tells the module whether a successor runs that does not link to this process.
@@ -47,7 +47,7 @@
 }
 
 // FollowPredecessor orders the jobs of ordering keys for both processes until the connection to the predecessor ends.
-// It closes the connection. It begins, and calls synced, once the predecessor has requested the turns of all jobs that
+// It closes the connection. It begins, and calls synced, once the predecessor has requested the locks of all jobs that
 // it admitted alone. A connection that ends earlier changes nothing: the predecessor may go on alone.
 func (g *Gateway) FollowPredecessor(predecessor Peer, synced func()) error {
 	defer predecessor.Close()
@@ -58,7 +58,7 @@
 	if !g.link(predecessor, choice.PredecessorLinked, requested) {
 		return errPeerLinked
 	}
-	slog.Info("predecessor_linked", "turns", len(requested))
+	slog.Info("predecessor_linked", "locks", len(requested))
 	synced()
 	g.receiveFrom(predecessor, choice.PredecessorUnlinked)
 	slog.Info("predecessor_unlinked")
@@ -68,7 +68,7 @@
 // receiveUntilSynced returns the messages of a predecessor before Synced, one or two for each open job and key.
 func receiveUntilSynced(predecessor Peer) ([]handover.Message, error) {
 	var requested []handover.Message
-	for len(requested) <= maxRequestedTurns {
+	for len(requested) <= maxRequestedLocks {
 		message, err := predecessor.Receive()
 		if err != nil {
 			return nil, err
@@ -78,7 +78,7 @@
 		}
 		requested = append(requested, message)
 	}
-	return nil, errTooManyTurns
+	return nil, errTooManyLocks
 }
 
 // link makes a process the peer and notifies the module of that and of the peer's first messages, before any other
@@ -123,7 +123,7 @@
 
 // decidePeerMessage passes a message to the module and returns the actions to perform. The caller must hold the lock.
 func (g *Gateway) decidePeerMessage(message handover.Message) []choice.Action {
-	if event, known := g.turnEvent(message); known {
+	if event, known := g.lockEvent(message); known {
 		return g.decide(event)
 	}
 	return nil
@@ -140,7 +140,7 @@
 
 func concernsPeer(kind choice.ActionKind) bool {
 	switch kind {
-	case choice.RequestTurn, choice.ReleaseTurn, choice.GrantTurn, choice.RefuseTurn:
+	case choice.RequestKeyLock, choice.ReleaseKeyLock, choice.GrantKeyLock, choice.RefuseKeyLock:
 		return true
 	default:
 		return false
@@ -152,17 +152,17 @@
 	if g.peer == nil {
 		return
 	}
-	message := handover.Message{Turn: uint32(action.Job), Key: uint64(action.Key)}
+	message := handover.Message{Job: uint32(action.Job), Key: uint64(action.Key)}
 	switch action.Kind {
-	case choice.RequestTurn:
+	case choice.RequestKeyLock:
 		message.Kind = handover.Request
-		message.Held = action.Enabled
+		message.MayBeRunning = action.Enabled
 		message.ReceivedAfterNS = g.clock.toMonotonic(action.ReceivedAfter)
 		message.ReceivedBeforeNS = g.clock.toMonotonic(action.ReceivedBefore)
-	case choice.ReleaseTurn:
+	case choice.ReleaseKeyLock:
 		message.Kind = handover.Release
 		message.PauseNS = int64(action.Duration)
-	case choice.RefuseTurn:
+	case choice.RefuseKeyLock:
 		message.Kind = handover.Refuse
 	default:
 		message.Kind = handover.Grant
@@ -170,22 +170,22 @@
 	g.peer.Send(message)
 }
 
-// turnEvent converts a message of the peer to an event of the module; false for kinds that the module does not handle.
-func (g *Gateway) turnEvent(message handover.Message) (choice.Event, bool) {
-	event := choice.Event{Job: choice.JobID(message.Turn), Key: choice.Key(message.Key)}
+// lockEvent converts a message of the peer to an event of the module; false for kinds that the module does not handle.
+func (g *Gateway) lockEvent(message handover.Message) (choice.Event, bool) {
+	event := choice.Event{Job: choice.JobID(message.Job), Key: choice.Key(message.Key)}
 	switch message.Kind {
 	case handover.Request:
-		event.Kind = choice.TurnRequested
-		event.TurnHeld = message.Held
+		event.Kind = choice.KeyLockRequested
+		event.MayBeRunning = message.MayBeRunning
 		event.ReceivedAfter = g.clock.fromMonotonic(message.ReceivedAfterNS)
 		event.ReceivedBefore = g.clock.fromMonotonic(message.ReceivedBeforeNS)
 	case handover.Release:
-		event.Kind = choice.TurnReleased
+		event.Kind = choice.KeyLockReleased
 		event.Pause = choice.Nanos(message.PauseNS)
 	case handover.Grant:
-		event.Kind = choice.TurnGranted
+		event.Kind = choice.KeyLockGranted
 	case handover.Refuse:
-		event.Kind = choice.TurnRefused
+		event.Kind = choice.KeyLockRefused
 	default:
 		return choice.Event{}, false
 	}
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -77,7 +77,7 @@
 	g, submit := newKeyedGateway(t)
 	g.SetPredecessor(true)
 	peer := newFakePeer()
-	peer.received <- handover.Message{Kind: handover.Request, Turn: 1, Key: 5}
+	peer.received <- handover.Message{Kind: handover.Request, Job: 1, Key: 5}
 	peer.close()
 	if err := g.FollowPredecessor(peer, func() { t.Error("synced") }); err == nil {
 		t.Error("no error")
@@ -90,15 +90,15 @@
 	}
 }
 
-// The successor grants the turns that its predecessor requests, one at a time, and a second peer is refused.
-func TestTurnsAreGrantedToThePredecessor(t *testing.T) {
+// The successor grants the locks that its predecessor requests, one at a time, and a second peer is refused.
+func TestLocksAreGrantedToThePredecessor(t *testing.T) {
 	g, _ := newKeyedGateway(t)
 	g.SetPredecessor(true)
 	peer := newFakePeer()
 	now := monotonic.Uptime()
-	peer.received <- handover.Message{Kind: handover.Request, Turn: 1, Key: 5, Held: true,
+	peer.received <- handover.Message{Kind: handover.Request, Job: 1, Key: 5, MayBeRunning: true,
 		ReceivedAfterNS: now - 2, ReceivedBeforeNS: now - 2}
-	peer.received <- handover.Message{Kind: handover.Request, Turn: 2, Key: 5, ReceivedAfterNS: now - 1,
+	peer.received <- handover.Message{Kind: handover.Request, Job: 2, Key: 5, ReceivedAfterNS: now - 1,
 		ReceivedBeforeNS: now - 1}
 	peer.received <- handover.Message{Kind: handover.Synced}
 	synced, ended := make(chan struct{}), make(chan error)
@@ -110,8 +110,8 @@
 	if sent := peer.sentSoFar(); len(sent) > 0 {
 		t.Errorf("sent %+v while another job of the key may run", sent)
 	}
-	peer.received <- handover.Message{Kind: handover.Release, Turn: 1, Key: 5}
-	want := []handover.Message{{Kind: handover.Grant, Turn: 2}}
+	peer.received <- handover.Message{Kind: handover.Release, Job: 1, Key: 5}
+	want := []handover.Message{{Kind: handover.Grant, Job: 2}}
 	eventually(t, "not granted", func() bool { return reflect.DeepEqual(peer.sentSoFar(), want) })
 	peer.close()
 	if err := <-ended; err != nil {
@@ -119,7 +119,7 @@
 	}
 }
 
-// The predecessor requests the turns of its open jobs, then tells that these are all.
+// The predecessor requests the locks of its open jobs, then tells that these are all.
 func TestOpenJobsAreRequestedBeforeSynced(t *testing.T) {
 	g, submit := newKeyedGateway(t)
 	submit("a")
@@ -133,8 +133,8 @@
 	eventually(t, "not synced", func() bool { return len(peer.sentSoFar()) == 3 })
 	submit("c")
 	key := uint64(orderingKey([]byte("k")))
-	want := []handover.Message{{Kind: handover.Request, Turn: 1, Key: key, Held: true},
-		{Kind: handover.Request, Turn: 2, Key: key}, {Kind: handover.Synced}, {Kind: handover.Request, Turn: 3, Key: key}}
+	want := []handover.Message{{Kind: handover.Request, Job: 1, Key: key, MayBeRunning: true},
+		{Kind: handover.Request, Job: 2, Key: key}, {Kind: handover.Synced}, {Kind: handover.Request, Job: 3, Key: key}}
 	if sent := peer.sentSoFar(); !reflect.DeepEqual(sent, want) {
 		t.Errorf("sent %+v, want %+v", sent, want)
 	}
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -34,10 +34,10 @@
 	choice.SuccessorUnlinked:   "successor_unlinked",
 	choice.PredecessorLinked:   "predecessor_linked",
 	choice.PredecessorUnlinked: "predecessor_unlinked",
-	choice.TurnRequested:       "turn_requested",
-	choice.TurnReleased:        "turn_released",
-	choice.TurnGranted:         "turn_granted",
-	choice.TurnRefused:         "turn_refused",
+	choice.KeyLockRequested:    "key_lock_requested",
+	choice.KeyLockReleased:     "key_lock_released",
+	choice.KeyLockGranted:      "key_lock_granted",
+	choice.KeyLockRefused:      "key_lock_refused",
 }
 
 var actionNames = [...]string{
@@ -54,10 +54,10 @@
 	choice.ListEngines:        "list_all",
 	choice.Log:                "log",
 	choice.Fault:              "fault",
-	choice.RequestTurn:        "request_turn",
-	choice.ReleaseTurn:        "release_turn",
-	choice.GrantTurn:          "grant_turn",
-	choice.RefuseTurn:         "refuse_turn",
+	choice.RequestKeyLock:     "request_key_lock",
+	choice.ReleaseKeyLock:     "release_key_lock",
+	choice.GrantKeyLock:       "grant_key_lock",
+	choice.RefuseKeyLock:      "refuse_key_lock",
 }
 
 func (on trace) event(now choice.Nanos, event choice.Event) {
@@ -81,10 +81,10 @@
 	case choice.ProgressReported:
 		return []any{"job", event.Job, "seq", event.Seq, "engine", event.Engine,
 			"note", event.Progress, "amount", event.Amount}
-	case choice.ClientDisconnected, choice.TurnGranted, choice.TurnRefused:
+	case choice.ClientDisconnected, choice.KeyLockGranted, choice.KeyLockRefused:
 		return []any{"job", event.Job}
-	case choice.TurnRequested, choice.TurnReleased:
-		return []any{"job", event.Job, "key", fmt.Sprintf("%x", event.Key), "held", event.TurnHeld, "pause", event.Pause}
+	case choice.KeyLockRequested, choice.KeyLockReleased:
+		return []any{"job", event.Job, "key", fmt.Sprintf("%x", event.Key), "held", event.MayBeRunning, "pause", event.Pause}
 	case choice.EnginesListed:
 		return []any{"list", event.List, "lines", event.Engines}
 	case choice.ProbeCompleted:
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -51,7 +51,7 @@
 // enqueue appends a message to a queue, or removes the request that it makes superfluous.
 func enqueue(queue []Message, message Message) []Message {
 	if message.Kind == Release && message.PauseNS == 0 {
-		isRequest := func(m Message) bool { return m.Kind == Request && m.Turn == message.Turn && m.Key == message.Key }
+		isRequest := func(m Message) bool { return m.Kind == Request && m.Job == message.Job && m.Key == message.Key }
 		if i := slices.IndexFunc(queue, isRequest); i >= 0 {
 			return slices.Delete(queue, i, i+1)
 		}
--- a/internal/handover/link_test.go
+++ b/internal/handover/link_test.go
@@ -48,8 +48,8 @@
 	successor, predecessor := connect(t)
 	var sent []Message
 	for i := range 100 {
-		sent = append(sent, Message{Kind: Request, Turn: uint32(i + 1), Key: 1<<63 + uint64(i), Held: i%2 == 0},
-			Message{Kind: Release, Turn: uint32(i + 1), Key: 7, PauseNS: int64(i + 1)})
+		sent = append(sent, Message{Kind: Request, Job: uint32(i + 1), Key: 1<<63 + uint64(i), MayBeRunning: i%2 == 0},
+			Message{Kind: Release, Job: uint32(i + 1), Key: 7, PauseNS: int64(i + 1)})
 	}
 	sent = append(sent, Message{Kind: Synced})
 	for _, message := range sent {
@@ -60,8 +60,8 @@
 			t.Fatalf("message %d: %+v %v, want %+v", i, got, err, want)
 		}
 	}
-	successor.Send(Message{Kind: Grant, Turn: 9})
-	if got, err := predecessor.Receive(); err != nil || got != (Message{Kind: Grant, Turn: 9}) {
+	successor.Send(Message{Kind: Grant, Job: 9})
+	if got, err := predecessor.Receive(); err != nil || got != (Message{Kind: Grant, Job: 9}) {
 		t.Errorf("%+v %v", got, err)
 	}
 	successor.Close()
@@ -121,15 +121,15 @@
 
 // Guards against a queue that grows without bound while the peer is stopped.
 func TestUnsentRequestsAreDroppedWithTheirReleases(t *testing.T) {
-	request, held := Message{Kind: Request, Turn: 1, Key: 5}, Message{Kind: Request, Turn: 2, Key: 5, Held: true}
-	pause := Message{Kind: Release, Turn: 2, Key: 5, PauseNS: 9}
+	request, running := Message{Kind: Request, Job: 1, Key: 5}, Message{Kind: Request, Job: 2, Key: 5, MayBeRunning: true}
+	pause := Message{Kind: Release, Job: 2, Key: 5, PauseNS: 9}
 	var queue []Message
 	for _, message := range []Message{
-		held, request, {Kind: Release, Turn: 1, Key: 5}, {Kind: Release, Turn: 3, Key: 5}, pause,
+		running, request, {Kind: Release, Job: 1, Key: 5}, {Kind: Release, Job: 3, Key: 5}, pause,
 	} {
 		queue = enqueue(queue, message)
 	}
-	if want := []Message{held, {Kind: Release, Turn: 3, Key: 5}, pause}; !reflect.DeepEqual(queue, want) {
+	if want := []Message{running, {Kind: Release, Job: 3, Key: 5}, pause}; !reflect.DeepEqual(queue, want) {
 		t.Errorf("%+v, want %+v", queue, want)
 	}
 }
