--- a/choice/key_order.go
+++ b/choice/key_order.go
@@ -10,8 +10,8 @@
 	retainedUntil Nanos // for startedBefore
 }
 
-// keyLock is the lock that a job takes on its ordering key. A key has a queue of locks, of which the first may
-// be in force.
+// keyLock is the lock that a job takes on its ordering key. The locks of a key form a queue, whose first one
+// may be in force.
 type keyLock struct {
 	job            JobID // at the process that admitted the job
 	key            Key
