--- a/internal/coordinator/process_faults_test.go
+++ b/internal/coordinator/process_faults_test.go
@@ -50,18 +50,14 @@
 // controllers start slowly: the rollout waits until the faults are gone, and reaches all controllers.
 func TestDisksThatAreFullOrSlowAndClocksApart(t *testing.T) {
 	t.Parallel()
-	cluster, err := testcluster.Config{
+	cluster := startCluster(t, testcluster.Config{
 		Program:       faultProgram,
 		Seed:          3,
 		Controllers:   3,
 		Engines:       2,
 		StartDelayMS:  300,
 		ClockOffsetMS: map[int]int{0: -420_000, 2: 420_000},
-	}.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(cluster.Close)
+	})
 	load := cluster.StartLoad(1, 1, 10*time.Millisecond, false)
 	disk := func(name, how string) {
 		t.Helper()
@@ -110,11 +106,7 @@
 // terminated by hand. The rollout completes nevertheless.
 func TestAMemberThatDiesWithItsOrder(t *testing.T) {
 	t.Parallel()
-	cluster, err := testcluster.Config{Program: faultProgram, Seed: 13, Controllers: 3, Engines: 2}.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(cluster.Close)
+	cluster := startCluster(t, testcluster.Config{Program: faultProgram, Seed: 13, Controllers: 3, Engines: 2})
 	load := cluster.StartLoad(13, 1, 10*time.Millisecond, false)
 	folder := filepath.Join(cluster.Dir, "record")
 	process := startRollout(t, cluster, faultProgram, folder,
@@ -166,11 +158,7 @@
 // supervisor ignores it, and the controller inherits that until it installs its own handler.
 func TestControllersDoNotEndByAnEarlyHangup(t *testing.T) {
 	t.Parallel()
-	cluster, err := testcluster.Config{Program: currentProgram, Seed: 12, Controllers: 1, Engines: 1}.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(cluster.Close)
+	cluster := startCluster(t, testcluster.Config{Program: currentProgram, Seed: 12, Controllers: 1, Engines: 1})
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", cluster.Members[0].Supervisor.Pid()))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/coordinator/process_leader_test.go
+++ b/internal/coordinator/process_leader_test.go
@@ -45,11 +45,7 @@
 // replaced or recovered afterwards.
 func TestALeaderThatIsResumedLateDoesNoHarm(t *testing.T) {
 	t.Parallel()
-	cluster, err := testcluster.Config{Program: currentProgram, Seed: 1, Controllers: 3, Engines: 2, Voters: 3}.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(cluster.Close)
+	cluster := startCluster(t, testcluster.Config{Program: currentProgram, Seed: 1, Controllers: 3, Engines: 2, Voters: 3})
 	load := cluster.StartLoad(1, 1, 10*time.Millisecond, false)
 	runCommand(t, cluster, "fleet", "bootstrap")
 	waitForLeader := func(except *testcluster.Member) (m *testcluster.Member) {
@@ -192,7 +188,7 @@
 // and then serve as without a leader.
 func TestSharesAndPlansOutliveTheirLeaderToTheirEnds(t *testing.T) {
 	t.Parallel()
-	cluster, err := testcluster.Config{
+	cluster := startCluster(t, testcluster.Config{
 		Program:            currentProgram,
 		Seed:               6,
 		Controllers:        4,
@@ -202,11 +198,7 @@
 		Files:              map[string]string{"problem.json": planningProblem},
 		FleetFields: `"parts":{"life_ms":3000},` +
 			`"planning":{"problem":"problem.json","every_ms":60000,"least_ms":1000,"life_ms":4000},`,
-	}.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(cluster.Close)
+	})
 	load := cluster.StartLoad(1, 3, 10*time.Millisecond, true)
 	runCommand(t, cluster, "fleet", "bootstrap")
 	assigned := cluster.Members[:3] // the fourth supervisor writes the previous format and accepts no assignments
@@ -295,18 +287,14 @@
 // over at once. A voter that is lost permanently can be removed.
 func TestALeaderThatIsUnfitHandsOver(t *testing.T) {
 	t.Parallel()
-	cluster, err := testcluster.Config{
+	cluster := startCluster(t, testcluster.Config{
 		Program:       faultProgram,
 		Seed:          8,
 		Controllers:   3,
 		Engines:       2,
 		Voters:        3,
 		ClockOffsetMS: map[int]int{0: -420_000, 1: 420_000},
-	}.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(cluster.Close)
+	})
 	runCommand(t, cluster, "fleet", "bootstrap")
 	waitForLeader := func(except ...*testcluster.Member) (m *testcluster.Member) {
 		t.Helper()
--- a/internal/coordinator/process_order_test.go
+++ b/internal/coordinator/process_order_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"os"
@@ -206,11 +207,7 @@
 func startOrderTest(t *testing.T) (*testcluster.Cluster, *keyWriters) {
 	t.Helper()
 	t.Parallel()
-	cluster, err := testcluster.Config{Program: currentProgram, Seed: 20, Controllers: 1, Engines: 2}.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(cluster.Close)
+	cluster := startCluster(t, testcluster.Config{Program: currentProgram, Seed: 20, Controllers: 1, Engines: 2})
 	cluster.Faults.SetWorkDuration(30 * time.Millisecond)
 	writers := startKeyWriters(cluster)
 	writers.awaitMoreDone(t)
@@ -327,6 +324,23 @@
 	writers.requireAdmittedServed(t)
 }
 
+// Guards against a change of settings that disturbs the order of keys: one process serves throughout.
+func TestImportsKeepTheirOrderInAChangeOfSettings(t *testing.T) {
+	cluster, writers := startOrderTest(t)
+	before := statusOf(t, cluster)
+	spec := before.Spec
+	spec.Topology = json.RawMessage(`{"budget_free":7}`)
+	sendSpec(t, cluster.Members[0], spec)
+	waitUntil(t, cluster, "the settings are in force", func() bool {
+		return statusOf(t, cluster).RunningSpec == spec.Digest()
+	})
+	if now := statusOf(t, cluster).PID; now != before.PID {
+		t.Errorf("process %d serves in place of %d", now, before.PID)
+	}
+	writers.finish(t)
+	writers.requireAdmittedServed(t)
+}
+
 // Guards against imports of a key that lay unread while their process was stopped, and run in another order.
 func TestImportsKeepTheirOrderIfTheirProcessWasStopped(t *testing.T) {
 	cluster, writers := startOrderTest(t)
--- a/internal/coordinator/process_plan_test.go
+++ b/internal/coordinator/process_plan_test.go
@@ -84,17 +84,13 @@
 		t.Fatalf("%v: %s", err, text)
 	}
 	ends := monotonic.Now() + int64(6*time.Second)
-	cluster, err := testcluster.Config{
+	cluster := startCluster(t, testcluster.Config{
 		Program:        currentProgram,
 		Seed:           9,
 		Controllers:    2,
 		Engines:        2,
 		OperatorFields: fmt.Sprintf(`"plan":{"file":%q,"until_boot_ns":%d},`, filepath.Join(dir, "plan.json"), ends),
-	}.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(cluster.Close)
+	})
 	load := cluster.StartLoad(1, 1, 10*time.Millisecond, false)
 	folder := filepath.Join(cluster.Dir, "record")
 	process := startRollout(t, cluster, currentProgram, folder,
--- a/internal/coordinator/process_setup_test.go
+++ b/internal/coordinator/process_setup_test.go
@@ -118,13 +118,20 @@
 	`"unheard_ms":3000,"look_ms":30},"limits":{"jobs_wanted":5,"shared_per_mille":900,"slower_per_mille":900,` +
 	`"missed_per_mille":900,"cpu_percent":5000,"memory_percent":5000}`
 
-func newCluster(t *testing.T, n int) (*testcluster.Cluster, *testcluster.Load) {
+// startCluster starts a cluster that is closed at the end of the test.
+func startCluster(t *testing.T, config testcluster.Config) *testcluster.Cluster {
 	t.Helper()
-	cluster, err := testcluster.Config{Program: currentProgram, Seed: 1, Controllers: n, Engines: 2}.Start()
+	cluster, err := config.Start()
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(cluster.Close)
+	return cluster
+}
+
+func newCluster(t *testing.T, n int) (*testcluster.Cluster, *testcluster.Load) {
+	t.Helper()
+	cluster := startCluster(t, testcluster.Config{Program: currentProgram, Seed: 1, Controllers: n, Engines: 2})
 	return cluster, cluster.StartLoad(1, 1, 10*time.Millisecond, false)
 }
 
--- a/internal/coordinator/process_successor_test.go
+++ b/internal/coordinator/process_successor_test.go
@@ -20,11 +20,7 @@
 // job of that key.
 func TestAKeyWaitsForThePredecessor(t *testing.T) {
 	t.Parallel()
-	cluster, err := testcluster.Config{Program: currentProgram, Seed: 1, Controllers: 1, Engines: 1}.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(cluster.Close)
+	cluster := startCluster(t, testcluster.Config{Program: currentProgram, Seed: 1, Controllers: 1, Engines: 1})
 	m := cluster.Members[0]
 	cluster.Faults.SetWorkDuration(6 * time.Second) // longer than the time that an unsupervised controller has to stop
 	began := func(job string) (n int) {
@@ -37,8 +33,8 @@
 	}
 	ready := func() (c *fake.Client) {
 		waitUntil(t, cluster, "a process that is ready", func() bool {
-			c, err = fake.Dial(m.ClientAddress)
-			if err != nil {
+			var err error
+			if c, err = fake.Dial(m.ClientAddress); err != nil {
 				return false
 			}
 			is, err := c.Ready()
@@ -117,6 +113,12 @@
 	if want.Program.Digest, err = change.FileDigest(path); err != nil {
 		t.Fatal(err)
 	}
+	sendSpec(t, m, want)
+}
+
+// sendSpec orders a supervisor to run a spec, without a coordinator.
+func sendSpec(t *testing.T, m *testcluster.Member, want change.Spec) {
+	t.Helper()
 	fleet := coordinator.NewFleetClient(
 		[]operator.Member{{Name: m.Name, Listen: m.SupervisorAddress}},
 		2*time.Second,
@@ -133,13 +135,9 @@
 // limits the work on an engine that warms up.
 func TestAStartingEngineIsSparedByBothProcesses(t *testing.T) {
 	t.Parallel()
-	cluster, err := testcluster.Config{
+	cluster := startCluster(t, testcluster.Config{
 		Program: currentProgram, Seed: 10, Controllers: 1, Engines: 2, EnginesWarmUp: true,
-	}.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(cluster.Close)
+	})
 	cluster.Faults.SetWorkDuration(120 * time.Millisecond)
 	load := cluster.StartLoad(10, 60, 10*time.Millisecond, false)
 	m := cluster.Members[0]
@@ -197,18 +195,14 @@
 // new process from its start.
 func TestAnEjectedEngineIsEjectedForTheSuccessor(t *testing.T) {
 	t.Parallel()
-	cluster, err := testcluster.Config{Program: currentProgram, Seed: 11, Controllers: 1, Engines: 3}.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(cluster.Close)
+	cluster := startCluster(t, testcluster.Config{Program: currentProgram, Seed: 11, Controllers: 1, Engines: 3})
 	load := cluster.StartLoad(11, 10, 10*time.Millisecond, false)
 	m := cluster.Members[0]
 	cluster.Faults.SetFailing("e2", true)
 	var was supervisor.Status
 	waitUntil(t, cluster, "the engine is ejected", func() bool {
-		was, err = cluster.Status(m)
-		return err == nil && was.EjectedEngines == 1
+		was = statusOf(t, cluster)
+		return was.EjectedEngines == 1
 	})
 	broken := func() (n int) {
 		for _, e := range cluster.Events.Entries() {
--- a/internal/coordinator/process_takeover_test.go
+++ b/internal/coordinator/process_takeover_test.go
@@ -145,17 +145,13 @@
 // coordinator of the previous format.
 func TestOldAndNewFormatsSideBySide(t *testing.T) {
 	t.Parallel()
-	cluster, err := testcluster.Config{
+	cluster := startCluster(t, testcluster.Config{
 		Program:            currentProgram,
 		Seed:               4,
 		Controllers:        3,
 		Engines:            2,
 		SupervisorPrograms: map[int]string{0: previousProgram},
-	}.Start()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(cluster.Close)
+	})
 	load := cluster.StartLoad(1, 1, 10*time.Millisecond, false)
 	for i, of := range []string{currentProgram, previousProgram} {
 		folder := filepath.Join(cluster.Dir, fmt.Sprint("record", i))
