--- a/review/stand2/foreign.go
+++ b/review/stand2/foreign.go
@@ -17,15 +17,17 @@
 
 var termOf = regexp.MustCompile(`<http://x/(t[0-9]+)>`)
 
-// playForeign sends queries, each for a term of its own. With trouble, one answer in ten comes a second time some
-// milliseconds later.
+// playForeign sends queries, each for a term of its own, and every tenth time an update of a graph of its own. With
+// trouble, one answer in ten comes a second time some milliseconds later.
 func playForeign(rec *record, trouble bool) (bool, error) {
 	random := rand.New(rand.NewPCG(1, 2)) //nolint:gosec // a fixed seed
 	var mu sync.Mutex
 	copies := 0
+	ends := map[string]time.Time{} // of the updates, at their engines
 	w, err := newWorld(rec, trouble, options{engines: 6, sparql: true,
 		answer: func(e *engine, form url.Values, _ http.Header) answer {
-			term := termOf.FindStringSubmatch(form.Get("query"))
+			update := form.Get("update") != ""
+			term := termOf.FindStringSubmatch(form.Get("query") + form.Get("update"))
 			if term == nil {
 				return answer{response: response(http.StatusBadRequest, "{}")}
 			}
@@ -33,6 +35,10 @@
 			defer mu.Unlock()
 			a := answer{response: response(http.StatusOK, table("label of "+term[1]))}
 			a.after = time.Duration(60+random.IntN(120)) * time.Millisecond
+			if update {
+				a.response = response(http.StatusNoContent, "")
+				ends[term[1]] = time.Now().Add(a.after)
+			}
 			if trouble && random.IntN(10) == 0 {
 				a.copyAfter = time.Duration(2+random.IntN(8)) * time.Millisecond
 				copies++
@@ -52,7 +58,7 @@
 		wait     = 2500 * time.Millisecond
 	)
 	var asking sync.WaitGroup
-	done, refused, foreign := 0, 0, 0
+	done, refused, foreign, early := 0, 0, 0, 0
 	tick := time.NewTicker(interval)
 	defer tick.Stop()
 	for i := range requests {
@@ -64,12 +70,24 @@
 				return
 			}
 			defer conn.close()
-			got := conn.ask(w.sparql, "query", "SELECT ?v WHERE { <http://x/"+term+"> <http://x/label> ?v }",
-				wait, wait+time.Second)
+			isUpdate := i%10 == 9
+			kind, text := "query", "SELECT ?v WHERE { <http://x/"+term+"> <http://x/label> ?v }"
+			if isUpdate {
+				kind, text = "update", "INSERT DATA { GRAPH <http://x/"+term+"> { <http://x/s> <http://x/p> 1 } }"
+			}
+			got := conn.ask(w.sparql, kind, text, wait, wait+time.Second)
+			answered := time.Now()
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
-			case got.status != http.StatusOK:
+			case isUpdate && got.status == http.StatusNoContent:
+				if end, began := ends[term]; began && !answered.Before(end) {
+					done++
+					return
+				}
+				early++
+				rec.line("EARLY: client was told that update %s is done, before any engine had done it", term)
+			case got.status != http.StatusOK || isUpdate:
 				refused++
 				rec.line("client asked for %s: %s", term, got)
 			case strings.Contains(got.body, `"label of `+term+`"`):
@@ -81,10 +99,10 @@
 		})
 	}
 	asking.Wait()
-	rec.line("%d requests: %d served with their own rows, %d with those of another request, %d not served; %d answers "+
-		"came twice", requests, done, foreign, refused, copies)
+	rec.line("%d requests: %d served right, %d with the rows of another request, %d updates told done before they were, "+
+		"%d not served; %d answers came twice", requests, done, foreign, early, refused, copies)
 	if w.hasEnded() || done < requests/2 {
 		return false, setupf("too few requests were served")
 	}
-	return foreign == 0, nil
+	return foreign+early == 0, nil
 }
