--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -6,4 +6,4 @@
 	echo "run the build of deploy/balancer.toml and review/build-2.sh first" >&2
 	exit 2
 fi
-exec bin/review-stand2 left review/9
+exec bin/review-stand2 crowd review/9
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -64,6 +64,7 @@
 	answer   answerFunc
 	settings func(settings map[string]any) // changes the settings; may be nil
 	sparql   bool
+	marked   bool // updates have an Idempotency-Key
 	memoryMB int
 }
 
@@ -138,7 +139,7 @@
 		operator["sparql"] = map[string]any{
 			"listen": w.sparql, "tenant": "acme", "endpoints": endpoints,
 			"types": []any{
-				map[string]any{"forms": []any{"UPDATE"}, "type": "import"},
+				map[string]any{"forms": []any{"UPDATE"}, "type": "import", "marked": o.marked},
 				map[string]any{"most_work_ms": 1000, "type": "lookup"},
 				map[string]any{"type": "report"},
 			},
