--- a/review/stand2/engine.go
+++ b/review/stand2/engine.go
@@ -136,6 +136,11 @@
 	return b.Bytes()
 }
 
+// refusal returns the answer of an engine that is full and has not begun.
+func refusal() []byte {
+	return []byte("HTTP/1.1 503 Service Unavailable\r\nNot-Started: ?1\r\nContent-Length: 0\r\n\r\n")
+}
+
 // table returns a result in JSON with one variable and one row.
 func table(value string) string {
 	return `{"head":{"vars":["v"]},"results":{"bindings":[{"v":{"type":"literal","value":"` + value + `"}}]}}`
